--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,6 @@
+#include <fmt/core.h>
+
+int main()
+{
+    fmt::print("snipespar {}\n", SNIPESPAR_VERSION);
+}
