--- /dev/null
+++ b/src/link/frame/cancel.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+
+namespace snipespar::link {
+
+/// The entry no longer wants a stream.
+struct cancel {
+    std::uint64_t stream = 0;
+
+    friend bool operator==(const cancel&, const cancel&) = default;
+};
+
+} // namespace snipespar::link
--- /dev/null
+++ b/src/link/frame/credentials.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "link/role.h"
+#include "snipespar/ids.h"
+
+#include <cstdint>
+#include <string>
+
+namespace snipespar::link {
+
+/// Answer to a challenge: who the connecting side is, and a proof over both nonces.
+struct credentials {
+    std::uint32_t protocol = 0;
+    role sender_role = role::entry;
+    incarnation sender;
+    /// Random bytes that the welcome must cover.
+    std::string nonce;
+    /// HMAC-SHA-256 with the fleet secret.
+    std::string proof;
+
+    friend bool operator==(const credentials&, const credentials&) = default;
+};
+
+} // namespace snipespar::link
--- /dev/null
+++ b/src/link/frame/started.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+
+namespace snipespar::link {
+
+/// The agent is about to hand the request to its upstream. From here on it may have run.
+struct started {
+    std::uint64_t stream = 0;
+
+    friend bool operator==(const started&, const started&) = default;
+};
+
+} // namespace snipespar::link
--- /dev/null
+++ b/src/link/frame/upstream_report.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace snipespar::link {
+
+/// What an agent tells every linked entry about its upstream, on change and on an interval.
+struct upstream_report {
+    bool ready = false;
+    /// No new work is taken; what runs is finished.
+    bool leaving = false;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    /// Estimated time until a request sent now would start.
+    std::uint64_t queue_delay_ms = 0;
+    /// Resident adapters, as `adapter@version`.
+    std::vector<std::string> resident;
+
+    friend bool operator==(const upstream_report&, const upstream_report&) = default;
+};
+
+} // namespace snipespar::link
--- /dev/null
+++ b/src/link/frame/window.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+
+namespace snipespar::link {
+
+/// Allows the sender of a stream to send more.
+struct window {
+    std::uint64_t stream = 0;
+    std::uint64_t bytes = 0;
+
+    friend bool operator==(const window&, const window&) = default;
+};
+
+} // namespace snipespar::link
--- /dev/null
+++ b/src/link/role.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <cstdint>
+
+namespace snipespar::link {
+
+/// What kind of process stands at one end of a link.
+enum class role : std::uint8_t {
+    entry = 1,
+    agent = 2,
+};
+
+} // namespace snipespar::link
