Add the command line with typed settings

One table of settings gives flags, environment variables, defaults and help. Every finding is reported at once with its place. docopt reads a grammar without descriptions, because its regular expressions recurse once a character.

--- /dev/null
+++ b/src/agent/run_agent.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace snipespar::cli {
+struct agent_settings;
+} // namespace snipespar::cli
+
+namespace snipespar::agent {
+
+/// Serves one upstream until a graceful stop has ended. Returns the process's exit code.
+int run_agent(const cli::agent_settings& settings);
+
+} // namespace snipespar::agent
--- /dev/null
+++ b/src/cli/agent_settings.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "cli/endpoint.h"
+#include "snipespar/ids.h"
+#include "snipespar/time.h"
+#include "telemetry/secret.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snipespar::cli {
+
+/// Checked settings of one `snipespar agent` process. Never changed once parsed.
+struct agent_settings {
+    /// Links from entries; held exclusively for as long as the process lives.
+    endpoint listen;
+    /// Metrics, liveness, readiness and status.
+    endpoint admin_listen;
+    /// The engine or plain service that this agent serves.
+    endpoint upstream;
+    upstream_id id;
+    std::string environment;
+    host_id host;
+    failure_domain_id failure_domain;
+    /// Link addresses of entries to learn the configuration from; may be empty.
+    std::vector<endpoint> entries;
+    duration drain_timeout{};
+    duration heartbeat{};
+    std::optional<endpoint> trace_endpoint;
+    duration counters_interval{};
+    /// 0 asks for a fresh seed.
+    std::uint64_t seed = 0;
+    telemetry::secret fleet_secret;
+
+    friend bool operator==(const agent_settings&, const agent_settings&) = default;
+};
+
+} // namespace snipespar::cli
--- /dev/null
+++ b/src/cli/command_line.cpp
@@ -0,0 +1,341 @@
+#include "cli/command_line.h"
+
+#include "cli/setting.h"
+#include "cli/setting_tables.h"
+#include "cli/value_parsers.h"
+
+#include <algorithm>
+#include <array>
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <utility>
+
+namespace snipespar::cli {
+
+namespace {
+
+constexpr std::size_t min_fleet_secret_bytes = 32;
+constexpr std::string_view version_text = "snipespar " SNIPESPAR_VERSION "\n";
+
+using docopt_values = std::map<std::string, docopt::value>;
+
+// One command: its usage patterns, what it does and its settings.
+struct command {
+    std::string_view name;
+    std::vector<std::string_view> patterns;
+    std::string_view summary;
+    std::span<const setting> table;
+};
+
+const std::vector<command>& commands()
+{
+    static const std::vector<command> list{
+        {"entry", {"entry"}, "Serves callers on this host.", entry_table()},
+        {"agent", {"agent"}, "Serves one upstream beside it.", agent_table()},
+        {"check", {"check FILE"}, "Validates a configuration document.", check_table()},
+        {"apply", {"apply FILE"}, "Validates a document and puts it in force.", operator_table()},
+        {"promote",
+         {"promote"},
+         "Puts the document of one environment in force in another.",
+         promote_table()},
+        {"status",
+         {"status"},
+         "Shows what is in force and what the fleet reports.",
+         operator_table()},
+        {"key",
+         {"key issue TEAM", "key withdraw KEY", "key list"},
+         "Issues, withdraws and lists callers' keys.",
+         operator_table()},
+    };
+    return list;
+}
+
+std::string overview()
+{
+    std::string text =
+        "snipespar serves LoRA adapters of one base model to many teams.\n\nUsage:\n";
+    for (const auto& item : commands()) {
+        for (const auto pattern : item.patterns) {
+            text += fmt::format("  snipespar {} [options]\n", pattern);
+        }
+    }
+    text += "  snipespar --help\n  snipespar --version\n\nCommands:\n";
+    for (const auto& item : commands()) {
+        text += fmt::format("  {}: {}\n", item.name, item.summary);
+    }
+    text += "\n`snipespar COMMAND --help` lists the settings of a command.\n"
+            "Exit codes: 0 done, 1 failed, 2 bad usage or settings, 3 document or change refused, "
+            "4 platform unreachable.\n";
+    return text;
+}
+
+std::string usage_lines(const command& item)
+{
+    std::string text = "Usage:\n";
+    for (const auto pattern : item.patterns) {
+        text += fmt::format("  snipespar {} [options]\n", pattern);
+    }
+    return text;
+}
+
+// The part of the help that docopt reads. Descriptions are left out, because its regular
+// expressions recurse once a character.
+std::string grammar(const command& item)
+{
+    std::string text = usage_lines(item) + "\nOptions:\n  --help\n";
+    for (const auto& entry : item.table) {
+        if (!entry.secret) {
+            text += fmt::format("  {}={}\n", flag_of(entry), entry.placeholder);
+        }
+    }
+    return text;
+}
+
+std::string presence_note(const setting& item)
+{
+    switch (item.given) {
+    case presence::required:
+        return "Required.";
+    case presence::defaulted:
+        return item.default_text.empty() ? "Default: none."
+                                         : fmt::format("Default: {}.", item.default_text);
+    case presence::optional:
+        break;
+    }
+    return "Optional.";
+}
+
+std::string help(const command& item)
+{
+    std::string text = fmt::format("{}\n\n{}\nSettings:\n", item.summary, usage_lines(item));
+    for (const auto& entry : item.table) {
+        const auto name = entry.secret ? variable_of(entry)
+                                       : fmt::format("{}={} or {}", flag_of(entry),
+                                                     entry.placeholder, variable_of(entry));
+        text += fmt::format("  {}\n      {} {}\n", name, entry.description, presence_note(entry));
+    }
+    return text;
+}
+
+text_map given_flags(const docopt_values& values, std::span<const setting> table)
+{
+    text_map flags;
+    for (const auto& item : table) {
+        const auto found = values.find(flag_of(item));
+        if (found != values.end() && found->second.isString()) {
+            flags[found->first] = found->second.asString();
+        }
+    }
+    return flags;
+}
+
+std::vector<std::string> known_variables()
+{
+    std::vector<std::string> names;
+    for (const auto& item : commands()) {
+        for (const auto& entry : item.table) {
+            names.push_back(variable_of(entry));
+        }
+    }
+    return names;
+}
+
+entry_settings read_entry(settings_reader& reader)
+{
+    entry_settings settings{
+        .listen = reader.read_or_empty("listen", parse_listen_endpoint),
+        .link_listen = reader.read_or_empty("link-listen", parse_listen_endpoint),
+        .admin_listen = reader.read_or_empty("admin-listen", parse_listen_endpoint),
+        .platform = reader.read("platform", parse_endpoint),
+        .config_file = reader.read("config-file", parse_path),
+        .environment = reader.read_or_empty("environment", parse_name),
+        .host = host_id(reader.read_or_empty("host", parse_name)),
+        .failure_domain = failure_domain_id(reader.read_or_empty("failure-domain", parse_name)),
+        .peers = reader.read_or_empty("peers", parse_endpoint_list),
+        .max_body_bytes = reader.read_or_empty("max-body", parse_byte_size),
+        .request_timeout = reader.read_or_empty("request-timeout", parse_duration),
+        .drain_timeout = reader.read_or_empty("drain-timeout", parse_duration),
+        .heartbeat = reader.read_or_empty("heartbeat", parse_duration),
+        .traffic_threads = reader.read_or_empty("traffic-threads", parse_thread_count),
+        .trace_endpoint = reader.read("trace-endpoint", parse_endpoint),
+        .counters_interval = reader.read_or_empty("counters-interval", parse_duration),
+        .seed = reader.read_or_empty("seed", parse_number),
+        .fleet_secret =
+            telemetry::secret(reader.read_secret("fleet-secret", min_fleet_secret_bytes)),
+    };
+    if (reader.is_given("platform") == reader.is_given("config-file")) {
+        reader.add_finding("--platform", "give exactly one of --platform and --config-file");
+    }
+    if (settings.drain_timeout != duration{} && settings.drain_timeout < settings.request_timeout) {
+        reader.add_finding("--drain-timeout",
+                           "is shorter than --request-timeout, so a drain would cut off requests");
+    }
+    return settings;
+}
+
+agent_settings read_agent(settings_reader& reader)
+{
+    return {
+        .listen = reader.read_or_empty("listen", parse_listen_endpoint),
+        .admin_listen = reader.read_or_empty("admin-listen", parse_listen_endpoint),
+        .upstream = reader.read_or_empty("upstream", parse_endpoint),
+        .id = upstream_id(reader.read_or_empty("upstream-id", parse_name)),
+        .environment = reader.read_or_empty("environment", parse_name),
+        .host = host_id(reader.read_or_empty("host", parse_name)),
+        .failure_domain = failure_domain_id(reader.read_or_empty("failure-domain", parse_name)),
+        .entries = reader.read_or_empty("entries", parse_endpoint_list),
+        .drain_timeout = reader.read_or_empty("drain-timeout", parse_duration),
+        .heartbeat = reader.read_or_empty("heartbeat", parse_duration),
+        .trace_endpoint = reader.read("trace-endpoint", parse_endpoint),
+        .counters_interval = reader.read_or_empty("counters-interval", parse_duration),
+        .seed = reader.read_or_empty("seed", parse_number),
+        .fleet_secret =
+            telemetry::secret(reader.read_secret("fleet-secret", min_fleet_secret_bytes)),
+    };
+}
+
+platform_access read_access(settings_reader& reader)
+{
+    return {
+        .platform = reader.read_or_empty("platform", parse_endpoint),
+        .timeout = reader.read_or_empty("platform-timeout", parse_duration),
+    };
+}
+
+std::string read_environment(settings_reader& reader)
+{
+    return reader.read_or_empty("environment", parse_name);
+}
+
+// A name given as an argument, with the same rules as names in settings.
+std::string read_argument(settings_reader& reader, const docopt_values& values,
+                          const std::string& place)
+{
+    auto name = parse_name(values.at(place).asString());
+    if (!name.ok()) {
+        reader.add_finding(place, std::string(name.status().message()));
+        return {};
+    }
+    return *std::move(name);
+}
+
+operator_settings read_key_command(settings_reader& reader, const docopt_values& values)
+{
+    auto access = read_access(reader);
+    auto environment = read_environment(reader);
+    if (values.at("issue").asBool()) {
+        return key_issue_command{access, environment,
+                                 team_id(read_argument(reader, values, "TEAM"))};
+    }
+    if (values.at("withdraw").asBool()) {
+        return key_withdraw_command{access, environment,
+                                    key_id(read_argument(reader, values, "KEY"))};
+    }
+    return key_list_command{access, environment};
+}
+
+promote_command read_promote(settings_reader& reader)
+{
+    promote_command result{
+        .access = read_access(reader),
+        .from = reader.read_or_empty("from", parse_name),
+        .to = reader.read_or_empty("to", parse_name),
+    };
+    if (!result.from.empty() && result.from == result.to) {
+        reader.add_finding("--to", "names the same environment as --from");
+    }
+    return result;
+}
+
+operator_settings read_operator(const command& item, settings_reader& reader,
+                                const docopt_values& values)
+{
+    if (item.name == "check") {
+        return check_command{values.at("FILE").asString(), read_environment(reader)};
+    }
+    if (item.name == "apply") {
+        return apply_command{read_access(reader), values.at("FILE").asString(),
+                             read_environment(reader)};
+    }
+    if (item.name == "promote") {
+        return read_promote(reader);
+    }
+    if (item.name == "status") {
+        return status_command{read_access(reader), read_environment(reader)};
+    }
+    return read_key_command(reader, values);
+}
+
+parsed_command read_command(const command& item, settings_reader& reader,
+                            const docopt_values& values)
+{
+    if (item.name == "entry") {
+        return read_entry(reader);
+    }
+    if (item.name == "agent") {
+        return read_agent(reader);
+    }
+    return read_operator(item, reader, values);
+}
+
+printed_text usage_error(std::string_view reason, std::string_view usage)
+{
+    return {fmt::format("snipespar: {}\n\n{}", reason, usage), exit_code::usage};
+}
+
+parsed_command parse_command(const command& item, const std::vector<std::string>& arguments,
+                             const text_map& environment)
+{
+    docopt_values values;
+    try {
+        values = docopt::docopt_parse(grammar(item), arguments, true, true);
+    }
+    catch (const docopt::DocoptExitHelp&) {
+        return printed_text{help(item)};
+    }
+    catch (const docopt::DocoptExitVersion&) {
+        return printed_text{std::string(version_text)};
+    }
+    catch (const docopt::DocoptArgumentError& error) {
+        return usage_error(error.what(), usage_lines(item));
+    }
+
+    settings_reader reader(item.table, given_flags(values, item.table), environment);
+    auto parsed = read_command(item, reader, values);
+    reader.check_variables(known_variables());
+    if (!reader.found().empty()) {
+        return printed_text{to_string(reader.found()), exit_code::usage};
+    }
+    return parsed;
+}
+
+} // namespace
+
+parsed_command parse_command_line(const std::vector<std::string>& arguments,
+                                  const text_map& environment)
+{
+    if (arguments.empty()) {
+        return usage_error("a command is missing", overview());
+    }
+    const auto& name = arguments.front();
+    if (name == "--help" || name == "-h") {
+        return printed_text{overview()};
+    }
+    if (name == "--version") {
+        return printed_text{std::string(version_text)};
+    }
+    const auto& list = commands();
+    const auto found = std::find_if(list.begin(), list.end(),
+                                    [&](const command& item) { return item.name == name; });
+    if (found == list.end()) {
+        return usage_error(fmt::format("unknown command \"{}\"", name), overview());
+    }
+    return parse_command(*found, arguments, environment);
+}
+
+} // namespace snipespar::cli
--- /dev/null
+++ b/src/cli/setting_tables.cpp
@@ -0,0 +1,153 @@
+#include "cli/setting_tables.h"
+
+#include "cli/setting.h"
+
+#include <array>
+
+namespace snipespar::cli {
+
+namespace {
+
+constexpr setting host_setting{"host", "<name>", presence::required, "",
+                               "Name of the host on which this process runs."};
+
+constexpr setting failure_domain_setting{"failure-domain", "<name>", presence::required, "",
+                                         "Failure domain of that host."};
+
+constexpr setting environment_setting{"environment", "<name>", presence::defaulted, "trial",
+                                      "Environment whose configuration applies."};
+
+constexpr setting fleet_secret_setting{
+    "fleet-secret",
+    "",
+    presence::required,
+    "",
+    "Secret of at least 32 bytes that the fleet's own processes share. It is read from the "
+    "environment only.",
+    true};
+
+constexpr setting heartbeat_setting{"heartbeat", "<duration>", presence::defaulted, "1s",
+                                    "Interval between heartbeats on each link; a link without one "
+                                    "for three intervals is replaced."};
+
+constexpr setting drain_timeout_setting{
+    "drain-timeout", "<duration>", presence::defaulted, "150s",
+    "After SIGTERM, how long requests in progress may take to end before the stop is forced."};
+
+constexpr setting trace_endpoint_setting{
+    "trace-endpoint", "<ip:port>", presence::optional, "",
+    "OTLP/HTTP receiver of spans; without it no span is recorded."};
+
+constexpr setting counters_interval_setting{"counters-interval", "<duration>", presence::defaulted,
+                                            "60s", "Interval between counter lines in the log."};
+
+constexpr setting seed_setting{
+    "seed", "<number>", presence::defaulted, "0",
+    "Seed of all random choices; 0 takes a fresh one from the operating system at each start."};
+
+constexpr setting platform_timeout_setting{
+    "platform-timeout", "<duration>", presence::defaulted, "10s",
+    "How long the command tries to reach the platform before it gives up."};
+
+constexpr setting required_platform_setting{"platform", "<ip:port>", presence::required, "",
+                                            "Object API of the platform."};
+
+constexpr std::array entry_settings_list{
+    setting{"listen", "<ip:port>", presence::defaulted, "127.0.0.1:8080",
+            "Address on which callers are served."},
+    setting{"link-listen", "<ip:port>", presence::defaulted, "127.0.0.1:8090",
+            "Address on which other entries connect."},
+    setting{"admin-listen", "<ip:port>", presence::defaulted, "127.0.0.1:9090",
+            "Address of metrics, liveness, readiness and status."},
+    setting{"platform", "<ip:port>", presence::optional, "",
+            "Object API of the platform. Either this or --config-file must be given."},
+    setting{"config-file", "<path>", presence::optional, "",
+            "Serves a local configuration document instead of the platform's; for trials."},
+    environment_setting,
+    host_setting,
+    failure_domain_setting,
+    setting{"peers", "<ip:port,...>", presence::defaulted, "",
+            "Link addresses of the other entries, separated by commas."},
+    setting{"max-body", "<size>", presence::defaulted, "1MiB",
+            "Largest request body; a larger one is refused with status 413."},
+    setting{"request-timeout", "<duration>", presence::defaulted, "120s",
+            "Longest time from a request's arrival to the end of its answer."},
+    drain_timeout_setting,
+    heartbeat_setting,
+    setting{"traffic-threads", "<number>", presence::defaulted, "2",
+            "Threads that carry requests, besides the control thread."},
+    trace_endpoint_setting,
+    counters_interval_setting,
+    seed_setting,
+    fleet_secret_setting,
+};
+
+constexpr std::array agent_settings_list{
+    setting{"listen", "<ip:port>", presence::defaulted, "127.0.0.1:8070",
+            "Address on which entries connect. At most one agent can hold it, which makes it the "
+            "only orderer of its upstream."},
+    setting{"admin-listen", "<ip:port>", presence::defaulted, "127.0.0.1:9070",
+            "Address of metrics, liveness, readiness and status."},
+    setting{"upstream", "<ip:port>", presence::required, "",
+            "Address of the engine or plain service that this agent serves."},
+    setting{"upstream-id", "<name>", presence::required, "",
+            "Name of that upstream in the configuration document."},
+    environment_setting,
+    host_setting,
+    failure_domain_setting,
+    setting{"entries", "<ip:port,...>", presence::defaulted, "",
+            "Link addresses of entries to learn the configuration from before any of them "
+            "connects."},
+    drain_timeout_setting,
+    heartbeat_setting,
+    trace_endpoint_setting,
+    counters_interval_setting,
+    seed_setting,
+    fleet_secret_setting,
+};
+
+constexpr std::array operator_settings_list{
+    required_platform_setting,
+    environment_setting,
+    platform_timeout_setting,
+};
+
+constexpr std::array promote_settings_list{
+    required_platform_setting,
+    setting{"from", "<name>", presence::defaulted, "trial",
+            "Environment whose accepted document is taken."},
+    setting{"to", "<name>", presence::defaulted, "production",
+            "Environment that the document is applied to."},
+    platform_timeout_setting,
+};
+
+constexpr std::array check_settings_list{environment_setting};
+
+} // namespace
+
+std::span<const setting> entry_table()
+{
+    return entry_settings_list;
+}
+
+std::span<const setting> agent_table()
+{
+    return agent_settings_list;
+}
+
+std::span<const setting> check_table()
+{
+    return check_settings_list;
+}
+
+std::span<const setting> operator_table()
+{
+    return operator_settings_list;
+}
+
+std::span<const setting> promote_table()
+{
+    return promote_settings_list;
+}
+
+} // namespace snipespar::cli
--- /dev/null
+++ b/src/cli/setting_tables.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <span>
+
+namespace snipespar::cli {
+
+struct setting;
+
+/// Settings of `snipespar entry`.
+std::span<const setting> entry_table();
+
+/// Settings of `snipespar agent`.
+std::span<const setting> agent_table();
+
+/// Settings of `snipespar check`, which works on a local file only.
+std::span<const setting> check_table();
+
+/// Settings of the operator commands that reach the platform.
+std::span<const setting> operator_table();
+
+/// Settings of `snipespar promote`.
+std::span<const setting> promote_table();
+
+} // namespace snipespar::cli
--- /dev/null
+++ b/src/cli/settings_reader.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "snipespar/finding.h"
+
+#include <absl/status/statusor.h>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace snipespar::cli {
+
+struct setting;
+
+/// Texts given on the command line or in the environment, by flag or variable name.
+using text_map = std::map<std::string, std::string>;
+
+/// Reads typed settings from flags, environment variables and defaults, in that order, and collects
+/// every fault with its place.
+class settings_reader {
+public:
+    /// `flags` holds only the flags that were given, with their leading hyphens.
+    settings_reader(std::span<const setting> table, text_map flags, text_map environment);
+
+    /// Reads the setting `name` of the table. Records a finding and returns nothing when a required
+    /// value is missing or when `parse` refuses the text; an absent optional gives nothing.
+    template <class Value>
+    std::optional<Value> read(std::string_view name,
+                              absl::StatusOr<Value> (*parse)(std::string_view))
+    {
+        const auto text = find(name);
+        if (!text) {
+            return std::nullopt;
+        }
+        auto value = parse(text->text);
+        if (!value.ok()) {
+            add_finding(text->place, std::string(value.status().message()));
+            return std::nullopt;
+        }
+        return *std::move(value);
+    }
+
+    /// As `read`, for a setting whose absence is a finding anyway; returns an empty value then.
+    template <class Value>
+    Value read_or_empty(std::string_view name, absl::StatusOr<Value> (*parse)(std::string_view))
+    {
+        return read<Value>(name, parse).value_or(Value{});
+    }
+
+    /// Reads a secret from its environment variable; its text never appears in a finding.
+    std::string read_secret(std::string_view name, std::size_t min_bytes);
+
+    /// Whether a flag or a variable gives the setting `name`, with a good value or a bad one.
+    bool is_given(std::string_view name) const;
+
+    /// Records a finding that concerns several settings.
+    void add_finding(std::string_view place, std::string_view message);
+
+    /// Records each variable with the prefix of the project that names no setting of `known`.
+    void check_variables(std::span<const std::string> known);
+
+    const findings& found() const { return findings_; }
+
+private:
+    // A text and where it came from.
+    struct placed_text {
+        std::string place;
+        std::string text;
+    };
+
+    const setting& described(std::string_view name) const;
+    std::optional<placed_text> find(std::string_view name);
+
+    std::span<const setting> table_;
+    text_map flags_;
+    text_map environment_;
+    findings findings_;
+};
+
+} // namespace snipespar::cli
--- /dev/null
+++ b/src/cli/value_parsers.cpp
@@ -0,0 +1,201 @@
+#include "cli/value_parsers.h"
+
+#include <absl/status/status.h>
+#include <absl/strings/ascii.h>
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <charconv>
+#include <fmt/format.h>
+#include <limits>
+#include <span>
+#include <system_error>
+
+namespace snipespar::cli {
+
+namespace {
+
+constexpr std::size_t max_name_length = 63;
+constexpr std::uint32_t max_threads = 1024;
+
+struct unit {
+    std::string_view suffix;
+    std::uint64_t factor;
+};
+
+constexpr std::array<unit, 5> time_units{{
+    {"us", 1},
+    {"ms", 1000},
+    {"s", 1000ULL * 1000},
+    {"m", 60ULL * 1000 * 1000},
+    {"h", 3600ULL * 1000 * 1000},
+}};
+
+constexpr std::array<unit, 5> byte_units{{
+    {"", 1},
+    {"B", 1},
+    {"KiB", 1ULL << 10U},
+    {"MiB", 1ULL << 20U},
+    {"GiB", 1ULL << 30U},
+}};
+
+absl::Status unexpected(std::string_view text, std::string_view expected)
+{
+    return absl::InvalidArgumentError(fmt::format("\"{}\" is not {}", text, expected));
+}
+
+// Reads a text of decimal digits only; false on any other text and on overflow.
+template <class Number>
+bool parse_digits(std::string_view text, Number& number)
+{
+    const char* const begin = text.data();
+    const char* const end = begin + text.size();
+    const auto [stop, error] = std::from_chars(begin, end, number);
+    return error == std::errc{} && stop == end;
+}
+
+// Reads digits followed by one of the units; zero, other text and overflow give no value.
+absl::StatusOr<std::uint64_t> parse_quantity(std::string_view text, std::span<const unit> units,
+                                             std::string_view expected)
+{
+    const auto* const digits_end = std::find_if_not(text.begin(), text.end(), absl::ascii_isdigit);
+    const auto digits = text.substr(0, static_cast<std::size_t>(digits_end - text.begin()));
+    const auto suffix = text.substr(digits.size());
+    const auto found = std::find_if(units.begin(), units.end(),
+                                    [&](const unit& item) { return item.suffix == suffix; });
+    std::uint64_t number = 0;
+    if (found == units.end() || !parse_digits(digits, number) || number == 0) {
+        return unexpected(text, expected);
+    }
+    constexpr std::uint64_t limit = std::numeric_limits<std::int64_t>::max();
+    if (number > limit / found->factor) {
+        return unexpected(text, fmt::format("{} (too large)", expected));
+    }
+    return number * found->factor;
+}
+
+bool is_ip_address(const std::string& text)
+{
+    in6_addr buffer{};
+    return inet_pton(AF_INET, text.c_str(), &buffer) == 1 ||
+           inet_pton(AF_INET6, text.c_str(), &buffer) == 1;
+}
+
+// Splits `ip:port`; an IPv6 address must stand in brackets.
+absl::StatusOr<endpoint> split_endpoint(std::string_view text)
+{
+    constexpr std::string_view expected = "a numeric address with a port, such as 127.0.0.1:8080";
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return unexpected(text, expected);
+    }
+    auto host = text.substr(0, colon);
+    const bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (bracketed) {
+        host = host.substr(1, host.size() - 2);
+    }
+    const auto port_text = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    const bool is_v6 = host.find(':') != std::string_view::npos;
+    if (!parse_digits(port_text, port) || is_v6 != bracketed || !is_ip_address(std::string(host))) {
+        return unexpected(text, expected);
+    }
+    return endpoint{std::string(host), port};
+}
+
+bool is_name_character(char letter)
+{
+    return absl::ascii_isalnum(static_cast<unsigned char>(letter)) || letter == '.' ||
+           letter == '_' || letter == '-';
+}
+
+} // namespace
+
+absl::StatusOr<duration> parse_duration(std::string_view text)
+{
+    const auto microseconds =
+        parse_quantity(text, time_units, "a positive duration, such as 250ms or 10s");
+    if (!microseconds.ok()) {
+        return microseconds.status();
+    }
+    return duration(static_cast<duration::rep>(*microseconds));
+}
+
+absl::StatusOr<std::uint64_t> parse_byte_size(std::string_view text)
+{
+    return parse_quantity(text, byte_units, "a positive size, such as 64KiB or 1MiB");
+}
+
+absl::StatusOr<endpoint> parse_endpoint(std::string_view text)
+{
+    auto parsed = split_endpoint(text);
+    if (parsed.ok() && parsed->port == 0) {
+        return unexpected(text, "an address to connect to: port 0 names no listener");
+    }
+    return parsed;
+}
+
+absl::StatusOr<endpoint> parse_listen_endpoint(std::string_view text)
+{
+    return split_endpoint(text);
+}
+
+absl::StatusOr<std::vector<endpoint>> parse_endpoint_list(std::string_view text)
+{
+    std::vector<endpoint> list;
+    if (text.empty()) {
+        return list;
+    }
+    for (std::size_t start = 0; start <= text.size();) {
+        const auto comma = std::min(text.find(',', start), text.size());
+        const auto part = text.substr(start, comma - start);
+        start = comma + 1;
+        auto item = parse_endpoint(part);
+        if (!item.ok()) {
+            return item.status();
+        }
+        if (std::find(list.begin(), list.end(), *item) != list.end()) {
+            return absl::InvalidArgumentError(fmt::format("\"{}\" stands twice", part));
+        }
+        list.push_back(*std::move(item));
+    }
+    return list;
+}
+
+absl::StatusOr<std::uint32_t> parse_thread_count(std::string_view text)
+{
+    std::uint32_t count = 0;
+    if (!parse_digits(text, count) || count == 0 || count > max_threads) {
+        return unexpected(text, fmt::format("a number of threads from 1 to {}", max_threads));
+    }
+    return count;
+}
+
+absl::StatusOr<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t number = 0;
+    if (!parse_digits(text, number)) {
+        return unexpected(text, "a whole number of at most 64 bits");
+    }
+    return number;
+}
+
+absl::StatusOr<std::string> parse_name(std::string_view text)
+{
+    const bool valid = !text.empty() && text.size() <= max_name_length &&
+                       std::all_of(text.begin(), text.end(), is_name_character);
+    if (!valid) {
+        return unexpected(text, "a name of 1 to 63 letters, digits, dots, underscores and hyphens");
+    }
+    return std::string(text);
+}
+
+absl::StatusOr<std::string> parse_path(std::string_view text)
+{
+    if (text.empty()) {
+        return unexpected(text, "a path of a file");
+    }
+    return std::string(text);
+}
+
+} // namespace snipespar::cli
--- /dev/null
+++ b/src/cli/value_parsers.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "cli/endpoint.h"
+#include "snipespar/time.h"
+
+#include <absl/status/statusor.h>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Parsers of single setting values. Each takes the whole text and fails with a message that says
+/// what was expected and quotes the text.
+namespace snipespar::cli {
+
+/// A positive span of time: a whole number with one of the units us, ms, s, m, h.
+absl::StatusOr<duration> parse_duration(std::string_view text);
+
+/// A positive number of bytes: a whole number, alone or with one of the units B, KiB, MiB, GiB.
+absl::StatusOr<std::uint64_t> parse_byte_size(std::string_view text);
+
+/// An address to connect to: a numeric IPv4 address, or an IPv6 address in brackets, and a port.
+absl::StatusOr<endpoint> parse_endpoint(std::string_view text);
+
+/// An address to listen on: as `parse_endpoint`, and port 0 lets the kernel choose one.
+absl::StatusOr<endpoint> parse_listen_endpoint(std::string_view text);
+
+/// Addresses separated by commas; an empty text is an empty list. No address may stand twice.
+absl::StatusOr<std::vector<endpoint>> parse_endpoint_list(std::string_view text);
+
+/// A whole number from 1 to 1024.
+absl::StatusOr<std::uint32_t> parse_thread_count(std::string_view text);
+
+/// Any whole number of 64 bits.
+absl::StatusOr<std::uint64_t> parse_number(std::string_view text);
+
+/// A name of 1 to 63 letters, digits, dots, underscores and hyphens.
+absl::StatusOr<std::string> parse_name(std::string_view text);
+
+/// A path of a file; not empty.
+absl::StatusOr<std::string> parse_path(std::string_view text);
+
+} // namespace snipespar::cli
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,55 @@
+#include "agent/run_agent.h"
+#include "cli/command_line.h"
+#include "entry/run_entry.h"
+#include "operator/run_operator.h"
+
 #include <fmt/core.h>
+#include <string>
+#include <string_view>
+#include <unistd.h>
+#include <variant>
+#include <vector>
+
+namespace {
+
+using namespace snipespar;
+
+// Runs what the command line asked for and returns the exit code.
+struct dispatcher {
+    int operator()(const cli::entry_settings& settings) const { return entry::run_entry(settings); }
+
+    int operator()(const cli::agent_settings& settings) const { return agent::run_agent(settings); }
+
+    int operator()(const cli::operator_settings& settings) const
+    {
+        return operators::run_operator(settings);
+    }
+
+    int operator()(const cli::printed_text& printed) const
+    {
+        const bool is_error = printed.code != cli::exit_code::ok;
+        fmt::print(is_error ? stderr : stdout, "{}", printed.text);
+        return static_cast<int>(printed.code);
+    }
+};
+
+cli::text_map read_environment()
+{
+    cli::text_map variables;
+    for (char** item = environ; *item != nullptr; ++item) {
+        const std::string_view text = *item;
+        const auto equals = text.find('=');
+        if (equals != std::string_view::npos) {
+            variables.emplace(text.substr(0, equals), text.substr(equals + 1));
+        }
+    }
+    return variables;
+}
+
+} // namespace
 
-int main()
+int main(int argc, char** argv)
 {
-    fmt::print("snipespar {}\n", SNIPESPAR_VERSION);
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    return std::visit(dispatcher{}, cli::parse_command_line(arguments, read_environment()));
 }
