--- a/src/base/secret.h
+++ b/src/base/secret.h
@@ -1,22 +1,37 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <utility>
 
 namespace snipespar {
 
-/// A value that must never be printed. It has no formatter and no stream operator; its bytes are
-/// reached only by name.
+/// A value that must not reach any log, trace, metric or message in clear. It has no formatter and
+/// no stream operator, so that printing one does not compile; `reveal` is the only way to read it.
 class secret {
 public:
     secret() = default;
     explicit secret(std::string value) : value_(std::move(value)) {}
 
-    /// The bytes, for use as a key; never for output.
+    /// The value itself, for key derivation and for nothing else.
     std::string_view reveal() const { return value_; }
     bool empty() const { return value_.empty(); }
 
+    /// Compares in a time that depends on the lengths only.
+    friend bool operator==(const secret& left, const secret& right)
+    {
+        if (left.value_.size() != right.value_.size()) {
+            return false;
+        }
+        unsigned difference = 0;
+        for (std::size_t i = 0; i < left.value_.size(); ++i) {
+            difference |= static_cast<unsigned char>(left.value_[i]) ^
+                          static_cast<unsigned char>(right.value_[i]);
+        }
+        return difference == 0;
+    }
+
 private:
     std::string value_;
 };
--- a/src/cli/agent_settings.h
+++ b/src/cli/agent_settings.h
@@ -3,7 +3,7 @@
 #include "cli/endpoint.h"
 #include "snipespar/ids.h"
 #include "snipespar/time.h"
-#include "telemetry/secret.h"
+#include "base/secret.h"
 
 #include <cstdint>
 #include <optional>
@@ -32,7 +32,7 @@
     duration counters_interval{};
     /// 0 asks for a fresh seed.
     std::uint64_t seed = 0;
-    telemetry::secret fleet_secret;
+    secret fleet_secret;
 
     friend bool operator==(const agent_settings&, const agent_settings&) = default;
 };
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -166,7 +166,7 @@
         .counters_interval = reader.read_or_empty("counters-interval", parse_duration),
         .seed = reader.read_or_empty("seed", parse_number),
         .fleet_secret =
-            telemetry::secret(reader.read_secret("fleet-secret", min_fleet_secret_bytes)),
+            secret(reader.read_secret("fleet-secret", min_fleet_secret_bytes)),
     };
     if (reader.is_given("platform") == reader.is_given("config-file")) {
         reader.add_finding("--platform", "give exactly one of --platform and --config-file");
@@ -195,7 +195,7 @@
         .counters_interval = reader.read_or_empty("counters-interval", parse_duration),
         .seed = reader.read_or_empty("seed", parse_number),
         .fleet_secret =
-            telemetry::secret(reader.read_secret("fleet-secret", min_fleet_secret_bytes)),
+            secret(reader.read_secret("fleet-secret", min_fleet_secret_bytes)),
     };
 }
 
--- a/src/cli/entry_settings.h
+++ b/src/cli/entry_settings.h
@@ -3,7 +3,7 @@
 #include "cli/endpoint.h"
 #include "snipespar/ids.h"
 #include "snipespar/time.h"
-#include "telemetry/secret.h"
+#include "base/secret.h"
 
 #include <cstdint>
 #include <optional>
@@ -38,7 +38,7 @@
     duration counters_interval{};
     /// 0 asks for a fresh seed.
     std::uint64_t seed = 0;
-    telemetry::secret fleet_secret;
+    secret fleet_secret;
 
     friend bool operator==(const entry_settings&, const entry_settings&) = default;
 };
