--- /dev/null
+++ b/src/entry/caller_connection.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "entry/caller_request.h"
+#include "entry/connection_services.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace snipespar::entry {
+
+/// One caller's HTTP connection: reads requests one after the other, and writes each one's whole
+/// answer, or its one final error, before the next is read. Belongs to one executor.
+class caller_connection : public std::enable_shared_from_this<caller_connection> {
+public:
+    caller_connection(boost::asio::ip::tcp::socket socket, const connection_services& services);
+
+    /// Serves until the connection ends.
+    boost::asio::awaitable<void> serve();
+
+    /// Closes the connection if no request is in progress; otherwise it is closed after the answer.
+    void drain();
+
+    /// Ends the request in progress if its key is no longer valid.
+    void check_key(const config::access& access);
+
+private:
+    enum class next_step { read_again, close };
+    struct reply;
+
+    boost::asio::awaitable<std::optional<caller_request>> read_request();
+    boost::asio::awaitable<next_step> answer(const caller_request& request);
+    boost::asio::awaitable<next_step> run(const planned_request& planned);
+    boost::asio::awaitable<next_step> relay(request_session& session,
+                                            const planned_request& planned);
+    boost::asio::awaitable<next_step>
+    relay_tokens(request_session& session, const planned_request& planned, answer_part first);
+    boost::asio::awaitable<next_step> relay_body(request_session& session,
+                                                 const planned_request& planned, answer_part first);
+    boost::asio::awaitable<next_step>
+    collect_tokens(request_session& session, const planned_request& planned, answer_part first);
+    boost::asio::awaitable<next_step> write_refusal(const refusal& error);
+    boost::asio::awaitable<next_step> write_end(const answer_end& end);
+    boost::asio::awaitable<next_step> write_whole(const reply& whole);
+    boost::asio::awaitable<bool> write_head(const reply& head);
+    boost::asio::awaitable<bool> write_chunk(std::string_view bytes);
+    boost::asio::awaitable<bool> write_last_chunk();
+    void watch_for_close(const std::shared_ptr<request_session>& session);
+    bool keep_alive() const;
+
+    boost::beast::tcp_stream stream_;
+    boost::beast::flat_buffer buffer_;
+    const connection_services& services_;
+    std::shared_ptr<request_session> session_;
+    boost::asio::cancellation_signal stop_watching_;
+    std::string request_id_;
+    bool reading_ = false;
+    /// The caller's wish, as of the request at hand.
+    bool caller_keeps_alive_ = false;
+    bool caller_takes_chunks_ = true;
+    bool head_only_ = false;
+};
+
+} // namespace snipespar::entry
--- /dev/null
+++ b/src/entry/completion_writer.cpp
@@ -0,0 +1,89 @@
+#include "entry/completion_writer.h"
+
+#include "entry/answer_part.h"
+#include "entry/refusal.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace snipespar::entry {
+
+namespace {
+
+using nlohmann::json;
+
+std::string dump(const json& value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+json usage_of(const answer_end& end)
+{
+    return {{"prompt_tokens", end.prompt_tokens},
+            {"completion_tokens", end.completion_tokens},
+            {"total_tokens", end.prompt_tokens + end.completion_tokens}};
+}
+
+} // namespace
+
+completion_writer::completion_writer(std::string request_id, std::string model, bool chat)
+    : request_id_(std::move(request_id)), model_(std::move(model)), chat_(chat)
+{
+}
+
+void completion_writer::add(const std::string& event)
+{
+    constexpr bool allow_exceptions = false;
+    const json value = json::parse(event, nullptr, allow_exceptions);
+    const json::json_pointer place(chat_ ? "/choices/0/delta/content" : "/choices/0/text");
+    if (!value.is_discarded() && value.contains(place) && value[place].is_string()) {
+        text_ += value[place].get<std::string>();
+    }
+}
+
+std::string completion_writer::whole(const answer_end& end) const
+{
+    json choice{{"index", 0}, {"finish_reason", end.finish_reason}};
+    if (chat_) {
+        choice["message"] = {{"role", "assistant"}, {"content", text_}};
+    }
+    else {
+        choice["text"] = text_;
+    }
+    return dump({{"id", request_id_},
+                 {"object", chat_ ? "chat.completion" : "text_completion"},
+                 {"model", model_},
+                 {"choices", json::array({std::move(choice)})},
+                 {"usage", usage_of(end)}});
+}
+
+std::string completion_writer::last_event(const answer_end& end) const
+{
+    json choice{{"index", 0}, {"finish_reason", end.finish_reason}};
+    if (chat_) {
+        choice["delta"] = json::object();
+    }
+    else {
+        choice["text"] = "";
+    }
+    return dump({{"id", request_id_},
+                 {"object", chat_ ? "chat.completion.chunk" : "text_completion"},
+                 {"model", model_},
+                 {"choices", json::array({std::move(choice)})},
+                 {"usage", usage_of(end)}});
+}
+
+std::string error_body(const refusal& error)
+{
+    json body{{"type", "snipespar_error"},
+              {"code", error.code},
+              {"message", error.message},
+              {"ran", to_string(error.ran)}};
+    if (error.retry_after) {
+        body["retry_after_ms"] =
+            std::chrono::ceil<std::chrono::milliseconds>(*error.retry_after).count();
+    }
+    return dump({{"error", std::move(body)}});
+}
+
+} // namespace snipespar::entry
--- a/src/entry/run_entry.cpp
+++ b/src/entry/run_entry.cpp
@@ -1,15 +1,80 @@
 #include "entry/run_entry.h"
 
+#include "cli/entry_settings.h"
 #include "cli/exit_code.h"
+#include "config/document.h"
+#include "entry/entry_server.h"
+#include "net/stop_signals.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <fmt/core.h>
+#include <fstream>
+#include <iterator>
+#include <memory>
 
 namespace snipespar::entry {
 
-int run_entry(const cli::entry_settings& /*settings*/)
+namespace {
+
+// Reads the local document; prints every finding when it is not valid.
+std::shared_ptr<const config::snapshot> read_document(const std::string& path)
+{
+    std::ifstream file(path);
+    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    if (!file) {
+        fmt::print(stderr, "{}: cannot be read\n", path);
+        return nullptr;
+    }
+    const auto parsed = config::document::parse(text, path);
+    if (const auto* problems = std::get_if<findings>(&parsed)) {
+        fmt::print(stderr, "{}", to_string(*problems));
+        return nullptr;
+    }
+    return std::make_shared<const config::snapshot>(std::get<config::document>(parsed).content());
+}
+
+} // namespace
+
+int run_entry(const cli::entry_settings& settings)
 {
-    fmt::print(stderr, "level=error event=not_built_yet command=entry\n");
-    return static_cast<int>(cli::exit_code::failed);
+    boost::asio::io_context control(1);
+    auto work = boost::asio::make_work_guard(control);
+    entry_server server(control, settings);
+    if (settings.config_file) {
+        const auto config = read_document(*settings.config_file);
+        if (config == nullptr) {
+            return static_cast<int>(cli::exit_code::refused);
+        }
+        server.set_config(config);
+    }
+    if (const auto status = server.start(); !status.ok()) {
+        fmt::print(stderr, "level=error event=start_failed reason=\"{}\"\n",
+                   std::string(status.message()));
+        return static_cast<int>(cli::exit_code::failed);
+    }
+    auto code = cli::exit_code::ok;
+    boost::asio::steady_timer deadline(control);
+    const auto force = [&] {
+        fmt::print(stderr, "level=warning event=forced_stop\n");
+        code = cli::exit_code::failed;
+        control.stop();
+    };
+    const auto drain = [&] {
+        fmt::print(stderr, "level=info event=draining\n");
+        server.drain([&] { control.stop(); });
+        deadline.expires_after(settings.drain_timeout);
+        deadline.async_wait([&](const auto& error) {
+            if (!error) {
+                force();
+            }
+        });
+    };
+    net::stop_signals signals(control, drain, force);
+    fmt::print(stderr, "level=info event=started listen={}\n", settings.listen.str());
+    control.run();
+    server.stop();
+    return static_cast<int>(code);
 }
 
 } // namespace snipespar::entry
--- /dev/null
+++ b/src/entry/upstream_chooser.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "link/frame/upstream_report.h"
+#include "route/demand_meter.h"
+#include "route/ranking.h"
+#include "route/upstream_view.h"
+#include "snipespar/ids.h"
+#include "snipespar/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace snipespar::config {
+struct snapshot;
+}
+
+namespace snipespar::entry {
+
+/// What a request needs, as far as the choice of upstream depends on it.
+struct upstream_need {
+    /// Empty for a plain service.
+    adapter_ref adapter;
+    /// Base model, or name of the plain service.
+    std::string serves;
+    std::uint64_t prefix_hash = 0;
+    /// Tokens that the request may take.
+    std::uint64_t tokens = 0;
+
+    friend bool operator==(const upstream_need&, const upstream_need&) = default;
+};
+
+/// How an attempt ended, as far as it says something about the upstream.
+enum class attempt_outcome {
+    succeeded,
+    failed,
+    /// A refusal or a cancellation; says nothing about the upstream.
+    dropped,
+};
+
+/// The entry's choice of upstream: what is known of each, and the ranking. A decision object of the
+/// control thread.
+class upstream_chooser {
+public:
+    upstream_chooser(failure_domain_id own_domain, std::uint64_t seed);
+
+    void set_config(const config::snapshot& config);
+    void on_link_up(const upstream_id& id, const incarnation& agent);
+    void on_link_lost(const upstream_id& id);
+    void on_report(const upstream_id& id, const link::upstream_report& report, time_point now);
+    void on_attempt_ended(const upstream_id& id, attempt_outcome outcome, duration took,
+                          time_point now);
+
+    /// Chooses an upstream that is not among those tried, and counts the attempt as sent to it.
+    route::upstream_choice choose(const upstream_need& need, const std::vector<upstream_id>& tried,
+                                  time_point now);
+
+    const route::upstream_view& view() const { return view_; }
+
+private:
+    route::upstream_view view_;
+    route::ranking ranking_;
+    route::demand_meter demand_;
+};
+
+} // namespace snipespar::entry
--- a/src/link/frame/run_request.h
+++ b/src/link/frame/run_request.h
@@ -39,6 +39,12 @@
     /// Identifies equal requests of one team across the fleet.
     std::uint64_t fingerprint = 0;
     std::string traceparent;
+    /// Where the engine reads the adapter's weights from.
+    std::string adapter_source;
+    /// The team's weight in fair queueing, in thousandths.
+    std::uint64_t team_weight_milli = 1000;
+    /// Configuration version by which the entry admitted the request.
+    std::uint64_t config_version = 0;
 
     friend bool operator==(const run_request&, const run_request&) = default;
 };
--- a/src/link/frame_codec.cpp
+++ b/src/link/frame_codec.cpp
@@ -68,7 +68,8 @@
 {
     io(f.stream, f.request_id, f.attempt, f.team, f.key, f.adapter, f.method, f.path, f.headers,
        f.body, f.prompt_tokens, f.max_tokens, f.resume_from, f.deadline_ms, f.window_bytes,
-       f.idempotent, f.exclusive, f.fingerprint, f.traceparent);
+       f.idempotent, f.exclusive, f.fingerprint, f.traceparent, f.adapter_source,
+       f.team_weight_milli, f.config_version);
 }
 
 template <class Archive>
