--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -156,14 +156,15 @@
         std::tie(error, header_bytes) =
             co_await http::async_read(stream_, buffer_, parser, as_result);
     }
-    request_id_ = services_.next_request_id();
     caller_keeps_alive_ = false;
     caller_takes_chunks_ = true;
     head_only_ = false;
+    if (error && !is_callers_fault(error)) {
+        co_return std::nullopt;
+    }
+    request_id_ = services_.next_request_id();
     if (error) {
-        if (is_callers_fault(error)) {
-            co_await write_refusal(read_refusal(error));
-        }
+        co_await write_refusal(read_refusal(error));
         co_return std::nullopt;
     }
     auto message = parser.release();
--- a/src/entry/run_entry.cpp
+++ b/src/entry/run_entry.cpp
@@ -1,5 +1,6 @@
 #include "entry/run_entry.h"
 
+#include "base/digest.h"
 #include "cli/entry_settings.h"
 #include "cli/exit_code.h"
 #include "config/document.h"
@@ -17,6 +18,16 @@
 
 namespace {
 
+// A local document comes without issued keys: each team's key is `trial-` and its name.
+config::snapshot with_trial_keys(config::snapshot config)
+{
+    for (const auto& [id, team] : config.teams) {
+        const key_id key("trial-" + id.str());
+        config.keys[key] = {key, id, sha256_hex(key.str()), false};
+    }
+    return config;
+}
+
 // Reads the local document; prints every finding when it is not valid.
 std::shared_ptr<const config::snapshot> read_document(const std::string& path)
 {
@@ -31,7 +42,8 @@
         fmt::print(stderr, "{}", to_string(*problems));
         return nullptr;
     }
-    return std::make_shared<const config::snapshot>(std::get<config::document>(parsed).content());
+    return std::make_shared<const config::snapshot>(
+        with_trial_keys(std::get<config::document>(parsed).content()));
 }
 
 } // namespace
