--- /dev/null
+++ b/src/base/json_reader.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include <absl/status/status.h>
+#include <cstdint>
+#include <fmt/core.h>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <vector>
+
+namespace snipespar {
+
+/// Reads typed fields of a JSON value without exceptions. The first fault is kept with its path and
+/// later reads return defaults, so that a decoder reads every field first and checks once.
+class json_reader {
+public:
+    using json = nlohmann::json;
+
+    /// Parses text; a syntax error becomes the reader's fault.
+    static json parse(std::string_view text, absl::Status& status)
+    {
+        auto value = json::parse(text, nullptr, false);
+        if (value.is_discarded() && status.ok()) {
+            status = absl::InvalidArgumentError("not valid JSON");
+        }
+        return value;
+    }
+
+    /// `status` must be OK at first and outlive the reader; it takes the first fault.
+    json_reader(const json& value, std::string path, absl::Status& status)
+        : value_(value), path_(std::move(path)), status_(status)
+    {
+        if (!value_.is_object()) {
+            fail(path_, "must be an object");
+        }
+    }
+
+    const std::string& path() const { return path_; }
+
+    std::string text(const char* name) const
+    {
+        const auto* field = find(name);
+        if (field == nullptr || !field->is_string()) {
+            fail(path_ + "." + name, "must be a string");
+            return {};
+        }
+        return field->get<std::string>();
+    }
+
+    template <class Integer>
+    Integer integer(const char* name) const
+    {
+        static_assert(std::is_unsigned_v<Integer>);
+        const auto* field = find(name);
+        if (field == nullptr || !field->is_number_unsigned() ||
+            field->get<std::uint64_t>() > std::numeric_limits<Integer>::max()) {
+            fail(path_ + "." + name, "must be an unsigned integer in range");
+            return {};
+        }
+        return static_cast<Integer>(field->get<std::uint64_t>());
+    }
+
+    double real(const char* name) const
+    {
+        const auto* field = find(name);
+        if (field == nullptr || !field->is_number()) {
+            fail(path_ + "." + name, "must be a number");
+            return {};
+        }
+        return field->get<double>();
+    }
+
+    bool flag(const char* name) const
+    {
+        const auto* field = find(name);
+        if (field == nullptr || !field->is_boolean()) {
+            fail(path_ + "." + name, "must be a boolean");
+            return false;
+        }
+        return field->get<bool>();
+    }
+
+    bool has(const char* name) const { return find(name) != nullptr; }
+
+    /// Calls `read(json_reader)` for each object of the array `name`; an absent array is empty.
+    template <class Read>
+    void each(const char* name, Read read) const
+    {
+        std::size_t position = 0;
+        for (const auto& item : array(name)) {
+            read(json_reader(item, fmt::format("{}.{}[{}]", path_, name, position), status_));
+            ++position;
+        }
+    }
+
+    /// The strings of the array `name`; an absent array is empty.
+    std::vector<std::string> texts(const char* name) const
+    {
+        std::vector<std::string> list;
+        for (const auto& item : array(name)) {
+            if (!item.is_string()) {
+                fail(path_ + "." + name, "must hold strings");
+                return {};
+            }
+            list.push_back(item.get<std::string>());
+        }
+        return list;
+    }
+
+    /// Records a fault found by the caller, if it is the first.
+    void fail(const std::string& path, std::string_view message) const
+    {
+        if (status_.ok()) {
+            status_ = absl::InvalidArgumentError(fmt::format("{}: {}", path, message));
+        }
+    }
+
+private:
+    const json* find(const char* name) const
+    {
+        if (!value_.is_object()) {
+            return nullptr;
+        }
+        const auto found = value_.find(name);
+        return found == value_.end() ? nullptr : &*found;
+    }
+
+    const json& array(const char* name) const
+    {
+        static const json empty = json::array();
+        const auto* field = find(name);
+        if (field == nullptr) {
+            return empty;
+        }
+        if (!field->is_array()) {
+            fail(path_ + "." + name, "must be an array");
+            return empty;
+        }
+        return *field;
+    }
+
+    const json& value_;
+    std::string path_;
+    absl::Status& status_;
+};
+
+} // namespace snipespar
