Links between entries, and messages of decision objects to agents

Cause: budgets, claims, suspects and configuration versions have to travel between entries and to agents on the links that exist anyway.

--- a/src/entry/agent_links.cpp
+++ b/src/entry/agent_links.cpp
@@ -116,6 +116,25 @@
     });
 }
 
+void agent_links::send(const upstream_id& upstream, const link::peer_message& message)
+{
+    boost::asio::dispatch(context_, [this, upstream, message] {
+        const auto found = links_by_upstream_.find(upstream);
+        if (found != links_by_upstream_.end()) {
+            found->second->send(message);
+        }
+    });
+}
+
+void agent_links::broadcast(const link::peer_message& message)
+{
+    boost::asio::dispatch(context_, [this, message] {
+        for (const auto& [upstream, agent] : links_by_upstream_) {
+            agent->send(message);
+        }
+    });
+}
+
 void agent_links::stop()
 {
     links_.stop();
@@ -158,13 +177,10 @@
 
 void agent_links::on_frame(const link::link_ptr& agent, link::frame message)
 {
-    if (const auto* report = std::get_if<link::upstream_report>(&message)) {
-        for (const auto& [upstream, via] : links_by_upstream_) {
-            if (via == agent) {
-                events_.reported(upstream, *report);
-            }
+    for (const auto& [upstream, via] : links_by_upstream_) {
+        if (via == agent) {
+            report_control_frame(upstream, message);
         }
-        return;
     }
     const auto number = stream_of(message);
     const auto found = number ? tickets_.find({agent, *number}) : tickets_.end();
@@ -179,6 +195,17 @@
     owner.received(std::move(message));
 }
 
+void agent_links::report_control_frame(const upstream_id& upstream,
+                                       const link::frame& message) const
+{
+    if (const auto* report = std::get_if<link::upstream_report>(&message)) {
+        events_.reported(upstream, *report);
+    }
+    else if (const auto* sent = std::get_if<link::peer_message>(&message)) {
+        events_.message(upstream, *sent);
+    }
+}
+
 void agent_links::forget(ticket id)
 {
     const auto found = streams_.find(id);
--- a/src/entry/agent_links.h
+++ b/src/entry/agent_links.h
@@ -2,6 +2,7 @@
 
 #include "entry/stream_owner.h"
 #include "link/endpoint.h"
+#include "link/frame/peer_message.h"
 #include "link/link_handler.h"
 #include "snipespar/ids.h"
 
@@ -28,6 +29,8 @@
     std::function<void(const upstream_id&, const incarnation& agent)> up;
     std::function<void(const upstream_id&)> down;
     std::function<void(const upstream_id&, const link::upstream_report&)> reported;
+    /// A message of one of the agent's decision objects.
+    std::function<void(const upstream_id&, const link::peer_message&)> message;
 };
 
 /// The entry's links to the agents of all configured upstreams, and the streams on them. Runs on
@@ -54,6 +57,13 @@
     /// Lets the agent send more of a stream.
     void allow(ticket id, std::uint64_t bytes);
 
+    /// Sends a message to the decision objects of one agent, or of all; from any thread.
+    void send(const upstream_id& upstream, const link::peer_message& message);
+    void broadcast(const link::peer_message& message);
+
+    /// Sets the configuration version sent with heartbeats; from any thread.
+    void advertise(std::uint64_t config_version) { links_.advertise(config_version); }
+
     void stop();
 
 private:
@@ -67,6 +77,7 @@
     void on_up(const link::link_ptr& agent);
     void on_down(const link::link_ptr& agent);
     void on_frame(const link::link_ptr& agent, link::frame message);
+    void report_control_frame(const upstream_id& upstream, const link::frame& message) const;
     void forget(ticket id);
 
     boost::asio::io_context& context_;
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -33,8 +33,9 @@
 entry_server::entry_server(boost::asio::io_context& control, const cli::entry_settings& settings)
     : control_(control), start_(net::start_number()),
       chooser_(settings.failure_domain, settings.seed),
-      connection_services_(make_connection_services()), listen_ip_(settings.listen.ip),
-      listen_port_(settings.listen.port),
+      peers_(control, make_link_options(settings, start_)),
+      connection_services_(make_connection_services()), listen_(settings.listen),
+      link_listen_(settings.link_listen), dialled_peers_(settings.peers),
       request_prefix_(settings.host.str() + "-" + std::to_string(start_) + "-")
 {
     connection_services_.max_body_bytes = settings.max_body_bytes;
@@ -58,10 +59,16 @@
     for (const auto& thread : traffic_) {
         threads.push_back(thread.get());
     }
-    if (absl::Status status = traffic_.front()->listen(listen_ip_, listen_port_, threads);
+    if (absl::Status status = traffic_.front()->listen(listen_.ip, listen_.port, threads);
         !status.ok()) {
         return status;
     }
+    if (absl::Status status = peers_.listen(link_listen_.ip, link_listen_.port); !status.ok()) {
+        return status;
+    }
+    for (const auto& peer : dialled_peers_) {
+        peers_.dial(peer.ip, peer.port);
+    }
     for (auto* thread : threads) {
         thread->start();
     }
@@ -72,6 +79,8 @@
 {
     chooser_.set_config(*config);
     links_->set_upstreams(*config);
+    links_->advertise(config->version);
+    peers_.advertise(config->version);
     const auto access = std::make_shared<const config::access>(std::move(config));
     access_.store(access);
     for (const auto& thread : traffic_) {
@@ -95,6 +104,7 @@
         thread->stop();
     }
     links_->stop();
+    peers_.stop();
 }
 
 connection_services entry_server::make_connection_services()
@@ -143,6 +153,7 @@
             chooser_.on_report(upstream, report, steady_now());
         });
     };
+    events.message = [](const upstream_id&, const link::peer_message&) {};
     return events;
 }
 
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -1,19 +1,19 @@
 #pragma once
 
+#include "cli/endpoint.h"
 #include "entry/agent_links.h"
 #include "entry/connection_services.h"
+#include "entry/peer_links.h"
 #include "entry/upstream_chooser.h"
 #include "route/retry_budget.h"
 
 #include <absl/status/status.h>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace snipespar::cli {
@@ -64,9 +64,12 @@
     upstream_chooser chooser_;
     std::vector<std::unique_ptr<traffic_thread>> traffic_;
     std::unique_ptr<agent_links> links_;
+    peer_links peers_;
     connection_services connection_services_;
-    std::string listen_ip_;
-    std::uint16_t listen_port_;
+    /// Callers' listener, the listener for other entries, and where those listen.
+    cli::endpoint listen_;
+    cli::endpoint link_listen_;
+    std::vector<cli::endpoint> dialled_peers_;
     std::atomic<std::shared_ptr<const config::access>> access_;
     std::atomic<std::uint64_t> last_request_{0};
     std::atomic<std::uint64_t> last_ticket_{0};
