--- /dev/null
+++ b/src/telemetry/admin_server.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "telemetry/admin_handlers.h"
+
+#include <absl/status/statusor.h>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+
+namespace snipespar::telemetry {
+
+/// Serves `/metrics`, `/livez`, `/readyz` and `/status` by HTTP on a port of its own. Liveness
+/// holds as long as the executor runs at all.
+class admin_server {
+public:
+    /// Binds and starts to serve. Fails when the address cannot be bound. Must be called, and the
+    /// result destroyed, on the executor or while it does not run.
+    static absl::StatusOr<std::unique_ptr<admin_server>>
+    make(const boost::asio::any_io_executor& executor, const boost::asio::ip::tcp::endpoint& listen,
+         admin_handlers handlers);
+
+    admin_server(const admin_server&) = delete;
+    admin_server& operator=(const admin_server&) = delete;
+
+    /// Closes the listener and all connections.
+    ~admin_server();
+
+    /// The address served, with the port that the kernel chose if it was asked to.
+    boost::asio::ip::tcp::endpoint local_endpoint() const;
+
+private:
+    class state;
+
+    explicit admin_server(std::shared_ptr<state> shared);
+
+    std::shared_ptr<state> state_;
+};
+
+} // namespace snipespar::telemetry
