Metrics, logs, traces and the admin port of the entry

Cause: nothing showed what an entry does. Requests are counted by status, reason and run state; each gives a span whose context goes on to the agent.

--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -116,7 +116,6 @@
         if (!request) {
             break;
         }
-        services_.request_began();
         step = co_await answer(*request);
     }
     stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -184,16 +183,22 @@
 asio::awaitable<caller_connection::next_step>
 caller_connection::answer(const caller_request& request)
 {
-    planned_request planned;
-    answer_end end;
-    const absl::Cleanup count_out = [&] { services_.request_ended(planned, end); };
+    begin_outcome(request);
+    services_.request_began();
+    const absl::Cleanup count_out = [this] { services_.request_ended(outcome_); };
+    co_return co_await answer_planned(request);
+}
+
+asio::awaitable<caller_connection::next_step>
+caller_connection::answer_planned(const caller_request& request)
+{
     const auto access = services_.access();
     if (!access) {
         co_return co_await write_refusal({503, "starting", "No configuration is in force yet.",
                                           run_state::not_run, startup_retry_after});
     }
     auto plan =
-        plan_request(*access, request, request_id_, steady_now(), services_.request_timeout);
+        plan_request(*access, request, request_id_, outcome_.began, services_.request_timeout);
     if (const auto* error = std::get_if<refusal>(&plan)) {
         co_return co_await write_refusal(*error);
     }
@@ -202,12 +207,37 @@
         whole.content_type = "application/json";
         whole.ran = run_state::ran;
         whole.body = std::move(local->json);
+        outcome_.reason = to_string(route::finish_reason::complete);
         co_return co_await write_whole(whole);
     }
-    planned = std::get<planned_request>(std::move(plan));
+    auto planned = std::get<planned_request>(std::move(plan));
+    planned.run.traceparent = format_traceparent(outcome_.trace);
+    outcome_.team = planned.run.team;
+    outcome_.target = planned.is_completion() ? planned.run.adapter.str() : planned.need.serves;
     co_return co_await run(planned);
 }
 
+void caller_connection::begin_outcome(const caller_request& request)
+{
+    outcome_ = {};
+    outcome_.request_id = request_id_;
+    outcome_.began_at = std::chrono::system_clock::now();
+    outcome_.began = steady_now();
+    const auto traceparent = request.header("traceparent");
+    outcome_.trace = services_.start_span(traceparent);
+    if (const auto parent = telemetry::parse_traceparent(traceparent)) {
+        outcome_.parent = parent->span;
+    }
+}
+
+void caller_connection::note_end(const answer_end& end)
+{
+    outcome_.reason = to_string(end.finish.reason);
+    outcome_.ran = end.finish.ran;
+    outcome_.prompt_tokens = end.prompt_tokens;
+    outcome_.completion_tokens = end.completion_tokens;
+}
+
 asio::awaitable<caller_connection::next_step> caller_connection::run(const planned_request& planned)
 {
     session_ = services_.make_session(stream_.get_executor(), planned);
@@ -225,6 +255,7 @@
 caller_connection::relay(request_session& session, const planned_request& planned)
 {
     auto first = co_await session.next();
+    outcome_.first_part = steady_now() - outcome_.began;
     if (const auto* end = std::get_if<answer_end>(&first); end != nullptr && !is_complete(*end)) {
         co_return co_await write_end(*end);
     }
@@ -260,6 +291,7 @@
         part = co_await session.next();
     }
     const auto& end = std::get<answer_end>(part);
+    note_end(end);
     if (!is_complete(end)) {
         // Without its closing mark the stream cannot be taken for a whole answer.
         co_await write_chunk(event_text(error_body(refusal_of(end))));
@@ -283,6 +315,7 @@
         part = co_await session.next();
     }
     const auto& end = std::get<answer_end>(part);
+    note_end(end);
     if (!is_complete(end)) {
         co_return co_await write_end(end);
     }
@@ -315,7 +348,9 @@
         session.written(body->bytes.size());
         part = co_await session.next();
     }
-    if (!is_complete(std::get<answer_end>(part))) {
+    const auto& end = std::get<answer_end>(part);
+    note_end(end);
+    if (!is_complete(end)) {
         co_return next_step::close; // The missing last chunk shows that the answer is cut off.
     }
     const bool written = co_await write_last_chunk();
@@ -324,11 +359,13 @@
 
 asio::awaitable<caller_connection::next_step> caller_connection::write_end(const answer_end& end)
 {
+    note_end(end);
     co_return co_await write_refusal(refusal_of(end));
 }
 
 asio::awaitable<caller_connection::next_step> caller_connection::write_refusal(const refusal& error)
 {
+    outcome_.reason = error.code;
     reply whole;
     whole.status = error.status;
     whole.content_type = "application/json";
@@ -340,6 +377,8 @@
 
 asio::awaitable<caller_connection::next_step> caller_connection::write_whole(const reply& whole)
 {
+    outcome_.status = whole.status;
+    outcome_.ran = whole.ran;
     http::response<http::string_body> message;
     message.result(static_cast<unsigned>(whole.status));
     message.version(http_version);
@@ -366,6 +405,8 @@
 
 asio::awaitable<bool> caller_connection::write_head(const reply& head)
 {
+    outcome_.status = head.status;
+    outcome_.ran = head.ran;
     if (!caller_takes_chunks_) {
         caller_keeps_alive_ = false;
     }
--- a/src/entry/caller_connection.h
+++ b/src/entry/caller_connection.h
@@ -36,6 +36,7 @@
 
     boost::asio::awaitable<std::optional<caller_request>> read_request();
     boost::asio::awaitable<next_step> answer(const caller_request& request);
+    boost::asio::awaitable<next_step> answer_planned(const caller_request& request);
     boost::asio::awaitable<next_step> run(const planned_request& planned);
     boost::asio::awaitable<next_step> relay(request_session& session,
                                             const planned_request& planned);
@@ -51,6 +52,8 @@
     boost::asio::awaitable<bool> write_head(const reply& head);
     boost::asio::awaitable<bool> write_chunk(std::string_view bytes);
     boost::asio::awaitable<bool> write_last_chunk();
+    void begin_outcome(const caller_request& request);
+    void note_end(const answer_end& end);
     void watch_for_close(const std::shared_ptr<request_session>& session);
     bool keep_alive() const;
 
@@ -60,6 +63,7 @@
     std::shared_ptr<request_session> session_;
     boost::asio::cancellation_signal stop_watching_;
     std::string request_id_;
+    request_outcome outcome_;
     bool reading_ = false;
     /// The caller's wish, as of the request at hand.
     bool caller_keeps_alive_ = false;
--- a/src/entry/connection_services.h
+++ b/src/entry/connection_services.h
@@ -2,13 +2,14 @@
 
 #include "entry/planned_request.h"
 #include "entry/refusal.h"
+#include "entry/request_outcome.h"
 #include "entry/request_session.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
+#include <string_view>
 
 namespace snipespar::config {
 class access;
@@ -26,9 +27,11 @@
     std::function<std::shared_ptr<request_session>(const boost::asio::any_io_executor&,
                                                    const planned_request&)>
         make_session;
+    /// The context of a new span below the one in the header, if there is one.
+    std::function<telemetry::trace_context(std::string_view traceparent)> start_span;
     /// Counts a request in; it is counted out by `request_ended`.
     std::function<void()> request_began;
-    std::function<void(const planned_request&, const answer_end&)> request_ended;
+    std::function<void(const request_outcome&)> request_ended;
     std::function<bool()> draining;
     std::uint64_t max_body_bytes = 0;
     duration request_timeout{};
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -7,8 +7,14 @@
 #include "link/endpoint_options.h"
 #include "net/start_number.h"
 #include "net/steady_time.h"
+#include "telemetry/admin_server.h"
+#include "telemetry/gauge.h"
+#include "telemetry/span_exporter.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace snipespar::entry {
@@ -17,6 +23,11 @@
 
 constexpr int heartbeats_until_dead = 3;
 
+boost::asio::ip::tcp::endpoint to_tcp_endpoint(const cli::endpoint& address)
+{
+    return {boost::asio::ip::make_address(address.ip), address.port};
+}
+
 link::endpoint_options make_link_options(const cli::entry_settings& settings, std::uint64_t start)
 {
     link::endpoint_options options;
@@ -31,11 +42,14 @@
 } // namespace
 
 entry_server::entry_server(boost::asio::io_context& control, const cli::entry_settings& settings)
-    : control_(control), start_(net::start_number()),
+    : control_(control), start_(net::start_number()), states_(log_),
+      traces_(settings.seed == 0 ? start_ : settings.seed), counters_timer_(control),
+      counters_interval_(settings.counters_interval),
       chooser_(settings.failure_domain, settings.seed),
       peers_(control, make_link_options(settings, start_)),
       connection_services_(make_connection_services()), listen_(settings.listen),
-      link_listen_(settings.link_listen), dialled_peers_(settings.peers),
+      link_listen_(settings.link_listen), admin_listen_(settings.admin_listen),
+      dialled_peers_(settings.peers),
       request_prefix_(settings.host.str() + "-" + std::to_string(start_) + "-")
 {
     connection_services_.max_body_bytes = settings.max_body_bytes;
@@ -43,6 +57,18 @@
     for (std::uint32_t i = 0; i < settings.traffic_threads; ++i) {
         traffic_.push_back(std::make_unique<traffic_thread>(connection_services_));
     }
+    if (settings.trace_endpoint) {
+        spans_ = std::make_unique<telemetry::span_exporter>(
+            control.get_executor(), to_tcp_endpoint(*settings.trace_endpoint),
+            telemetry::trace_resource{"snipespar-entry", settings.host.str(),
+                                      settings.failure_domain.str()},
+            metrics_.registry());
+        boost::asio::co_spawn(control, spans_->run(), boost::asio::detached);
+    }
+    peers_.on_presence([this](const incarnation& peer, bool present) {
+        metrics_.peer_links.add(present ? 1 : -1);
+        states_.update("peer", peer.host.str(), present ? "linked" : "lost");
+    });
     links_ = std::make_unique<agent_links>(traffic_.front()->context(),
                                            make_link_options(settings, start_), make_link_events());
 }
@@ -63,6 +89,9 @@
         !status.ok()) {
         return status;
     }
+    if (absl::Status status = start_admin(); !status.ok()) {
+        return status;
+    }
     if (absl::Status status = peers_.listen(link_listen_.ip, link_listen_.port); !status.ok()) {
         return status;
     }
@@ -72,15 +101,76 @@
     for (auto* thread : threads) {
         thread->start();
     }
+    report_counters();
+    log_.info("started", {{"listen", listen_.str()}, {"start", start_}});
     return absl::OkStatus();
 }
 
+absl::Status entry_server::start_admin()
+{
+    telemetry::admin_handlers handlers;
+    handlers.metrics = [this] { return metrics_.registry().exposition(); };
+    handlers.ready = [this] { return readiness(); };
+    handlers.status = [this] { return status_document(); };
+    auto admin = telemetry::admin_server::make(control_.get_executor(),
+                                               to_tcp_endpoint(admin_listen_), std::move(handlers));
+    if (admin.ok()) {
+        admin_ = std::move(*admin);
+    }
+    return admin.status();
+}
+
+telemetry::readiness entry_server::readiness() const
+{
+    if (draining_.load()) {
+        return {false, "draining"};
+    }
+    if (!access_.load()) {
+        return {false, "no configuration in force"};
+    }
+    return {true, ""};
+}
+
+std::string entry_server::status_document() const
+{
+    const auto access = access_.load();
+    nlohmann::json upstreams = nlohmann::json::object();
+    for (const auto& upstream : chooser_.view().upstreams()) {
+        upstreams[upstream.id.str()] = {{"linked", upstream.linked},
+                                        {"leaving", upstream.announced_leaving},
+                                        {"running", upstream.report.running},
+                                        {"waiting", upstream.report.waiting},
+                                        {"resident", upstream.report.resident.size()}};
+    }
+    const nlohmann::json status{{"role", "entry"},
+                                {"start", start_},
+                                {"config_version", access ? access->config().version : 0},
+                                {"draining", draining_.load()},
+                                {"requests_in_progress", requests_in_progress_.load()},
+                                {"peers", peers_.present().size()},
+                                {"upstreams", std::move(upstreams)}};
+    return status.dump();
+}
+
+void entry_server::report_counters()
+{
+    counters_timer_.expires_after(counters_interval_);
+    counters_timer_.async_wait([this](const auto& error) {
+        if (!error) {
+            metrics_.registry().report(log_);
+            report_counters();
+        }
+    });
+}
+
 void entry_server::set_config(std::shared_ptr<const config::snapshot> config)
 {
     chooser_.set_config(*config);
     links_->set_upstreams(*config);
     links_->advertise(config->version);
     peers_.advertise(config->version);
+    metrics_.config_version.set(static_cast<std::int64_t>(config->version));
+    states_.update("config", config->environment, std::to_string(config->version));
     const auto access = std::make_shared<const config::access>(std::move(config));
     access_.store(access);
     for (const auto& thread : traffic_) {
@@ -92,6 +182,7 @@
 {
     drained_ = std::move(drained);
     draining_.store(true);
+    states_.update("process", "entry", "draining");
     for (const auto& thread : traffic_) {
         thread->drain();
     }
@@ -115,8 +206,12 @@
     services.make_session = [this](const auto& executor, const planned_request& planned) {
         return make_session(executor, planned);
     };
-    services.request_began = [this] { ++requests_in_progress_; };
-    services.request_ended = [this](const planned_request&, const answer_end&) { request_ended(); };
+    services.start_span = [this](std::string_view header) { return traces_.start(header); };
+    services.request_began = [this] {
+        ++requests_in_progress_;
+        metrics_.requests_in_progress.add(1);
+    };
+    services.request_ended = [this](const request_outcome& outcome) { request_ended(outcome); };
     services.draining = [this] { return draining_.load(); };
     return services;
 }
@@ -142,11 +237,18 @@
 {
     agent_link_events events;
     events.up = [this](const upstream_id& upstream, const incarnation& agent) {
-        boost::asio::post(control_,
-                          [this, upstream, agent] { chooser_.on_link_up(upstream, agent); });
+        boost::asio::post(control_, [this, upstream, agent] {
+            metrics_.agent_links.add(1);
+            states_.update("agent_link", upstream.str(), "up");
+            chooser_.on_link_up(upstream, agent);
+        });
     };
     events.down = [this](const upstream_id& upstream) {
-        boost::asio::post(control_, [this, upstream] { chooser_.on_link_lost(upstream); });
+        boost::asio::post(control_, [this, upstream] {
+            metrics_.agent_links.add(-1);
+            states_.update("agent_link", upstream.str(), "down");
+            chooser_.on_link_lost(upstream);
+        });
     };
     events.reported = [this](const upstream_id& upstream, const link::upstream_report& report) {
         boost::asio::post(control_, [this, upstream, report] {
@@ -171,8 +273,29 @@
                                              *budget, make_session_services());
 }
 
-void entry_server::request_ended()
+void entry_server::record_span(const request_outcome& outcome)
 {
+    telemetry::span finished;
+    finished.context = outcome.trace;
+    finished.parent = outcome.parent;
+    finished.name = "entry";
+    finished.kind = telemetry::span_kind::server;
+    finished.start = outcome.began_at;
+    finished.end = telemetry::span::clock::now();
+    finished.failed = outcome.reason != to_string(route::finish_reason::complete);
+    finished.attributes = {{"request_id", outcome.request_id}, {"team", outcome.team.str()},
+                           {"target", outcome.target},         {"status", outcome.status},
+                           {"reason", outcome.reason},         {"ran", to_string(outcome.ran)}};
+    spans_->record(std::move(finished));
+}
+
+void entry_server::request_ended(const request_outcome& outcome)
+{
+    metrics_.record(outcome);
+    metrics_.requests_in_progress.add(-1);
+    if (spans_) {
+        record_span(outcome);
+    }
     if (--requests_in_progress_ == 0 && draining_.load()) {
         boost::asio::post(control_, [this] { finish_drain(); });
     }
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -3,13 +3,18 @@
 #include "cli/endpoint.h"
 #include "entry/agent_links.h"
 #include "entry/connection_services.h"
+#include "entry/entry_metrics.h"
 #include "entry/peer_links.h"
 #include "entry/upstream_chooser.h"
-#include "route/retry_budget.h"
+#include "telemetry/admin_handlers.h"
+#include "telemetry/logger.h"
+#include "telemetry/state_log.h"
+#include "telemetry/trace_source.h"
 
 #include <absl/status/status.h>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -24,6 +29,11 @@
 struct snapshot;
 }
 
+namespace snipespar::telemetry {
+class admin_server;
+class span_exporter;
+} // namespace snipespar::telemetry
+
 namespace snipespar::entry {
 
 class traffic_thread;
@@ -56,11 +66,24 @@
     agent_link_events make_link_events();
     std::shared_ptr<request_session> make_session(const boost::asio::any_io_executor& executor,
                                                   const planned_request& planned);
-    void request_ended();
+    void request_ended(const request_outcome& outcome);
+    void record_span(const request_outcome& outcome);
+    absl::Status start_admin();
+    telemetry::readiness readiness() const;
+    std::string status_document() const;
     void finish_drain();
+    void report_counters();
 
     boost::asio::io_context& control_;
     const std::uint64_t start_;
+    entry_metrics metrics_;
+    telemetry::logger log_;
+    telemetry::state_log states_;
+    telemetry::trace_source traces_;
+    std::unique_ptr<telemetry::span_exporter> spans_;
+    std::unique_ptr<telemetry::admin_server> admin_;
+    boost::asio::steady_timer counters_timer_;
+    duration counters_interval_;
     upstream_chooser chooser_;
     std::vector<std::unique_ptr<traffic_thread>> traffic_;
     std::unique_ptr<agent_links> links_;
@@ -69,6 +92,7 @@
     /// Callers' listener, the listener for other entries, and where those listen.
     cli::endpoint listen_;
     cli::endpoint link_listen_;
+    cli::endpoint admin_listen_;
     std::vector<cli::endpoint> dialled_peers_;
     std::atomic<std::shared_ptr<const config::access>> access_;
     std::atomic<std::uint64_t> last_request_{0};
--- a/src/entry/run_entry.cpp
+++ b/src/entry/run_entry.cpp
@@ -6,6 +6,7 @@
 #include "config/document.h"
 #include "entry/entry_server.h"
 #include "net/stop_signals.h"
+#include "telemetry/logger.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -50,6 +51,7 @@
 
 int run_entry(const cli::entry_settings& settings)
 {
+    const telemetry::logger log;
     boost::asio::io_context control(1);
     auto work = boost::asio::make_work_guard(control);
     entry_server server(control, settings);
@@ -61,19 +63,17 @@
         server.set_config(config);
     }
     if (const auto status = server.start(); !status.ok()) {
-        fmt::print(stderr, "level=error event=start_failed reason=\"{}\"\n",
-                   std::string(status.message()));
+        log.error("start_failed", {{"reason", std::string(status.message())}});
         return static_cast<int>(cli::exit_code::failed);
     }
     auto code = cli::exit_code::ok;
     boost::asio::steady_timer deadline(control);
     const auto force = [&] {
-        fmt::print(stderr, "level=warning event=forced_stop\n");
+        log.warning("forced_stop");
         code = cli::exit_code::failed;
         control.stop();
     };
     const auto drain = [&] {
-        fmt::print(stderr, "level=info event=draining\n");
         server.drain([&] { control.stop(); });
         deadline.expires_after(settings.drain_timeout);
         deadline.async_wait([&](const auto& error) {
@@ -83,7 +83,6 @@
         });
     };
     net::stop_signals signals(control, drain, force);
-    fmt::print(stderr, "level=info event=started listen={}\n", settings.listen.str());
     control.run();
     server.stop();
     return static_cast<int>(code);
