--- /dev/null
+++ b/src/limits/amount.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "snipespar/strong_string.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace snipespar::limits {
+
+/// An amount of a limit in millionths of a token. Whole numbers only, so rounding creates nothing.
+using micro_tokens = std::int64_t;
+
+/// Micro-tokens in one token.
+constexpr micro_tokens micro_per_token = 1'000'000;
+
+/// Highest amount that a limit may name, for its rate a second and for its burst. Keeps products
+/// with microseconds inside 64 bits.
+constexpr micro_tokens max_amount = 9'000'000 * micro_per_token;
+
+/// Slots into which each limit is cut. Each slot has at most one owner at a time.
+constexpr std::size_t slot_count = 3;
+
+/// A fleet-wide limit, such as a team's tokens or the weight store's loads.
+using limit_id = strong_string<struct limit_tag>;
+
+/// The part of `total` that belongs to one slot. The parts of all slots add up to `total` exactly.
+constexpr micro_tokens slice(micro_tokens total, std::size_t slot)
+{
+    const auto count = static_cast<micro_tokens>(slot_count);
+    const auto index = static_cast<micro_tokens>(slot);
+    return (total * (index + 1) / count) - (total * index / count);
+}
+
+} // namespace snipespar::limits
--- /dev/null
+++ b/src/limits/limit_node.h
@@ -0,0 +1,258 @@
+#pragma once
+
+#include "limits/limit_actions.h"
+#include "limits/limit_settings.h"
+#include "limits/limit_share.h"
+#include "limits/messages.h"
+#include "limits/peer_channel.h"
+#include "limits/slot_allocator.h"
+#include "snipespar/ids.h"
+#include "snipespar/time.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace snipespar::limits {
+
+/// Counts of what a limit node has done since its start.
+struct limit_counters {
+    std::uint64_t granted = 0;
+    std::uint64_t refused_over_limit = 0;
+    std::uint64_t refused_larger_than_burst = 0;
+    std::uint64_t refused_unknown_limit = 0;
+    std::uint64_t refused_suspended = 0;
+    std::uint64_t credit_requests = 0;
+    std::uint64_t lends = 0;
+    std::uint64_t give_backs = 0;
+    std::uint64_t recalls = 0;
+    std::uint64_t resent_batches = 0;
+
+    friend bool operator==(const limit_counters&, const limit_counters&) = default;
+};
+
+/// One limit as a node holds it.
+struct limit_level {
+    limit_id limit;
+    micro_tokens capacity = 0;
+    micro_tokens level = 0;
+    micro_tokens held = 0;
+    micro_tokens lent = 0;
+    micro_tokens borrowed = 0;
+    std::size_t slots_owned = 0;
+
+    friend bool operator==(const limit_level&, const limit_level&) = default;
+};
+
+/// The fleet-wide limits as one process sees them. It admits requests against the process's own
+/// share of each limit, borrows from the owners of a limit's slots when the share is short, lends
+/// from the slots that it owns, and takes part in the choice of owners. Over any window the
+/// processes of a fleet together deliver no more than rate * window + burst of each limit, whatever
+/// is lost, doubled, late or paused.
+///
+/// Each event carries the time of a monotonic clock that goes on while the host is suspended. Ticks
+/// must come at least every few milliseconds, and within the longest gap for the node not to take
+/// itself for paused. Not thread-safe.
+class limit_node {
+public:
+    /// `self.start` must be higher than that of every earlier process on the host.
+    limit_node(incarnation self, limit_settings settings, time_point now);
+
+    /// Asks to reserve `amount` for a request, which is answered now or in a later event by
+    /// `granted` or `refused`. The number must not be in use.
+    limit_actions admit(time_point now, request_number request, const limit_id& limit,
+                        micro_tokens amount);
+
+    /// Part of a granted request's tokens reached its receiver. Returns the amount that the
+    /// reservation covered; more must not be delivered.
+    micro_tokens delivered(time_point now, request_number request, micro_tokens amount);
+
+    /// A request has ended, or its caller has gone while it was waiting. Tokens that it did not use
+    /// are free again.
+    limit_actions finished(time_point now, request_number request);
+
+    /// A message came from a peer.
+    limit_actions received(time_point now, const peer_message& message);
+
+    /// Result of a table read; none when the platform did not answer.
+    limit_actions table_read(time_point now, const limits::read_table& read,
+                             const std::optional<versioned_table>& result);
+
+    /// Result of a table write.
+    limit_actions table_written(time_point now, std::uint32_t group, write_outcome outcome);
+
+    /// The platform's list was read, changed or not. Not to be called while it cannot be read,
+    /// except once at the start with peers known from elsewhere.
+    limit_actions members_listed(time_point now, std::vector<member> members);
+
+    /// A higher version of the configuration came into force.
+    limit_actions limits_changed(time_point now, const std::vector<limit_spec>& specs);
+
+    /// Time has passed.
+    limit_actions tick(time_point now);
+
+    /// Whether deliveries are suspended at `now`; also true when a pause has not been noticed by an
+    /// event yet.
+    bool suspended(time_point now) const;
+
+    /// Every limit with its share.
+    std::vector<limit_level> report() const;
+
+    const limit_counters& counters() const { return counters_; }
+    const incarnation& self() const { return self_; }
+    const slot_allocator& allocator() const { return allocator_; }
+
+private:
+    struct waiting_request {
+        request_number request = 0;
+        micro_tokens amount = 0;
+        time_point deadline;
+        /// Whether a round of asking has covered it.
+        bool asked_for = false;
+    };
+
+    struct credit_round {
+        std::uint64_t number = 0;
+        /// Owners not asked yet, the next one last.
+        std::vector<incarnation> owners;
+        std::optional<incarnation> asked;
+        time_point answer_due;
+        /// Until when owners that were short may still send credit.
+        time_point more_until;
+    };
+
+    struct unfilled_request {
+        incarnation from;
+        micro_tokens needed = 0;
+        time_point until;
+    };
+
+    struct limit_state {
+        limit_state(const limit_spec& spec, time_point now) : share(spec, now) {}
+
+        limit_share share;
+        bool configured = false;
+        std::deque<waiting_request> waiting;
+        std::optional<credit_round> round;
+        time_point next_round;
+        std::deque<unfilled_request> unfilled;
+        time_point next_recall;
+        time_point next_return;
+        /// Tokens admitted since the last return, and their average for one return interval.
+        micro_tokens admitted = 0;
+        micro_tokens demand = 0;
+    };
+
+    struct reservation {
+        limit_id limit;
+        micro_tokens held = 0;
+    };
+
+    struct suspension {
+        std::uint64_t pause = 0;
+        time_point since;
+        std::set<incarnation> unanswered;
+        std::vector<allocation_table> tables;
+    };
+
+    bool enter(time_point now, limit_actions& actions);
+    void suspend(time_point now, limit_actions& actions);
+    void check_suspension(time_point now, limit_actions& actions);
+    bool holds_of_changed_slot() const;
+    void stop(limit_actions& actions);
+
+    std::uint32_t group_of(const limit_id& limit) const;
+    limit_state& state_of(time_point now, const limit_id& limit);
+    limit_state& state_of(time_point now, const limit_id& limit, std::size_t skipped_slot);
+    void fill_first(time_point now, const limit_id& limit, limit_state& state);
+    std::vector<incarnation> owners(std::uint32_t group) const;
+    bool yields_to(const limit_id& limit, const limit_state& state, const incarnation& other) const;
+
+    void serve(time_point now, const limit_id& limit, limit_state& state, limit_actions& actions);
+    void grant(time_point now, limit_state& state, limit_actions& actions);
+    void refuse(request_number request, refusal_reason reason, duration retry_after,
+                limit_actions& actions);
+    void refuse_front(time_point now, limit_state& state, limit_actions& actions);
+    void finish_round(time_point now, limit_state& state, limit_actions& actions);
+    static bool may_refill(time_point now, const limit_state& state);
+    static duration time_for(const limit_state& state, micro_tokens amount);
+    void start_round(time_point now, const limit_id& limit, limit_state& state,
+                     limit_actions& actions);
+    void ask_next(time_point now, const limit_id& limit, limit_state& state,
+                  limit_actions& actions);
+    static micro_tokens missing(const limit_state& state);
+    micro_tokens lend(time_point now, const limit_id& limit, limit_state& state,
+                      const incarnation& borrower, micro_tokens amount, limit_actions& actions);
+    void request_owners(time_point now, std::uint32_t group, limit_actions& actions);
+    void lend_unfilled(time_point now, const limit_id& limit, limit_state& state,
+                       limit_actions& actions);
+    bool recall(time_point now, const limit_id& limit, limit_state& state,
+                const incarnation& beneficiary, limit_actions& actions);
+    void return_idle(time_point now, const limit_id& limit, limit_state& state,
+                     limit_actions& actions);
+    void give_back(time_point now, const limit_id& limit, limit_state& state, std::size_t slot,
+                   micro_tokens level, limit_actions& actions);
+
+    void handle(time_point now, const incarnation& from, const batch_message& message,
+                limit_actions& actions);
+    void handle(time_point now, const incarnation& from, const ack_message& message,
+                limit_actions& actions);
+    void handle(time_point now, const incarnation& from, const credit_request& message,
+                limit_actions& actions);
+    void handle(time_point now, const incarnation& from, const credit_answer& message,
+                limit_actions& actions);
+    void handle(time_point now, const incarnation& from, const recall_message& message,
+                limit_actions& actions);
+    void handle(time_point now, const incarnation& from, const owners_request& message,
+                limit_actions& actions);
+    void handle(time_point now, const incarnation& from, const owners_message& message,
+                limit_actions& actions);
+    void handle(time_point now, const incarnation& from, const resume_request& message,
+                limit_actions& actions);
+    void handle(time_point now, const incarnation& from, const resume_answer& message,
+                limit_actions& actions);
+    void handle(time_point now, const incarnation& from, const closed_message& message,
+                limit_actions& actions);
+
+    void apply(time_point now, const incarnation& from, const lend_item& item,
+               limit_actions& actions);
+    void apply(time_point now, const incarnation& from, const give_back_item& item,
+               limit_actions& actions);
+    void apply(time_point now, const incarnation& from, const claim_item& item,
+               limit_actions& actions);
+    void apply(time_point now, const incarnation& from, const report_item& item,
+               limit_actions& actions);
+
+    void carry_out(time_point now, allocator_effects effects, limit_actions& actions);
+    void surrender(time_point now, const slot_surrender& change);
+    void activate(time_point now, const slot_activation& change, limit_actions& actions);
+    bool is_closed(const incarnation& process) const;
+    void close(time_point now, const incarnation& process);
+    void close_gone(time_point now);
+    peer_channel& channel(const incarnation& to);
+    bool reachable(const incarnation& to) const;
+    void push(time_point now, const incarnation& to, std::vector<channel_item> items,
+              limit_actions& actions);
+    void send(const incarnation& to, message_body body, limit_actions& actions) const;
+
+    incarnation self_;
+    limit_settings settings_;
+    slot_allocator allocator_;
+    std::map<limit_id, limit_state> limits_;
+    std::set<limit_id> busy_;
+    std::map<request_number, reservation> reservations_;
+    std::map<incarnation, peer_channel> peers_;
+    /// Highest incarnation of each host that is known to be dead.
+    std::map<host_id, std::uint64_t> closed_;
+    std::optional<suspension> suspension_;
+    std::uint64_t pauses_ = 0;
+    std::uint64_t rounds_ = 0;
+    time_point last_event_;
+    time_point next_owners_request_;
+    bool stopped_ = false;
+    limit_counters counters_;
+};
+
+} // namespace snipespar::limits
--- /dev/null
+++ b/src/limits/peer_channel.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "limits/messages.h"
+#include "snipespar/time.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace snipespar::limits {
+
+/// One end of the reliable, ordered, exactly-once stream between two incarnations. The sending
+/// side keeps each batch until it is acknowledged; the receiving side keeps the few that came
+/// before their turn and drops what it has seen, so memory is bounded by the window.
+class peer_channel {
+public:
+    /// Batches without acknowledgement after which the peer counts as unresponsive.
+    static constexpr std::size_t max_unacknowledged = 16;
+    /// Batches kept by the receiving side until the ones before them arrive.
+    static constexpr std::size_t max_early = 32;
+
+    /// Adds items to the stream and returns the batch to send.
+    batch_message push(time_point now, std::vector<channel_item> items);
+
+    /// Takes a received batch and returns the batches whose turn has come, to be applied in order.
+    /// Acknowledge in any case.
+    std::vector<batch_message> accept(const batch_message& batch);
+
+    /// Acknowledgement of everything applied so far.
+    ack_message acknowledgement() const { return ack_message{received_}; }
+
+    /// Sequence number of the last batch pushed.
+    std::uint64_t last_pushed() const { return sent_; }
+
+    /// Drops the batches that the peer has applied.
+    void acknowledged(time_point now, const ack_message& ack);
+
+    /// The batches to send again at `now`, in order.
+    std::vector<batch_message> due(time_point now);
+
+    /// Whether so much is unacknowledged that new transfers should wait.
+    bool congested() const { return unacknowledged_.size() >= max_unacknowledged; }
+
+    const std::deque<batch_message>& unacknowledged() const { return unacknowledged_; }
+
+    friend bool operator==(const peer_channel&, const peer_channel&) = default;
+
+private:
+    std::uint64_t sent_ = 0;
+    std::uint64_t received_ = 0;
+    std::deque<batch_message> unacknowledged_;
+    std::map<std::uint64_t, batch_message> early_;
+    time_point resend_at_;
+    duration resend_delay_{};
+};
+
+} // namespace snipespar::limits
--- /dev/null
+++ b/tests/limits_node_test.cpp
@@ -0,0 +1,104 @@
+#include "limits/limit_node.h"
+#include "support/limit_fleet.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace snipespar::limits {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const limit_id team("team/krlp");
+const limit_id loads("weight-store/loads-per-second");
+const limit_id at_once("weight-store/loads-at-once");
+
+limit_spec team_spec()
+{
+    return {team, limit_form::rate, 1000 * micro_per_token, 2000 * micro_per_token};
+}
+
+std::vector<limit_spec> all_specs()
+{
+    return {team_spec(),
+            {loads, limit_form::rate, 2'600'000, 2 * micro_per_token},
+            {at_once, limit_form::concurrency, 0, 2 * micro_per_token}};
+}
+
+} // namespace
+
+class limits_node_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(limits_node_test);
+    CPPUNIT_TEST(one_entry_gets_the_whole_limit);
+    CPPUNIT_TEST(demand_within_the_rate_is_never_refused);
+    CPPUNIT_TEST(tiny_limits_are_used_whole);
+    CPPUNIT_TEST(flood_is_bounded_and_gets_the_rate);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // The whole burst sits in three slots with three owners; a fourth host gets it at once.
+    void one_entry_gets_the_whole_limit()
+    {
+        limit_fleet fleet(6, {team_spec()}, 1);
+        fleet.run(seconds(10));
+        for (std::size_t host = 0; host < fleet.hosts(); ++host) {
+            fleet.admit(host, team, 2000 * micro_per_token, milliseconds(100));
+            fleet.run(seconds(4));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{host + 1}, fleet.granted_count);
+        }
+        CPPUNIT_ASSERT(fleet.excess() <= 0);
+    }
+
+    void demand_within_the_rate_is_never_refused()
+    {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            limit_fleet fleet(9, {team_spec()}, seed);
+            fleet.run(seconds(10));
+            for (int i = 0; i < 2000; ++i) {
+                const std::size_t host = seed == 1 ? 4 : fleet.random(fleet.hosts());
+                fleet.admit(host, team, 95 * micro_per_token / 10, milliseconds(200));
+                fleet.run(milliseconds(10));
+            }
+            fleet.run(seconds(1));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{2000}, fleet.granted_count);
+            CPPUNIT_ASSERT(fleet.excess() <= 0);
+        }
+    }
+
+    void tiny_limits_are_used_whole()
+    {
+        limit_fleet fleet(4, all_specs(), 7);
+        fleet.run(seconds(10));
+        for (int i = 0; i < 100; ++i) {
+            fleet.admit(fleet.random(4), loads, micro_per_token, milliseconds(1));
+            fleet.admit(fleet.random(4), at_once, micro_per_token, milliseconds(600));
+            fleet.run(milliseconds(400));
+        }
+        fleet.run(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{200}, fleet.granted_count);
+        CPPUNIT_ASSERT(fleet.excess() <= 0);
+    }
+
+    void flood_is_bounded_and_gets_the_rate()
+    {
+        limit_fleet fleet(6, {team_spec()}, 3);
+        fleet.run(seconds(10));
+        for (int i = 0; i < 2000; ++i) {
+            fleet.admit(fleet.random(6), team, 50 * micro_per_token, milliseconds(50));
+            fleet.run(milliseconds(10));
+        }
+        fleet.run(seconds(1));
+        CPPUNIT_ASSERT(fleet.excess() <= 0);
+        const auto total = fleet.oracle(team).total() / micro_per_token;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(total), total >= 20'000 * 9 / 10);
+        for (const auto& wait : fleet.retry_after) {
+            CPPUNIT_ASSERT(wait > milliseconds(0) && wait <= milliseconds(51));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(limits_node_test);
+
+} // namespace snipespar::limits
