--- /dev/null
+++ b/tests/process/support/child_process.cpp
@@ -0,0 +1,149 @@
+#include "process/support/child_process.h"
+
+#include "process/support/wait_until.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace snipespar::testing {
+
+namespace {
+
+constexpr int signal_exit_base = 128;
+constexpr int exec_failed = 127;
+
+// Pointers into `texts` with the closing null that exec expects.
+std::vector<char*> pointers(std::vector<std::string>& texts)
+{
+    std::vector<char*> result;
+    result.reserve(texts.size() + 1);
+    for (auto& text : texts) {
+        result.push_back(text.data());
+    }
+    result.push_back(nullptr);
+    return result;
+}
+
+std::vector<std::string> environment_of(const program_start& start)
+{
+    std::vector<std::string> list;
+    for (const char* name : {"ASAN_OPTIONS", "UBSAN_OPTIONS", "TSAN_OPTIONS", "LSAN_OPTIONS"}) {
+        if (const char* value = std::getenv(name); value != nullptr) {
+            list.push_back(std::string(name) + "=" + value);
+        }
+    }
+    for (const auto& [name, value] : start.environment) {
+        list.push_back(name + "=" + value);
+    }
+    return list;
+}
+
+int to_exit_code(int status)
+{
+    return WIFSIGNALED(status) ? signal_exit_base + WTERMSIG(status) : WEXITSTATUS(status);
+}
+
+} // namespace
+
+std::string program_path(const std::string& name)
+{
+    const auto self = std::filesystem::read_symlink("/proc/self/exe");
+    return (self.parent_path().parent_path() / name).string();
+}
+
+child_process::child_process(const program_start& start)
+{
+    std::vector<std::string> arguments{program_path(start.program)};
+    arguments.insert(arguments.end(), start.arguments.begin(), start.arguments.end());
+    auto variables = environment_of(start);
+    const auto argument_pointers = pointers(arguments);
+    const auto variable_pointers = pointers(variables);
+    std::array<int, 2> output{};
+    if (pipe2(output.data(), O_CLOEXEC) != 0) {
+        throw std::runtime_error("pipe2 failed");
+    }
+
+    id_ = fork();
+    if (id_ == 0) {
+        // Only calls that are safe after a fork of a program with threads.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        dup2(output[1], STDOUT_FILENO);
+        dup2(output[1], STDERR_FILENO);
+        execve(argument_pointers[0], argument_pointers.data(), variable_pointers.data());
+        _exit(exec_failed);
+    }
+    close(output[1]);
+    if (id_ < 0) {
+        close(output[0]);
+        throw std::runtime_error("fork failed");
+    }
+    reader_ = std::thread([this, descriptor = output[0]] { read_output(descriptor); });
+}
+
+child_process::~child_process()
+{
+    kill();
+    reader_.join();
+}
+
+void child_process::signal(int number) const
+{
+    if (!status_) {
+        ::kill(id_, number);
+    }
+}
+
+void child_process::kill()
+{
+    signal(SIGKILL);
+    wait();
+}
+
+std::optional<int> child_process::wait(std::chrono::milliseconds limit)
+{
+    wait_until([this] { return !running(); }, limit);
+    return status_;
+}
+
+bool child_process::running()
+{
+    int status = 0;
+    if (!status_ && waitpid(id_, &status, WNOHANG) == id_) {
+        status_ = to_exit_code(status);
+    }
+    return !status_;
+}
+
+std::string child_process::output() const
+{
+    const std::lock_guard lock(mutex_);
+    return output_;
+}
+
+bool child_process::wait_for_output(const std::string& text, std::chrono::milliseconds limit)
+{
+    const auto seen = [&] { return output().find(text) != std::string::npos; };
+    wait_until([&] { return seen() || !running(); }, limit);
+    return wait_until(seen, running() ? std::chrono::milliseconds(0) : std::chrono::seconds(1));
+}
+
+void child_process::read_output(int descriptor)
+{
+    std::array<char, 4096> chunk{};
+    for (auto size = read(descriptor, chunk.data(), chunk.size()); size > 0;
+         size = read(descriptor, chunk.data(), chunk.size())) {
+        const std::lock_guard lock(mutex_);
+        output_.append(chunk.data(), static_cast<std::size_t>(size));
+    }
+    close(descriptor);
+}
+
+} // namespace snipespar::testing
--- /dev/null
+++ b/tests/process/support/child_process.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "support/http_probe.h"
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <sys/types.h>
+#include <thread>
+#include <vector>
+
+namespace snipespar::testing {
+
+/// Path of one of the project's programs, which stand in the folder above the test program's.
+std::string program_path(const std::string& name);
+
+/// What to start.
+struct program_start {
+    /// Name of one of the project's programs.
+    std::string program;
+    std::vector<std::string> arguments;
+    /// Added to a small environment: sanitizer options are passed on, nothing else is.
+    std::map<std::string, std::string> environment;
+};
+
+/// A running program of the project. Its standard output and error are kept; it is killed and
+/// reaped with the object, and dies with the test program too.
+class child_process {
+public:
+    explicit child_process(const program_start& start);
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+    ~child_process();
+
+    pid_t id() const { return id_; }
+
+    /// Sends a signal, such as SIGSTOP; does nothing once the process was reaped.
+    void signal(int number) const;
+
+    /// SIGKILL, and waits for the end.
+    void kill();
+
+    /// Waits for the end. Returns the exit code, or 128 plus the number of the signal that ended
+    /// the process; nothing when it still runs after `limit`.
+    std::optional<int> wait(std::chrono::milliseconds limit = wait_limit);
+
+    bool running();
+
+    /// All output so far.
+    std::string output() const;
+
+    /// Waits until the output contains `text`; false after `limit` or when the process has ended
+    /// without it.
+    bool wait_for_output(const std::string& text, std::chrono::milliseconds limit = wait_limit);
+
+private:
+    void read_output(int descriptor);
+
+    pid_t id_ = -1;
+    std::optional<int> status_;
+    mutable std::mutex mutex_;
+    std::string output_;
+    std::thread reader_;
+};
+
+} // namespace snipespar::testing
--- /dev/null
+++ b/tests/process/support_test.cpp
@@ -0,0 +1,55 @@
+#include "process/support/child_process.h"
+#include "process/support/fleet.h"
+#include "process/support/tcp_cutter.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <string>
+
+namespace snipespar::testing {
+
+/// The harness itself: a test that relies on a fault must be able to trust that it happens.
+class process_support_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(process_support_test);
+    CPPUNIT_TEST(program_is_run_and_reaped);
+    CPPUNIT_TEST(cutter_brings_each_fault_about);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void program_is_run_and_reaped()
+    {
+        child_process version({"snipespar", {"--version"}, {}});
+        CPPUNIT_ASSERT(version.wait() == 0);
+        CPPUNIT_ASSERT(version.wait_for_output("snipespar "));
+        child_process service({"service_stand_in", {}, {}});
+        CPPUNIT_ASSERT(service.wait_for_output("listening "));
+        CPPUNIT_ASSERT(!service.wait_for_output("not printed", std::chrono::milliseconds(10)));
+        service.kill();
+        CPPUNIT_ASSERT(service.wait() == 128 + SIGKILL);
+    }
+
+    void cutter_brings_each_fault_about()
+    {
+        constexpr std::chrono::milliseconds short_limit{200};
+        child_process service({"service_stand_in", {}, {}});
+        CPPUNIT_ASSERT(service.wait_for_output("\n"));
+        const auto port = std::stoul(service.output().substr(service.output().rfind(':') + 1));
+        tcp_cutter cutter({"127.0.0.1", static_cast<std::uint16_t>(port)});
+        const http_call call;
+        CPPUNIT_ASSERT(send_call(cutter.address(), call).ok());
+        cutter.set_towards_target(relay_mode::drop);
+        CPPUNIT_ASSERT(!send_call(cutter.address(), call, short_limit).ok());
+        cutter.set_towards_target(relay_mode::pass);
+        cutter.set_from_target(relay_mode::freeze);
+        CPPUNIT_ASSERT(!send_call(cutter.address(), call, short_limit).ok());
+        cutter.set_from_target(relay_mode::pass);
+        CPPUNIT_ASSERT(send_call(cutter.address(), call).ok());
+        cutter.set_unreachable(true);
+        CPPUNIT_ASSERT(!send_call(cutter.address(), call).ok());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(process_support_test);
+
+} // namespace snipespar::testing
--- /dev/null
+++ b/tools/service_stand_in/session.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "execution_record.h"
+#include "fault_switches.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <string>
+
+namespace service_stand_in {
+
+/// State that all connections share; the program has one thread.
+struct service {
+    execution_record record;
+    fault_switches faults;
+};
+
+/// One connection: reads requests one after the other and answers them, with the faults asked for.
+class session {
+public:
+    session(boost::asio::ip::tcp::socket socket, service& state);
+
+    /// Serves until the connection ends.
+    boost::asio::awaitable<void> serve();
+
+private:
+    using request = boost::beast::http::request<boost::beast::http::string_body>;
+
+    boost::asio::awaitable<std::optional<request>> read();
+    boost::asio::awaitable<bool> answer(const request& message);
+    boost::asio::awaitable<bool> execute(const request& message);
+    boost::asio::awaitable<void> wait(std::chrono::milliseconds time);
+    boost::asio::awaitable<void> wait_until_closed();
+    boost::asio::awaitable<bool> send_bytes(const std::string& bytes);
+    boost::asio::awaitable<bool> send(unsigned status, const std::string& body);
+    boost::asio::awaitable<bool> send_faulty(const fault_switches& faults, const std::string& body);
+
+    boost::asio::ip::tcp::socket socket_;
+    boost::beast::flat_buffer buffer_;
+    /// Bytes since the last request; those of the stand-in's own requests are not kept.
+    std::string received_;
+    service& service_;
+};
+
+} // namespace service_stand_in
