--- /dev/null
+++ b/src/claims/claim_journal.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include "claims/claim_index.h"
+#include "claims/claim_request.h"
+#include "claims/instant.h"
+#include "claims/journal_action.h"
+#include "claims/journal_page.h"
+#include "snipespar/ids.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace snipespar::claims {
+
+/// Limits of one journal.
+struct journal_limits {
+    /// How long a key is remembered.
+    std::chrono::milliseconds retention = std::chrono::hours(1);
+    /// Longest time that a claimer may still be running its call. A claim without an outcome is
+    /// `in progress` until then and `outcome unknown` after it.
+    std::chrono::milliseconds longest_call = std::chrono::minutes(5);
+    /// Commits that may follow each other at once, and their sustained rate.
+    double commit_burst = 4;
+    double commits_per_s = 3;
+    /// How long an outcome may wait for claims to share its commit.
+    duration outcome_delay = std::chrono::milliseconds(200);
+    /// Size of the page's records above which they are sealed into a segment.
+    std::size_t seal_bytes = 16 * 1024;
+    /// Size of the records that one commit may add.
+    std::size_t commit_bytes = 256 * 1024;
+    /// Claims and outcomes that may wait for a commit.
+    std::size_t max_pending = 4096;
+    /// Age of the known page above which an answer that may have changed is read again.
+    duration trust_page = std::chrono::seconds(1);
+    /// Pause after a failed operation; it doubles up to the longest.
+    duration first_backoff = std::chrono::milliseconds(100);
+    duration max_backoff = std::chrono::seconds(5);
+    /// When to come back while a call with the same key runs, and after a refusal at least.
+    duration retry_after = std::chrono::seconds(1);
+
+    friend bool operator==(const journal_limits&, const journal_limits&) = default;
+};
+
+/// What a journal reports of itself.
+struct journal_report {
+    std::uint64_t page_version = 0;
+    std::size_t keys = 0;
+    std::size_t segments = 0;
+    std::size_t pending_claims = 0;
+    std::size_t pending_outcomes = 0;
+    bool synchronized = false;
+    std::uint32_t failures = 0;
+
+    friend bool operator==(const journal_report&, const journal_report&) = default;
+};
+
+/// One entry's access to the claims of one partition, which any entry may use at any time.
+///
+/// Claims and outcomes are committed in groups by a conditional update of the partition's page,
+/// so of several writers only one succeeds and the others read again. A claim is granted only
+/// when its record is known to be in the journal; a write whose answer was lost is looked up by
+/// the claim's nonce. While the platform is out, claims that need a write are refused at once.
+class claim_journal {
+public:
+    claim_journal(std::uint32_t partition, incarnation self, journal_limits limits);
+
+    /// Asks for a claim; it is answered by exactly one answer_claim, unless the same nonce asks
+    /// again meanwhile, which shares the answer.
+    journal_actions claim(const claim_request& request, const instant& now);
+
+    /// Records how a claim ended. A claim of the same nonce that still waits is refused.
+    journal_actions record_outcome(const claim_outcome& outcome, const instant& now);
+
+    journal_actions on_read(operation_id operation, const read_result& result, const instant& now);
+    journal_actions on_write(operation_id operation, const write_result& result,
+                             const instant& now);
+
+    /// Continues after a pause; to be called at next_tick() or later.
+    journal_actions on_tick(const instant& now);
+    time_point next_tick() const;
+
+    /// Whether it has nothing to do, so that it can be dropped from memory.
+    bool idle() const;
+
+    journal_report report() const;
+
+private:
+    struct pending_outcome {
+        claim_outcome outcome;
+        time_point since;
+    };
+    enum class operation_kind { none, read_page, read_segment, read_slot, write_segment, commit };
+    struct running_operation {
+        operation_kind kind = operation_kind::none;
+        operation_id id = 0;
+        std::uint32_t slot = 0;
+        std::uint64_t version = 0;
+        /// The page that a commit writes, what it adds, and what it settles.
+        journal_page page;
+        std::vector<journal_record> added;
+        std::vector<claim_nonce> claims;
+        std::vector<claim_nonce> outcomes;
+    };
+    struct batch;
+
+    void advance(const instant& now, journal_actions& actions);
+    bool start_reading(journal_actions& actions);
+    bool start_sealing(journal_actions& actions);
+    void start_commit(const instant& now, journal_actions& actions);
+    bool commit_due(time_point now) const;
+    time_point commit_due_at() const;
+    journal_page next_page(wall_time wall) const;
+    void settle_known(const instant& now, journal_actions& actions);
+    void stage_outcomes(batch& next, wall_time wall) const;
+    void stage_claims(batch& next, wall_time wall) const;
+
+    std::optional<claim_decision> decide(const claim_request& request, wall_time wall) const;
+    std::optional<journal_record> held_record(const digest& key, wall_time wall) const;
+    bool must_read_again(const claim_decision& decision, time_point now) const;
+
+    void take_page(const read_result& result, const instant& now, journal_actions& actions);
+    void take_segment(const read_result& result, const instant& now, journal_actions& actions);
+    void take_slot(const read_result& result);
+    void finish_commit(const running_operation& done, const write_result& result,
+                       const instant& now, journal_actions& actions);
+    void finish_segment(const running_operation& done, const write_result& result,
+                        const instant& now, journal_actions& actions);
+    void rebuild_index();
+    void forget_unused_segments();
+    bool page_full() const;
+    const segment_ref* missing_segment() const;
+    bool holds_reservation() const;
+    void read_again();
+
+    void fail(const instant& now, journal_actions& actions);
+    void refuse_overdue(const instant& now, journal_actions& actions);
+    claim_decision refusal(time_point now) const;
+    operation_id begin(operation_kind kind, std::uint32_t slot = 0);
+    void refill_commits(time_point now);
+    bool out_of_service(time_point now) const;
+
+    std::uint32_t partition_;
+    incarnation self_;
+    journal_limits limits_;
+
+    journal_page page_;
+    std::uint64_t page_version_ = 0;
+    bool synchronized_ = false;
+    time_point page_read_at_{};
+    /// Segments that were read, by slot and version.
+    std::map<std::pair<std::uint32_t, std::uint64_t>, std::vector<journal_record>> segments_;
+    /// The reservation that the next commit makes.
+    std::optional<seal_reservation> next_reservation_;
+    /// A reservation whose slot was changed by someone else.
+    std::optional<seal_reservation> abandoned_reservation_;
+    /// Set once the reserved slot holds the page's records.
+    std::optional<segment_ref> written_segment_;
+    claim_index index_;
+
+    std::map<claim_nonce, claim_request> claims_;
+    std::map<claim_nonce, pending_outcome> outcomes_;
+    running_operation running_;
+    operation_id last_operation_ = 0;
+
+    double commits_left_;
+    time_point commits_refilled_{};
+    std::uint32_t failures_ = 0;
+    time_point resume_at_{};
+};
+
+} // namespace snipespar::claims
