--- a/src/claims/claim_journal.cpp
+++ b/src/claims/claim_journal.cpp
@@ -87,9 +87,13 @@
         return actions;
     }
     if (out_of_service(now.steady) || outcomes_.contains(request.nonce) ||
-        claims_.size() >= limits_.max_pending) {
-        const auto known = decide(request, now.wall);
-        actions.emplace_back(answer_claim{request.nonce, known.value_or(refusal(now.steady))});
+        settled_.contains(request.nonce) || claims_.size() >= limits_.max_pending) {
+        if (const auto known = decide(request, now.wall)) {
+            answer(request.nonce, *known, actions);
+        }
+        else {
+            refuse(request.nonce, now.steady, actions);
+        }
         return actions;
     }
     claims_.emplace(request.nonce, request);
@@ -102,7 +106,7 @@
     assert(outcome.kind != record_kind::claimed);
     journal_actions actions;
     if (claims_.erase(outcome.nonce) > 0) {
-        actions.emplace_back(answer_claim{outcome.nonce, refusal(now.steady)});
+        refuse(outcome.nonce, now.steady, actions);
     }
     if (outcomes_.size() >= limits_.max_pending) {
         return actions;
@@ -309,7 +313,7 @@
             ++place;
         }
         else {
-            actions.emplace_back(answer_claim{place->first, *known});
+            answer(place->first, *known, actions);
             place = claims_.erase(place);
         }
     }
@@ -358,7 +362,7 @@
     }
     const bool own = held->nonce == request.nonce;
     if (held->kind == record_kind::released) {
-        return own ? std::optional<claim_decision>(claim_refused{limits_.retry_after})
+        return own ? std::optional<claim_decision>(claim_refused{limits_.retry_after, false})
                    : std::nullopt;
     }
     if (own && held->kind == record_kind::claimed) {
@@ -446,8 +450,11 @@
                                   const instant& now, journal_actions& actions)
 {
     switch (result.status) {
-    case write_status::conflict:
     case write_status::unknown:
+        maybe_written_.insert(done.claims.begin(), done.claims.end());
+        read_again();
+        return;
+    case write_status::conflict:
         read_again();
         return;
     case write_status::unavailable:
@@ -467,7 +474,7 @@
     forget_unused_segments();
     for (const auto& nonce : done.claims) {
         if (claims_.erase(nonce) > 0) {
-            actions.emplace_back(answer_claim{nonce, claim_granted{}});
+            answer(nonce, claim_granted{}, actions);
         }
     }
     for (const auto& nonce : done.outcomes) {
@@ -551,8 +558,12 @@
     ++failures_;
     resume_at_ = now.steady + pause;
     for (const auto& [nonce, request] : claims_) {
-        const auto known = decide(request, now.wall);
-        actions.emplace_back(answer_claim{nonce, known.value_or(refusal(now.steady))});
+        if (const auto known = decide(request, now.wall)) {
+            answer(nonce, *known, actions);
+        }
+        else {
+            refuse(nonce, now.steady, actions);
+        }
     }
     claims_.clear();
 }
@@ -562,15 +573,40 @@
     std::erase_if(claims_, [&](const auto& item) {
         const bool overdue = item.second.answer_by <= now.steady;
         if (overdue) {
-            actions.emplace_back(answer_claim{item.first, refusal(now.steady)});
+            refuse(item.first, now.steady, actions);
         }
         return overdue;
     });
 }
 
-claim_decision claim_journal::refusal(time_point now) const
+void claim_journal::answer(const claim_nonce& nonce, const claim_decision& decision,
+                           journal_actions& actions)
+{
+    maybe_written_.erase(nonce);
+    if (!std::holds_alternative<claim_granted>(decision)) {
+        remember_settled(nonce);
+    }
+    actions.emplace_back(answer_claim{nonce, decision});
+}
+
+void claim_journal::remember_settled(const claim_nonce& nonce)
+{
+    if (!settled_.insert(nonce).second) {
+        return;
+    }
+    settled_order_.push_back(nonce);
+    if (settled_order_.size() > limits_.max_pending) {
+        settled_.erase(settled_order_.front());
+        settled_order_.pop_front();
+    }
+}
+
+void claim_journal::refuse(const claim_nonce& nonce, time_point now, journal_actions& actions)
 {
-    return claim_refused{std::max<duration>(limits_.retry_after, resume_at_ - now)};
+    const duration wait = std::max<duration>(limits_.retry_after, resume_at_ - now);
+    const bool in_flight = std::ranges::find(running_.claims, nonce) != running_.claims.end();
+    const bool may_be_written = in_flight || maybe_written_.contains(nonce);
+    answer(nonce, claim_refused{wait, may_be_written}, actions);
 }
 
 operation_id claim_journal::begin(operation_kind kind, std::uint32_t slot)
--- a/src/claims/claim_journal.h
+++ b/src/claims/claim_journal.h
@@ -8,8 +8,10 @@
 #include "snipespar/ids.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -137,7 +139,9 @@
 
     void fail(const instant& now, journal_actions& actions);
     void refuse_overdue(const instant& now, journal_actions& actions);
-    claim_decision refusal(time_point now) const;
+    void remember_settled(const claim_nonce& nonce);
+    void answer(const claim_nonce& nonce, const claim_decision& decision, journal_actions& actions);
+    void refuse(const claim_nonce& nonce, time_point now, journal_actions& actions);
     operation_id begin(operation_kind kind, std::uint32_t slot = 0);
     void refill_commits(time_point now);
     bool out_of_service(time_point now) const;
@@ -162,6 +166,12 @@
 
     std::map<claim_nonce, claim_request> claims_;
     std::map<claim_nonce, pending_outcome> outcomes_;
+    /// Waiting claims that were part of a write whose answer was lost.
+    std::set<claim_nonce> maybe_written_;
+    /// Claims answered lately with anything but a grant, oldest first, so that a message which
+    /// arrives twice makes no claim that nobody waits for.
+    std::set<claim_nonce> settled_;
+    std::deque<claim_nonce> settled_order_;
     running_operation running_;
     operation_id last_operation_ = 0;
 
--- /dev/null
+++ b/tests/claims_service_test.cpp
@@ -0,0 +1,213 @@
+#include "claims/claim_service.h"
+#include "support/claim_fleet.h"
+#include "support/seeded_check.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace snipespar::claims {
+
+namespace {
+
+template <class Decision>
+bool is(const claim_decision& decision)
+{
+    return std::holds_alternative<Decision>(decision);
+}
+
+claim_limits small_limits()
+{
+    claim_limits limits;
+    limits.partitions = 1;
+    limits.journal.seal_bytes = 700;
+    limits.journal.longest_call = std::chrono::hours(2);
+    limits.journal.retention = std::chrono::hours(10);
+    return limits;
+}
+
+} // namespace
+
+class claims_service_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(claims_service_test);
+    CPPUNIT_TEST(random_faults_never_run_a_key_twice);
+    CPPUNIT_TEST(released_keys_run_after_faults_without_crashes);
+    CPPUNIT_TEST(repeat_through_another_entry_gets_the_first_answer);
+    CPPUNIT_TEST(repeat_after_death_of_the_claimer_is_never_run);
+    CPPUNIT_TEST(repeat_after_death_of_the_owner_gets_the_first_answer);
+    CPPUNIT_TEST(outage_refuses_at_once_and_the_repeat_runs);
+    CPPUNIT_TEST(paused_claimer_does_not_run_a_claim_given_up);
+    CPPUNIT_TEST(different_request_with_the_same_key_is_refused);
+    CPPUNIT_TEST(keys_are_remembered_for_the_retention_only);
+    CPPUNIT_TEST(commits_stay_within_their_rate);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void random_faults_never_run_a_key_twice()
+    {
+        CPPUNIT_ASSERT(seeded_check("claims_faults", 4201, 600, [] {
+            claim_fleet fleet(*rc::gen::arbitrary<std::uint64_t>(), {}, small_limits());
+            fleet.run(400);
+            fleet.settle();
+            repeat_all(fleet);
+        }));
+    }
+
+    void released_keys_run_after_faults_without_crashes()
+    {
+        CPPUNIT_ASSERT(seeded_check("claims_no_crashes", 4202, 600, [] {
+            claim_fleet::faults faults;
+            faults.crashes = false;
+            claim_fleet fleet(*rc::gen::arbitrary<std::uint64_t>(), faults, small_limits());
+            fleet.run(400);
+            fleet.settle();
+            repeat_all(fleet);
+        }));
+    }
+
+    void repeat_through_another_entry_gets_the_first_answer()
+    {
+        claim_fleet fleet = quiet_fleet();
+        const auto nonce = fleet.begin(0, 1);
+        fleet.drain();
+        CPPUNIT_ASSERT(is<claim_in_progress>(fleet.call(1, 1)));
+        fleet.finish(0, nonce, run_state::ran);
+        fleet.settle();
+        for (int entry = 0; entry < claim_fleet::entry_count; ++entry) {
+            CPPUNIT_ASSERT(fleet.call(entry, 1) ==
+                           claim_decision(claim_replayed{claim_fleet::answer_of(1)}));
+        }
+        CPPUNIT_ASSERT_EQUAL(1, fleet.executions(1));
+    }
+
+    void repeat_after_death_of_the_claimer_is_never_run()
+    {
+        for (int entry = 0; entry < claim_fleet::entry_count; ++entry) {
+            claim_fleet fleet = quiet_fleet();
+            CPPUNIT_ASSERT(is<claim_granted>(fleet.call(entry, 1)));
+            fleet.crash(entry);
+            CPPUNIT_ASSERT(is<claim_in_progress>(fleet.call((entry + 1) % 3, 1)));
+            fleet.pass(small_limits().journal.longest_call);
+            CPPUNIT_ASSERT(is<claim_outcome_unknown>(fleet.call(entry, 1)));
+        }
+    }
+
+    void repeat_after_death_of_the_owner_gets_the_first_answer()
+    {
+        for (int owner = 0; owner < claim_fleet::entry_count; ++owner) {
+            claim_fleet fleet = quiet_fleet();
+            const int caller = (owner + 1) % claim_fleet::entry_count;
+            const auto nonce = fleet.begin(caller, 1);
+            fleet.drain();
+            fleet.pause(owner, true);
+            fleet.finish(caller, nonce, run_state::ran);
+            for (int i = 0; i < 20; ++i) {
+                fleet.drain();
+                fleet.pass(std::chrono::milliseconds(250));
+            }
+            const int other = (owner + 2) % claim_fleet::entry_count;
+            CPPUNIT_ASSERT(is<claim_replayed>(fleet.call(other, 1)));
+        }
+    }
+
+    void outage_refuses_at_once_and_the_repeat_runs()
+    {
+        claim_fleet fleet = quiet_fleet();
+        fleet.set_outage(true);
+        const auto first = fleet.call(0, 1);
+        CPPUNIT_ASSERT(is<claim_refused>(first));
+        CPPUNIT_ASSERT(std::get<claim_refused>(first).retry_after >=
+                       duration(std::chrono::seconds(1)));
+        fleet.pass(std::chrono::hours(1));
+        CPPUNIT_ASSERT(is<claim_refused>(fleet.call(1, 1)));
+        fleet.set_outage(false);
+        fleet.pass(std::chrono::seconds(6));
+        CPPUNIT_ASSERT(is<claim_granted>(fleet.call(2, 1)));
+    }
+
+    void paused_claimer_does_not_run_a_claim_given_up()
+    {
+        claim_fleet fleet = quiet_fleet();
+        const auto nonce = fleet.begin(0, 1);
+        fleet.pause(0, true);
+        fleet.pass(std::chrono::minutes(1));
+        const auto other = fleet.call(1, 1);
+        fleet.pause(0, false);
+        fleet.settle();
+        const bool both = is<claim_granted>(other) && fleet.executions(1) > 1;
+        CPPUNIT_ASSERT(!both);
+        CPPUNIT_ASSERT(nonce.number == 1);
+    }
+
+    void different_request_with_the_same_key_is_refused()
+    {
+        claim_fleet fleet = quiet_fleet();
+        CPPUNIT_ASSERT(is<claim_granted>(fleet.call(0, 1, 7)));
+        CPPUNIT_ASSERT(is<claim_mismatched>(fleet.call(1, 1, 8)));
+        CPPUNIT_ASSERT(scoped_key(team_id("a"), route_id("r"), "k") !=
+                       scoped_key(team_id("b"), route_id("r"), "k"));
+        CPPUNIT_ASSERT(scoped_key(team_id("ab"), route_id("r"), "k") !=
+                       scoped_key(team_id("a"), route_id("br"), "k"));
+    }
+
+    void keys_are_remembered_for_the_retention_only()
+    {
+        claim_limits limits = small_limits();
+        limits.journal.retention = std::chrono::hours(1);
+        claim_fleet fleet(1, quiet(), limits);
+        constexpr int keys = 40;
+        for (int key = 0; key < keys; ++key) {
+            const auto nonce = fleet.begin(key % 3, key);
+            fleet.drain();
+            fleet.pass(std::chrono::seconds(1));
+            fleet.drain();
+            fleet.finish(key % 3, nonce, run_state::ran);
+        }
+        fleet.settle();
+        for (int key = 0; key < keys; ++key) {
+            CPPUNIT_ASSERT(is<claim_replayed>(fleet.call(key % 3, key)));
+        }
+        fleet.pass(limits.journal.retention);
+        CPPUNIT_ASSERT(is<claim_granted>(fleet.call(0, 3)));
+        CPPUNIT_ASSERT(is<claim_granted>(fleet.call(1, 30)));
+    }
+
+    void commits_stay_within_their_rate()
+    {
+        claim_limits limits = small_limits();
+        limits.journal.seal_bytes = 1 << 20;
+        claim_fleet fleet(1, quiet(), limits);
+        constexpr int seconds = 20;
+        for (int i = 0; i < seconds * 100; ++i) {
+            fleet.begin(0, i);
+            fleet.drain();
+            fleet.pass(std::chrono::milliseconds(10));
+        }
+        const double allowed = limits.journal.commit_burst + limits.journal.commits_per_s * seconds;
+        CPPUNIT_ASSERT(static_cast<double>(fleet.writes()) <= allowed + 1);
+    }
+
+private:
+    static claim_fleet::faults quiet() { return {false, false, false, false, false}; }
+    static claim_fleet quiet_fleet() { return {1, quiet(), small_limits()}; }
+
+    // Every key that did not run and is not in limbo runs now; the others give the first answer
+    // or say that nobody knows.
+    static void repeat_all(claim_fleet& fleet)
+    {
+        for (int key = 0; key < claim_fleet::key_count; ++key) {
+            const auto decision = fleet.call(0, key);
+            RC_ASSERT(!is<claim_refused>(decision));
+            RC_ASSERT(!is<claim_mismatched>(decision));
+            if (fleet.executions(key) > 0) {
+                RC_ASSERT(!is<claim_granted>(decision));
+            }
+            else if (!fleet.orphaned(key)) {
+                RC_ASSERT(is<claim_granted>(decision));
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(claims_service_test);
+
+} // namespace snipespar::claims
