--- a/src/claims/claim_journal.cpp
+++ b/src/claims/claim_journal.cpp
@@ -108,6 +108,7 @@
     if (claims_.erase(outcome.nonce) > 0) {
         refuse(outcome.nonce, now.steady, actions);
     }
+    remember_settled(outcome.nonce);
     if (outcomes_.size() >= limits_.max_pending) {
         return actions;
     }
--- a/src/claims/claim_journal.h
+++ b/src/claims/claim_journal.h
@@ -30,9 +30,9 @@
     /// How long an outcome may wait for claims to share its commit.
     duration outcome_delay = std::chrono::milliseconds(200);
     /// Size of the page's records above which they are sealed into a segment.
-    std::size_t seal_bytes = 16 * 1024;
+    std::size_t seal_bytes = std::size_t{16} * 1024;
     /// Size of the records that one commit may add.
-    std::size_t commit_bytes = 256 * 1024;
+    std::size_t commit_bytes = std::size_t{256} * 1024;
     /// Claims and outcomes that may wait for a commit.
     std::size_t max_pending = 4096;
     /// Age of the known page above which an answer that may have changed is read again.
@@ -168,8 +168,8 @@
     std::map<claim_nonce, pending_outcome> outcomes_;
     /// Waiting claims that were part of a write whose answer was lost.
     std::set<claim_nonce> maybe_written_;
-    /// Claims answered lately with anything but a grant, oldest first, so that a message which
-    /// arrives twice makes no claim that nobody waits for.
+    /// Claims that ended lately, oldest first, so that a message which arrives twice or late makes
+    /// no claim that nobody waits for.
     std::set<claim_nonce> settled_;
     std::deque<claim_nonce> settled_order_;
     running_operation running_;
--- a/src/claims/digest.cpp
+++ b/src/claims/digest.cpp
@@ -1,7 +1,6 @@
 #include "claims/digest.h"
 
 #include <array>
-#include <charconv>
 #include <fmt/core.h>
 #include <openssl/sha.h>
 
@@ -12,6 +11,8 @@
 constexpr std::size_t half_digits = 16;
 constexpr std::size_t half_bytes = 8;
 constexpr unsigned byte_bits = 8;
+constexpr unsigned digit_bits = 4;
+constexpr std::string_view hexadecimal_digits = "0123456789abcdef";
 
 std::uint64_t read_half(const unsigned char* bytes)
 {
@@ -24,12 +25,13 @@
 
 std::optional<std::uint64_t> parse_half(std::string_view text)
 {
-    constexpr int hexadecimal = 16;
     std::uint64_t value = 0;
-    const char* end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data(), end, value, hexadecimal);
-    if (error != std::errc{} || stop != end) {
-        return std::nullopt;
+    for (const char digit : text) {
+        const auto place = hexadecimal_digits.find(digit);
+        if (place == std::string_view::npos) {
+            return std::nullopt;
+        }
+        value = (value << digit_bits) | place;
     }
     return value;
 }
--- a/tests/claims_service_test.cpp
+++ b/tests/claims_service_test.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST_SUITE(claims_service_test);
     CPPUNIT_TEST(random_faults_never_run_a_key_twice);
     CPPUNIT_TEST(released_keys_run_after_faults_without_crashes);
+    CPPUNIT_TEST(grant_is_repeated_until_its_receipt);
+    CPPUNIT_TEST(seeds_of_earlier_failures);
     CPPUNIT_TEST(repeat_through_another_entry_gets_the_first_answer);
     CPPUNIT_TEST(repeat_after_death_of_the_claimer_is_never_run);
     CPPUNIT_TEST(repeat_after_death_of_the_owner_gets_the_first_answer);
@@ -64,6 +66,39 @@
         }));
     }
 
+    void grant_is_repeated_until_its_receipt()
+    {
+        claim_service owner({host_id("owner"), 1}, small_limits());
+        const claim_nonce nonce{{host_id("caller"), 1}, 1};
+        const forwarded_claim claim{digest_of("k"), nonce, digest_of("r"), std::chrono::seconds(2)};
+        const instant start{time_point(std::chrono::hours(1)), wall_time(std::chrono::hours(1))};
+        auto actions = owner.on_message(host_id("caller"), claim, start);
+        const auto read = std::get<read_object>(actions.at(0));
+        actions = owner.on_read(0, read.operation, {read_status::absent, 0, {}}, start);
+        const auto write = std::get<write_object>(actions.at(0));
+        const claim_message grant = claim_reply{nonce, claim_granted{}};
+        actions = owner.on_write(0, write.operation, {write_status::written, 1}, start);
+        CPPUNIT_ASSERT(std::get<send_claim_message>(actions.at(0)).message == grant);
+        const instant later{start.steady + std::chrono::seconds(2), start.wall};
+        actions = owner.on_tick(later);
+        CPPUNIT_ASSERT(std::get<send_claim_message>(actions.at(0)).message == grant);
+        owner.on_message(host_id("caller"), reply_receipt{nonce}, later);
+        CPPUNIT_ASSERT(owner.on_tick({later.steady + std::chrono::hours(1), later.wall}).empty());
+    }
+
+    // Replies lost to a paused claimer, and a claim that arrived after its own release.
+    void seeds_of_earlier_failures()
+    {
+        claim_fleet::faults faults;
+        faults.crashes = false;
+        for (const std::uint64_t seed : {750ULL, 1244ULL, 5294707ULL, 697805139203729ULL}) {
+            claim_fleet fleet(seed, faults, small_limits());
+            fleet.run(400);
+            fleet.settle();
+            repeat_all(fleet);
+        }
+    }
+
     void repeat_through_another_entry_gets_the_first_answer()
     {
         claim_fleet fleet = quiet_fleet();
--- a/tests/support/claim_fleet.h
+++ b/tests/support/claim_fleet.h
@@ -333,7 +333,7 @@
     void answer_platform(int place)
     {
         const auto position = calls_.begin() + place;
-        const platform_call call = *position;
+        const platform_call call = std::move(*position);
         calls_.erase(position);
         if (const auto* read = std::get_if<read_object>(&call.call)) {
             answer_read(call, *read);
@@ -439,7 +439,7 @@
     void deliver_mail(int place)
     {
         const auto position = mail_.begin() + place;
-        const mail item = *position;
+        const mail item = std::move(*position);
         mail_.erase(position);
         if (at(item.to).paused) {
             if (allowed_.pauses) {
