End a forced stop of the entry without destroying what requests refer to

Cause: the second SIGTERM with a request in progress ended in SIGSEGV (exit code 139 in place of 1). The address sanitizer showed a use after free: ~entry_server destroys agent_links first, then the traffic threads' contexts, whose connections end their sessions and reach for the links. The test second_signal_forces_the_stop_and_says_so failed before. Under the address sanitizer it had passed, because a report exits with 1 too; a child process whose output holds a report now aborts the run.

--- a/src/entry/run_entry.cpp
+++ b/src/entry/run_entry.cpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdlib>
 #include <fmt/core.h>
 #include <fstream>
 #include <iterator>
@@ -66,12 +67,11 @@
         log.error("start_failed", {{"reason", std::string(status.message())}});
         return static_cast<int>(cli::exit_code::failed);
     }
-    auto code = cli::exit_code::ok;
     boost::asio::steady_timer deadline(control);
     const auto force = [&] {
         log.warning("forced_stop");
-        code = cli::exit_code::failed;
-        control.stop();
+        // Requests in progress still refer to the server, so nothing of it may be destroyed.
+        std::_Exit(static_cast<int>(cli::exit_code::failed));
     };
     const auto drain = [&] {
         server.drain([&] { control.stop(); });
@@ -85,7 +85,7 @@
     net::stop_signals signals(control, drain, force);
     control.run();
     server.stop();
-    return static_cast<int>(code);
+    return static_cast<int>(cli::exit_code::ok);
 }
 
 } // namespace snipespar::entry
--- a/tests/process/support/child_process.cpp
+++ b/tests/process/support/child_process.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
+#include <fmt/core.h>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -46,6 +47,18 @@
     return list;
 }
 
+// A sanitizer's report, also when the exit code does not tell it from an ordinary failure.
+bool has_sanitizer_report(const std::string& output)
+{
+    for (const char* mark : {"ERROR: AddressSanitizer", "ERROR: LeakSanitizer",
+                             "WARNING: ThreadSanitizer", ": runtime error: "}) {
+        if (output.find(mark) != std::string::npos) {
+            return true;
+        }
+    }
+    return false;
+}
+
 int to_exit_code(int status)
 {
     return WIFSIGNALED(status) ? signal_exit_base + WTERMSIG(status) : WEXITSTATUS(status);
@@ -92,6 +105,11 @@
 {
     kill();
     reader_.join();
+    if (has_sanitizer_report(output_)) {
+        // A destructor cannot fail a test, and a report must not pass unseen.
+        fmt::print(stderr, "FAIL sanitizer report of a child process\n{}\n", output_);
+        std::abort();
+    }
 }
 
 void child_process::signal(int number) const
