--- a/tests/poison_suspects_test.cpp
+++ b/tests/poison_suspects_test.cpp
@@ -178,6 +178,7 @@
     CPPUNIT_TEST(a_clean_run_alone_clears_and_two_deaths_refuse);
     CPPUNIT_TEST(a_proved_culprit_frees_the_rest_of_its_batches);
     CPPUNIT_TEST(refusals_expire_and_the_table_is_bounded);
+    CPPUNIT_TEST(a_late_digest_never_prolongs_a_refusal);
     CPPUNIT_TEST(codec_keeps_digests_and_rejects_rubbish);
     CPPUNIT_TEST_SUITE_END();
 
@@ -276,6 +277,15 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, table.size());
     }
 
+    void a_late_digest_never_prolongs_a_refusal()
+    {
+        const time_point now{};
+        poison::suspect_table table({.lifetime = 10s});
+        const auto told = table.on_death({upstream_id("u"), 1}, std::array<fingerprint, 1>{1}, now);
+        table.merge(told, now + 5s);
+        CPPUNIT_ASSERT(table.of(1, now + 10s) == suspicion::none);
+    }
+
     void codec_keeps_digests_and_rejects_rubbish()
     {
         CPPUNIT_ASSERT(seeded_check("suspect codec", 24, 200, [] {
