Hand out load permits in order in the policy bench

Cause: agents that asked again every 100 ms got permits by luck, and waited close to their deadline before a refusal.

--- a/bench/policy_bench/policy_bench.cpp
+++ b/bench/policy_bench/policy_bench.cpp
@@ -411,18 +411,37 @@
         push({.at = now_ + 1ms, .what = event::kind::read, .engine = engine});
     }
 
+    // Permits are granted in the order in which they were asked for; a refusal says when one is
+    // due.
     void act(std::size_t engine, const agent::ask_load_permit& action)
     {
-        const std::chrono::duration<double> passed = now_ - permits_at_;
-        permits_ = std::min<double>(loads_at_once, permits_ + passed.count() * loads_per_s);
-        permits_at_ = now_;
-        const bool granted = permits_ >= 1 && permits_out_ < loads_at_once;
-        if (granted) {
-            --permits_;
-            ++permits_out_;
+        const std::pair key(engine, action.adapter);
+        const auto interval = duration(static_cast<duration::rep>(1e6 / loads_per_s));
+        const auto earliest = now_ - interval * loads_at_once;
+        auto due = due_permits_.find(key);
+        if (due == due_permits_.end()) {
+            const auto next = std::max(last_permit_, earliest) + interval;
+            if (next - now_ > patience) {
+                refuse_permit(engine, action.adapter, next - now_);
+                return;
+            }
+            last_permit_ = next;
+            due = due_permits_.emplace(key, next).first;
+        }
+        if (due->second > now_ || permits_out_ >= loads_at_once) {
+            refuse_permit(engine, action.adapter, std::max<duration>(due->second - now_, 20ms));
+            return;
         }
+        due_permits_.erase(due);
+        ++permits_out_;
+        carry_out(engine,
+                  engines_[engine].decisions.on_load_permit(action.adapter, true, {}, now_));
+    }
+
+    void refuse_permit(std::size_t engine, const adapter_ref& adapter, duration retry_after)
+    {
         carry_out(engine,
-                  engines_[engine].decisions.on_load_permit(action.adapter, granted, 100ms, now_));
+                  engines_[engine].decisions.on_load_permit(adapter, false, retry_after, now_));
     }
 
     void act(std::size_t, const agent::release_load_permit&)
@@ -447,9 +466,9 @@
     std::map<agent::request_number, request_state> requests_;
     std::size_t shift_ = 0;
     bool faulty_ = false;
-    double permits_ = loads_at_once;
+    std::map<std::pair<std::size_t, adapter_ref>, time_point> due_permits_;
+    time_point last_permit_{};
     std::uint32_t permits_out_ = 0;
-    time_point permits_at_{};
     std::array<std::uint64_t, teams.size()> asked_{};
     std::array<std::uint64_t, teams.size()> received_{};
     std::vector<std::int64_t> stalls_ms_;
