--- a/tests/process/support/child_process.cpp
+++ b/tests/process/support/child_process.cpp
@@ -38,11 +38,11 @@
     std::vector<std::string> list;
     for (const char* name : {"ASAN_OPTIONS", "UBSAN_OPTIONS", "TSAN_OPTIONS", "LSAN_OPTIONS"}) {
         if (const char* value = std::getenv(name); value != nullptr) {
-            list.push_back(std::string(name) + "=" + value);
+            list.push_back(fmt::format("{}={}", name, value));
         }
     }
     for (const auto& [name, value] : start.environment) {
-        list.push_back(name + "=" + value);
+        list.push_back(fmt::format("{}={}", name, value));
     }
     return list;
 }
