--- a/tests/process/whole_path_test.cpp
+++ b/tests/process/whole_path_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(completion_runs_on_the_adapter_asked_for);
     CPPUNIT_TEST(tokens_stream_whole_and_in_order);
     CPPUNIT_TEST(plain_service_gets_the_request_without_the_key);
+    CPPUNIT_TEST(spans_and_metrics_tell_the_request_but_not_the_key);
     CPPUNIT_TEST(bad_requests_are_refused_and_nothing_runs);
     CPPUNIT_TEST(malformed_http_is_refused_and_the_entry_lives_on);
     CPPUNIT_TEST(agent_with_a_wrong_secret_gets_no_work);
@@ -130,6 +131,38 @@
         CPPUNIT_ASSERT(test.output().find(north_key) == std::string::npos);
     }
 
+    void spans_and_metrics_tell_the_request_but_not_the_key()
+    {
+        // The plain service stands in for the trace receiver: it keeps all bytes it is sent.
+        child_process receiver({"service_stand_in", {}, {}});
+        CPPUNIT_ASSERT(receiver.wait_for_output("\n"));
+        const auto text = receiver.output();
+        const auto port = std::stoul(text.substr(text.rfind(':') + 1));
+        const cli::endpoint spans{"127.0.0.1", static_cast<std::uint16_t>(port)};
+        fleet_options options;
+        options.entry_arguments = {"--trace-endpoint=" + spans.str()};
+        fleet test(options);
+        CPPUNIT_ASSERT_MESSAGE(test.output(), test.wait_until_ready());
+
+        const std::string trace = "0af7651916cd43dd8448eb211c80319c";
+        auto wanted = completion_call(north_key, "a1@v1", 1);
+        wanted.headers["traceparent"] = "00-" + trace + "-b7ad6b7169203331-01";
+        CPPUNIT_ASSERT_EQUAL(200U, call(test.entry().address, wanted).status);
+        CPPUNIT_ASSERT(wait_until([&] { return record(spans, trace).at("found").get<bool>(); }));
+        CPPUNIT_ASSERT(!record(spans, north_key).at("found").get<bool>());
+
+        http_call admin;
+        admin.target = "/readyz";
+        CPPUNIT_ASSERT_EQUAL(200U, call(test.entry().admin, admin).status);
+        for (const std::string path : {"/metrics", "/status"}) {
+            admin.target = path;
+            const auto shown = call(test.entry().admin, admin);
+            CPPUNIT_ASSERT_EQUAL(200U, shown.status);
+            CPPUNIT_ASSERT(!shown.body.empty());
+            CPPUNIT_ASSERT(shown.body.find(north_key) == std::string::npos);
+        }
+    }
+
     void bad_requests_are_refused_and_nothing_runs()
     {
         fleet_options options;
