--- a/src/claims/recorded_answer.h
+++ b/src/claims/recorded_answer.h
@@ -12,7 +12,7 @@
     /// HTTP status.
     int status = 0;
     std::string content_type;
-    /// Digest of the whole body.
+    /// Digest of the body; zero if the body was too large to be kept.
     digest body_digest;
     /// The body itself, if it is small enough to be kept.
     std::optional<std::string> body;
--- /dev/null
+++ b/src/entry/answer_recorder.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "claims/recorded_answer.h"
+#include "link/frame/header_field.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace snipespar::entry {
+
+/// Keeps the answer of a call while it passes, so that a repeat of the call gets the same one.
+class answer_recorder {
+public:
+    /// Largest body that is kept, in bytes.
+    static constexpr std::size_t max_body_bytes = 2048;
+
+    void begin(int status, const std::vector<link::header_field>& headers);
+    void add(std::string_view bytes);
+
+    /// The answer so far; without its body if that was too large.
+    claims::recorded_answer answer() const;
+
+private:
+    int status_ = 0;
+    std::string content_type_;
+    std::string body_;
+    bool too_large_ = false;
+};
+
+} // namespace snipespar::entry
--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include "entry/caller_connection.h"
 
 #include "config/access.h"
+#include "entry/claim_refusal.h"
 #include "entry/completion_writer.h"
 #include "entry/request_planner.h"
 #include "net/steady_time.h"
@@ -9,6 +10,8 @@
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -100,6 +103,12 @@
     std::string body;
 };
 
+// What came of a claim.
+struct caller_connection::claim_answer {
+    claims::claim_nonce nonce;
+    claims::claim_decision decision;
+};
+
 caller_connection::caller_connection(asio::ip::tcp::socket socket,
                                      const connection_services& services)
     : stream_(std::move(socket)), services_(services)
@@ -214,9 +223,83 @@
     planned.run.traceparent = format_traceparent(outcome_.trace);
     outcome_.team = planned.run.team;
     outcome_.target = planned.is_completion() ? planned.run.adapter.str() : planned.need.serves;
+    if (!planned.facts.idempotent && !planned.idempotency_key.empty()) {
+        co_return co_await run_claimed(planned);
+    }
+    co_return co_await run(planned);
+}
+
+asio::awaitable<caller_connection::next_step>
+caller_connection::run_claimed(const planned_request& planned)
+{
+    if (!services_.claim) {
+        co_return co_await write_refusal(
+            claim_refusal(claims::claim_refused{startup_retry_after, false}));
+    }
+    const claim_answer claimed = co_await claim(planned);
+    const auto* replayed = std::get_if<claims::claim_replayed>(&claimed.decision);
+    if (replayed != nullptr && replayed->answer.body) {
+        co_return co_await write_replay(replayed->answer);
+    }
+    if (!std::holds_alternative<claims::claim_granted>(claimed.decision)) {
+        co_return co_await write_refusal(claim_refusal(claimed.decision));
+    }
+    recorder_.emplace();
+    const absl::Cleanup end_claim = [this, nonce = claimed.nonce] { finish_claim(nonce); };
     co_return co_await run(planned);
 }
 
+asio::awaitable<caller_connection::claim_answer>
+caller_connection::claim(const planned_request& planned)
+{
+    const auto executor = stream_.get_executor();
+    const auto answer = std::make_shared<std::optional<claim_answer>>();
+    const auto ready = std::make_shared<asio::steady_timer>(executor);
+    ready->expires_at(asio::steady_timer::time_point::max());
+    services_.claim(planned, [executor, answer, ready](claims::claim_nonce nonce,
+                                                       claims::claim_decision decision) {
+        asio::post(executor, [answer, ready, nonce = std::move(nonce),
+                              decision = std::move(decision)]() mutable {
+            answer->emplace(claim_answer{std::move(nonce), std::move(decision)});
+            ready->cancel();
+        });
+    });
+    while (!answer->has_value()) {
+        co_await ready->async_wait(as_result);
+    }
+    co_return std::move(**answer);
+}
+
+// Records the end of a claimed call: as finished only after the whole answer, as released only
+// if it is known not to have run.
+void caller_connection::finish_claim(const claims::claim_nonce& nonce)
+{
+    std::optional<claims::recorded_answer> answer;
+    run_state ran = run_state::unknown;
+    if (outcome_.reason == to_string(route::finish_reason::complete)) {
+        answer = recorder_->answer();
+        ran = run_state::ran;
+    }
+    else if (!outcome_.reason.empty() && outcome_.ran == run_state::not_run) {
+        ran = run_state::not_run;
+    }
+    recorder_.reset();
+    services_.finish_claim(nonce, ran, std::move(answer));
+}
+
+asio::awaitable<caller_connection::next_step>
+caller_connection::write_replay(const claims::recorded_answer& answer)
+{
+    outcome_.reason = "replayed";
+    reply whole;
+    whole.status = answer.status;
+    whole.content_type = answer.content_type;
+    whole.ran = run_state::ran;
+    whole.headers = {{"Idempotent-Replayed", "true"}};
+    whole.body = answer.body.value_or("");
+    co_return co_await write_whole(whole);
+}
+
 void caller_connection::begin_outcome(const caller_request& request)
 {
     outcome_ = {};
@@ -246,7 +329,9 @@
         session_->caller_gone();
         session_.reset();
     };
-    watch_for_close(session_);
+    if (!recorder_) {
+        watch_for_close(session_);
+    }
     session_->start();
     co_return co_await relay(*session_, planned);
 }
@@ -337,12 +422,20 @@
         head.status = answered->status;
         head.headers = std::move(answered->headers);
     }
-    if (!co_await write_head(head)) {
+    if (recorder_) {
+        recorder_->begin(head.status, head.headers);
+    }
+    bool writable = co_await write_head(head);
+    if (!writable && !recorder_) {
         co_return next_step::close;
     }
     auto part = co_await session.next();
     while (const auto* body = std::get_if<answer_body>(&part)) {
-        if (!co_await write_chunk(body->bytes)) {
+        if (recorder_) {
+            recorder_->add(body->bytes);
+        }
+        writable = writable && co_await write_chunk(body->bytes);
+        if (!writable && !recorder_) {
             co_return next_step::close;
         }
         session.written(body->bytes.size());
@@ -353,7 +446,7 @@
     if (!is_complete(end)) {
         co_return next_step::close; // The missing last chunk shows that the answer is cut off.
     }
-    const bool written = co_await write_last_chunk();
+    const bool written = writable && co_await write_last_chunk();
     co_return written&& keep_alive() ? next_step::read_again : next_step::close;
 }
 
--- a/src/entry/caller_connection.h
+++ b/src/entry/caller_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/answer_recorder.h"
 #include "entry/caller_request.h"
 #include "entry/connection_services.h"
 
@@ -33,10 +34,15 @@
 private:
     enum class next_step { read_again, close };
     struct reply;
+    struct claim_answer;
 
     boost::asio::awaitable<std::optional<caller_request>> read_request();
     boost::asio::awaitable<next_step> answer(const caller_request& request);
     boost::asio::awaitable<next_step> answer_planned(const caller_request& request);
+    boost::asio::awaitable<next_step> run_claimed(const planned_request& planned);
+    boost::asio::awaitable<claim_answer> claim(const planned_request& planned);
+    boost::asio::awaitable<next_step> write_replay(const claims::recorded_answer& answer);
+    void finish_claim(const claims::claim_nonce& nonce);
     boost::asio::awaitable<next_step> run(const planned_request& planned);
     boost::asio::awaitable<next_step> relay(request_session& session,
                                             const planned_request& planned);
@@ -64,6 +70,9 @@
     boost::asio::cancellation_signal stop_watching_;
     std::string request_id_;
     request_outcome outcome_;
+    /// Set while a claimed call runs. Such a call goes on when its caller is gone, so that the
+    /// repeat gets its answer.
+    std::optional<answer_recorder> recorder_;
     bool reading_ = false;
     /// The caller's wish, as of the request at hand.
     bool caller_keeps_alive_ = false;
--- /dev/null
+++ b/src/entry/claim_refusal.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "claims/claim_decision.h"
+#include "entry/refusal.h"
+
+namespace snipespar::entry {
+
+/// The answer to a caller whose claim was neither granted nor answered by a kept body.
+refusal claim_refusal(const claims::claim_decision& decision);
+
+} // namespace snipespar::entry
--- a/src/entry/connection_services.h
+++ b/src/entry/connection_services.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "claims/claim_decision.h"
+#include "claims/claim_nonce.h"
+#include "claims/recorded_answer.h"
 #include "entry/planned_request.h"
 #include "entry/refusal.h"
 #include "entry/request_outcome.h"
@@ -8,6 +11,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,6 +31,15 @@
     std::function<std::shared_ptr<request_session>(const boost::asio::any_io_executor&,
                                                    const planned_request&)>
         make_session;
+    /// Claims the idempotency key of a call; the answer may come on any thread. Null if the entry
+    /// has no platform to keep claims in.
+    std::function<void(const planned_request&,
+                       std::function<void(claims::claim_nonce, claims::claim_decision)>)>
+        claim;
+    /// Says how a granted claim ended; the answer is set if the call ran to its end.
+    std::function<void(const claims::claim_nonce&, run_state,
+                       std::optional<claims::recorded_answer>)>
+        finish_claim;
     /// The context of a new span below the one in the header, if there is one.
     std::function<telemetry::trace_context(std::string_view traceparent)> start_span;
     /// Counts a request in; it is counted out by `request_ended`.
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -46,7 +46,7 @@
       traces_(settings.seed == 0 ? start_ : settings.seed), counters_timer_(control),
       counters_interval_(settings.counters_interval),
       chooser_(settings.failure_domain, settings.seed),
-      peers_(control, make_link_options(settings, start_)),
+      peers_(control, make_link_options(settings, start_)), self_{settings.host, start_},
       connection_services_(make_connection_services()), listen_(settings.listen),
       link_listen_(settings.link_listen), admin_listen_(settings.admin_listen),
       dialled_peers_(settings.peers),
@@ -163,6 +163,27 @@
     });
 }
 
+void entry_server::use_claims(claim_store store)
+{
+    claims_ = std::make_unique<claim_gate>(control_, self_, claims::claim_limits{},
+                                           std::move(store), peers_);
+    connection_services_.claim = [this](const planned_request& planned, auto done) {
+        const route_id route(planned.need.serves);
+        const auto key = claims::scoped_key(planned.run.team, route, planned.idempotency_key);
+        const auto fingerprint =
+            claims::request_fingerprint(planned.run.method, planned.run.path, planned.run.body);
+        boost::asio::post(control_, [this, key, fingerprint, done = std::move(done)] {
+            claims_->claim(key, fingerprint, done);
+        });
+    };
+    connection_services_.finish_claim = [this](const claims::claim_nonce& nonce, run_state ran,
+                                               std::optional<claims::recorded_answer> answer) {
+        boost::asio::post(control_, [this, nonce, ran, answer = std::move(answer)]() mutable {
+            claims_->finish(nonce, ran, std::move(answer));
+        });
+    };
+}
+
 void entry_server::set_config(std::shared_ptr<const config::snapshot> config)
 {
     chooser_.set_config(*config);
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -2,6 +2,7 @@
 
 #include "cli/endpoint.h"
 #include "entry/agent_links.h"
+#include "entry/claim_gate.h"
 #include "entry/connection_services.h"
 #include "entry/entry_metrics.h"
 #include "entry/peer_links.h"
@@ -51,6 +52,9 @@
     /// Binds the callers' port and starts the traffic threads.
     absl::Status start();
 
+    /// Keeps the claims of idempotency keys there; to be called before start().
+    void use_claims(claim_store store);
+
     /// Puts a configuration in force. Control thread only.
     void set_config(std::shared_ptr<const config::snapshot> config);
 
@@ -88,6 +92,9 @@
     std::vector<std::unique_ptr<traffic_thread>> traffic_;
     std::unique_ptr<agent_links> links_;
     peer_links peers_;
+    /// Null without a platform.
+    std::unique_ptr<claim_gate> claims_;
+    incarnation self_;
     connection_services connection_services_;
     /// Callers' listener, the listener for other entries, and where those listen.
     cli::endpoint listen_;
