--- a/tests/claims_codec_test.cpp
+++ b/tests/claims_codec_test.cpp
@@ -47,7 +47,8 @@
 // Every value that differs from `value` by one member removed or replaced, at any depth.
 void broken_copies(const nlohmann::json& value, std::vector<nlohmann::json>& copies)
 {
-    for (const auto& [path, leaf] : value.flatten().items()) {
+    const nlohmann::json flat = value.flatten();
+    for (const auto& [path, leaf] : flat.items()) {
         for (const auto& other : {nlohmann::json(nullptr), nlohmann::json(-1), nlohmann::json("?"),
                                   nlohmann::json::array({1})}) {
             nlohmann::json copy = value;
