--- a/src/agent/run_agent.cpp
+++ b/src/agent/run_agent.cpp
@@ -7,10 +7,17 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <fmt/core.h>
 
 namespace snipespar::agent {
 
+namespace {
+
+constexpr std::chrono::milliseconds link_flush_time{500};
+
+} // namespace
+
 int run_agent(const cli::agent_settings& settings)
 {
     boost::asio::io_context context(1);
@@ -28,9 +35,13 @@
         server.stop();
         context.stop();
     };
+    // The last frames of the last answer still wait to be written when the agent is done.
     const auto finish = [&] {
-        server.stop();
-        context.stop();
+        deadline.expires_after(link_flush_time);
+        deadline.async_wait([&](const auto&) {
+            server.stop();
+            context.stop();
+        });
     };
     const auto drain = [&] {
         fmt::print(stderr, "level=info event=draining\n");
