--- a/tests/support/claim_fleet.h
+++ b/tests/support/claim_fleet.h
@@ -291,7 +291,8 @@
     {
         for (int i = 0; i < entry_count; ++i) {
             while (!at(i).running.empty()) {
-                finish(i, *at(i).running.begin(), run_state::ran);
+                const claim_nonce nonce = *at(i).running.begin();
+                finish(i, nonce, run_state::ran);
             }
         }
     }
