Team budgets in the entry's request path

Each completion reserves its prompt and max_tokens of its team's budget before it may run, settles what was delivered and frees the rest. The limit node lives on the control thread; traffic threads ask before each write whether they may deliver, so that an entry which was paused waits until its shares are confirmed. Late settlement keeps tokens' place in the budget for longer, never for less. Refusals: 429 over_limit with Retry-After, 400 larger_than_burst, 503 suspended and unknown_limit.

Without a platform client the entry keeps the allocation tables itself and enforces each budget alone; limit_store is the place where the platform joins.

--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -214,9 +214,37 @@
     planned.run.traceparent = format_traceparent(outcome_.trace);
     outcome_.team = planned.run.team;
     outcome_.target = planned.is_completion() ? planned.run.adapter.str() : planned.need.serves;
+    co_return co_await admit(planned);
+}
+
+asio::awaitable<caller_connection::next_step>
+caller_connection::admit(const planned_request& planned)
+{
+    if (planned.budget_tokens == 0) {
+        co_return co_await run(planned);
+    }
+    reservation_ = services_.reserve(stream_.get_executor(), planned);
+    const absl::Cleanup release = [this] { reservation_.reset(); };
+    if (const auto refused = co_await reservation_->answered()) {
+        co_return co_await write_refusal(*refused);
+    }
     co_return co_await run(planned);
 }
 
+asio::awaitable<bool> caller_connection::may_deliver()
+{
+    co_return reservation_ == nullptr || co_await reservation_->may_deliver();
+}
+
+void caller_connection::settle_prompt(const answer_end& end, const planned_request& planned)
+{
+    if (reservation_ == nullptr || end.finish.ran == run_state::not_run) {
+        return;
+    }
+    const bool counted = end.prompt_tokens > 0;
+    reservation_->delivered(counted ? end.prompt_tokens : planned.run.prompt_tokens);
+}
+
 void caller_connection::begin_outcome(const caller_request& request)
 {
     outcome_ = {};
@@ -284,14 +312,16 @@
     auto part = std::move(first);
     while (const auto* token = std::get_if<answer_token>(&part)) {
         const auto size = token->event.size();
-        if (!co_await write_chunk(event_text(token->event))) {
+        if (!co_await may_deliver() || !co_await write_chunk(event_text(token->event))) {
             co_return next_step::close;
         }
+        reservation_->delivered(1);
         session.written(size);
         part = co_await session.next();
     }
     const auto& end = std::get<answer_end>(part);
     note_end(end);
+    settle_prompt(end, planned);
     if (!is_complete(end)) {
         // Without its closing mark the stream cannot be taken for a whole answer.
         co_await write_chunk(event_text(error_body(refusal_of(end))));
@@ -308,17 +338,24 @@
                                   answer_part first)
 {
     completion_writer writer(request_id_, planned.run.adapter.str(), planned.chat);
+    std::uint64_t tokens = 0;
     auto part = std::move(first);
     while (const auto* token = std::get_if<answer_token>(&part)) {
         writer.add(token->event);
+        ++tokens;
         session.written(token->event.size());
         part = co_await session.next();
     }
     const auto& end = std::get<answer_end>(part);
     note_end(end);
+    settle_prompt(end, planned);
     if (!is_complete(end)) {
         co_return co_await write_end(end);
     }
+    if (!co_await may_deliver()) {
+        co_return next_step::close;
+    }
+    reservation_->delivered(tokens);
     reply whole;
     whole.content_type = "application/json";
     whole.ran = run_state::ran;
--- a/src/entry/caller_connection.h
+++ b/src/entry/caller_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/budget_reservation.h"
 #include "entry/caller_request.h"
 #include "entry/connection_services.h"
 
@@ -37,7 +38,10 @@
     boost::asio::awaitable<std::optional<caller_request>> read_request();
     boost::asio::awaitable<next_step> answer(const caller_request& request);
     boost::asio::awaitable<next_step> answer_planned(const caller_request& request);
+    boost::asio::awaitable<next_step> admit(const planned_request& planned);
     boost::asio::awaitable<next_step> run(const planned_request& planned);
+    boost::asio::awaitable<bool> may_deliver();
+    void settle_prompt(const answer_end& end, const planned_request& planned);
     boost::asio::awaitable<next_step> relay(request_session& session,
                                             const planned_request& planned);
     boost::asio::awaitable<next_step>
@@ -61,6 +65,8 @@
     boost::beast::flat_buffer buffer_;
     const connection_services& services_;
     std::shared_ptr<request_session> session_;
+    /// Tokens of the request at hand; none for plain services.
+    std::unique_ptr<budget_reservation> reservation_;
     boost::asio::cancellation_signal stop_watching_;
     std::string request_id_;
     request_outcome outcome_;
--- a/src/entry/connection_services.h
+++ b/src/entry/connection_services.h
@@ -17,12 +17,18 @@
 
 namespace snipespar::entry {
 
+class budget_reservation;
+
 /// What a caller's connection uses of the rest of the entry. All functions may be called from any
 /// traffic thread.
 struct connection_services {
     /// The configuration in force; null before the first one.
     std::function<std::shared_ptr<const config::access>()> access;
     std::function<std::string()> next_request_id;
+    /// Asks for a request's tokens of its team's budget.
+    std::function<std::unique_ptr<budget_reservation>(const boost::asio::any_io_executor&,
+                                                      const planned_request&)>
+        reserve;
     /// Makes the session of an admitted request.
     std::function<std::shared_ptr<request_session>(const boost::asio::any_io_executor&,
                                                    const planned_request&)>
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -3,6 +3,7 @@
 #include "cli/entry_settings.h"
 #include "config/access.h"
 #include "config/snapshot.h"
+#include "entry/budget_reservation.h"
 #include "entry/traffic_thread.h"
 #include "link/endpoint_options.h"
 #include "net/start_number.h"
@@ -47,6 +48,9 @@
       counters_interval_(settings.counters_interval),
       chooser_(settings.failure_domain, settings.seed),
       peers_(control, make_link_options(settings, start_)),
+      local_limits_(control.get_executor(),
+                    {{settings.host, start_}, settings.failure_domain, false}),
+      budgets_(control, {settings.host, start_}, peers_, metrics_.registry()),
       connection_services_(make_connection_services()), listen_(settings.listen),
       link_listen_(settings.link_listen), admin_listen_(settings.admin_listen),
       dialled_peers_(settings.peers),
@@ -95,6 +99,7 @@
     if (absl::Status status = peers_.listen(link_listen_.ip, link_listen_.port); !status.ok()) {
         return status;
     }
+    budgets_.start(local_limits_.store());
     for (const auto& peer : dialled_peers_) {
         peers_.dial(peer.ip, peer.port);
     }
@@ -166,6 +171,7 @@
 void entry_server::set_config(std::shared_ptr<const config::snapshot> config)
 {
     chooser_.set_config(*config);
+    budgets_.set_config(*config);
     links_->set_upstreams(*config);
     links_->advertise(config->version);
     peers_.advertise(config->version);
@@ -195,6 +201,7 @@
         thread->stop();
     }
     links_->stop();
+    budgets_.stop();
     peers_.stop();
 }
 
@@ -203,6 +210,10 @@
     connection_services services;
     services.access = [this] { return access_.load(); };
     services.next_request_id = [this] { return request_prefix_ + std::to_string(++last_request_); };
+    services.reserve = [this](const auto& executor, const planned_request& planned) {
+        return std::make_unique<budget_reservation>(budgets_, executor, planned.run.team,
+                                                    planned.budget_tokens);
+    };
     services.make_session = [this](const auto& executor, const planned_request& planned) {
         return make_session(executor, planned);
     };
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -4,7 +4,9 @@
 #include "entry/agent_links.h"
 #include "entry/connection_services.h"
 #include "entry/entry_metrics.h"
+#include "entry/local_limit_store.h"
 #include "entry/peer_links.h"
+#include "entry/team_budgets.h"
 #include "entry/upstream_chooser.h"
 #include "telemetry/admin_handlers.h"
 #include "telemetry/logger.h"
@@ -88,6 +90,8 @@
     std::vector<std::unique_ptr<traffic_thread>> traffic_;
     std::unique_ptr<agent_links> links_;
     peer_links peers_;
+    local_limit_store local_limits_;
+    team_budgets budgets_;
     connection_services connection_services_;
     /// Callers' listener, the listener for other entries, and where those listen.
     cli::endpoint listen_;
--- /dev/null
+++ b/src/entry/local_limit_store.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "entry/limit_store.h"
+#include "limits/limit_settings.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <map>
+
+namespace snipespar::entry {
+
+/// Keeps the allocation tables in the process, for an entry that runs without a platform: it owns
+/// every limit alone.
+class local_limit_store {
+public:
+    local_limit_store(boost::asio::any_io_executor executor, limits::member self);
+
+    /// A store that refers to this object, which must outlive it.
+    limit_store store();
+
+private:
+    boost::asio::any_io_executor executor_;
+    limits::member self_;
+    std::map<std::uint32_t, limits::versioned_table> tables_;
+};
+
+} // namespace snipespar::entry
--- a/src/limits/limits_codec.cpp
+++ b/src/limits/limits_codec.cpp
@@ -315,6 +315,30 @@
     return body;
 }
 
+json encode(const peer_message& message)
+{
+    return {
+        {"from", encode(message.from)}, {"to", encode(message.to)}, {"body", encode(message.body)}};
+}
+
+absl::StatusOr<peer_message> decode_envelope(const json& value)
+{
+    absl::Status status;
+    const json_reader reader(value, "envelope", status);
+    if (!reader.has("from") || !reader.has("to") || !reader.has("body")) {
+        return absl::InvalidArgumentError("envelope: lacks a field");
+    }
+    peer_message message;
+    message.from = read_process(json_reader(value.at("from"), "envelope.from", status));
+    message.to = read_process(json_reader(value.at("to"), "envelope.to", status));
+    auto body = decode_message(value.at("body"));
+    if (!status.ok() || !body.ok()) {
+        return status.ok() ? body.status() : status;
+    }
+    message.body = *std::move(body);
+    return message;
+}
+
 json encode(const allocation_table& table)
 {
     json slots = json::array();
--- a/src/limits/limits_codec.h
+++ b/src/limits/limits_codec.h
@@ -15,6 +15,12 @@
 /// of range gives InvalidArgument with its path; it never throws.
 absl::StatusOr<message_body> decode_message(const nlohmann::json& value);
 
+/// Renders a message with its sender and receiver.
+nlohmann::json encode(const peer_message& message);
+
+/// Reads a message with its sender and receiver; errors as above.
+absl::StatusOr<peer_message> decode_envelope(const nlohmann::json& value);
+
 /// Renders a group's allocation table as the platform stores it.
 nlohmann::json encode(const allocation_table& table);
 
--- a/tests/limits_node_test.cpp
+++ b/tests/limits_node_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(demand_within_the_rate_is_never_refused);
     CPPUNIT_TEST(tiny_limits_are_used_whole);
     CPPUNIT_TEST(flood_is_bounded_and_gets_the_rate);
+    CPPUNIT_TEST(new_owner_waits_for_what_others_hold);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -97,6 +98,29 @@
             CPPUNIT_ASSERT(wait > milliseconds(0) && wait <= milliseconds(51));
         }
     }
+
+    // One host holds the whole burst for a long answer while all owners die and are replaced.
+    void new_owner_waits_for_what_others_hold()
+    {
+        for (std::size_t holder = 0; holder < 8; ++holder) {
+            limit_fleet fleet(8, {team_spec()}, 5);
+            fleet.run(seconds(10));
+            fleet.admit(holder, team, 2000 * micro_per_token, seconds(80));
+            fleet.run(seconds(1));
+            for (std::size_t host = 0; host < fleet.hosts(); ++host) {
+                const bool owner = fleet.node(host)->report().front().slots_owned > 0;
+                if (owner && host != holder) {
+                    fleet.crash(host);
+                }
+            }
+            fleet.run(milliseconds(18'990));
+            for (int i = 0; i < 20; ++i) {
+                fleet.admit(fleet.random(8), team, 190 * micro_per_token, milliseconds(8));
+                fleet.run(milliseconds(2));
+            }
+            CPPUNIT_ASSERT(fleet.excess() <= 0);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(limits_node_test);
