--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -5,7 +5,9 @@
 #include "entry/claim_gate.h"
 #include "entry/connection_services.h"
 #include "entry/entry_metrics.h"
+#include "entry/local_limit_store.h"
 #include "entry/peer_links.h"
+#include "entry/team_budgets.h"
 #include "entry/upstream_chooser.h"
 #include "telemetry/admin_handlers.h"
 #include "telemetry/logger.h"
@@ -95,6 +97,8 @@
     /// Null without a platform.
     std::unique_ptr<claim_gate> claims_;
     incarnation self_;
+    local_limit_store local_limits_;
+    team_budgets budgets_;
     connection_services connection_services_;
     /// Callers' listener, the listener for other entries, and where those listen.
     cli::endpoint listen_;
