--- /dev/null
+++ b/src/config/follower_action.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "platform/object.h"
+#include "snipespar/ids.h"
+#include "snipespar/time.h"
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace snipespar::config {
+
+struct snapshot;
+
+/// Watch the root at the platform and report the outcome.
+struct watch_root {
+    platform::revision after = 0;
+    duration wait{};
+
+    friend bool operator==(const watch_root&, const watch_root&) = default;
+};
+
+/// Ask a peer for its report, and report its answer with the moment of this query.
+struct query_peer {
+    host_id peer;
+
+    friend bool operator==(const query_peer&, const query_peer&) = default;
+};
+
+/// Ask a peer for the root of the version it holds.
+struct fetch_root {
+    host_id peer;
+
+    friend bool operator==(const fetch_root&, const fetch_root&) = default;
+};
+
+/// Fetch one part from a peer, or from the platform when the peer's name is empty.
+struct fetch_part {
+    host_id peer;
+    std::string sha256;
+
+    friend bool operator==(const fetch_part&, const fetch_part&) = default;
+};
+
+/// Put a version in force.
+struct adopt {
+    std::shared_ptr<const snapshot> config;
+
+    friend bool operator==(const adopt&, const adopt&) = default;
+};
+
+using follower_action = std::variant<watch_root, query_peer, fetch_root, fetch_part, adopt>;
+using follower_actions = std::vector<follower_action>;
+
+} // namespace snipespar::config
--- /dev/null
+++ b/src/config/promotion.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "config/change.h"
+
+#include <optional>
+
+namespace snipespar::config {
+
+/// Takes over teams, adapters and routes from the accepted document of another environment. The
+/// target keeps what belongs to its machines: upstreams, weight store limits and keys.
+class promotion {
+public:
+    explicit promotion(snapshot source) : source_(std::move(source)) {}
+
+    change_result apply_to(const snapshot& base);
+
+private:
+    snapshot source_;
+    std::optional<snapshot> first_base_;
+};
+
+} // namespace snipespar::config
--- /dev/null
+++ b/src/config/publisher.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "config/change.h"
+#include "config/layout.h"
+#include "config/root.h"
+#include "platform/object.h"
+#include "platform/object_reply.h"
+
+#include <absl/status/statusor.h>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snipespar::config {
+
+/// What became of a change. Exactly one of the three holds: accepted (`version` is not 0), refused
+/// with findings, or an error in `status`, of which Unknown says that the change may yet stand.
+struct publish_result {
+    std::uint64_t version = 0;
+    findings problems;
+    absl::Status status;
+
+    friend bool operator==(const publish_result&, const publish_result&) = default;
+};
+
+/// Brings one change of an environment into force: reads the accepted version, writes the parts
+/// that are new, then replaces the root by one conditional update, and erases parts that no version
+/// needs any more. Starts over when another writer was first. One platform call is open at a time:
+/// perform `next()` and hand in its reply, until there is none.
+class publisher {
+public:
+    using change_function = std::function<change_result(const snapshot&)>;
+
+    /// `nonce` must be unique to this change.
+    publisher(std::string environment, std::string nonce, change_function change,
+              std::size_t max_part_bytes = platform::max_value_bytes);
+
+    /// The call to perform, or none when `result()` is final.
+    const std::optional<platform::request>& next() const { return next_; }
+
+    /// Takes the reply to `next()`.
+    void on_reply(platform::object_reply reply);
+
+    const publish_result& result() const { return result_; }
+
+private:
+    enum class step { read_root, read_part, list_parts, write_part, write_root, settle, erase };
+
+    void start_over();
+    void on_root(const platform::object_reply& reply);
+    void on_part(platform::object_reply& reply);
+    void on_list(const platform::object_reply& reply);
+    void on_part_written(const platform::object_reply& reply);
+    void on_root_written(const platform::object_reply& reply);
+    void on_settled(const platform::object_reply& reply);
+    void read_next_part();
+    void build();
+    void write_next();
+    void accepted(std::uint64_t version);
+    void erase_next();
+    void fail(absl::Status status);
+    bool is_own(const root& value) const;
+
+    std::string environment_;
+    std::string nonce_;
+    change_function change_;
+    std::size_t max_part_bytes_;
+    step step_ = step::read_root;
+    std::optional<platform::request> next_;
+    publish_result result_;
+    unsigned rounds_ = 0;
+    unsigned settle_tries_ = 0;
+
+    root base_;
+    platform::revision base_revision_ = 0;
+    part_map base_parts_;
+    root target_;
+    part_map target_parts_;
+    std::vector<std::string> to_write_;
+    std::vector<platform::object> listed_;
+};
+
+} // namespace snipespar::config
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,143 @@
+#include "net/http_client.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <chrono>
+#include <fmt/core.h>
+#include <vector>
+
+namespace snipespar::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t max_idle_connections = 4;
+// A server closes idle connections on its own time; older ones are not used again, so that a
+// request rarely meets a connection that is just being closed.
+constexpr auto max_idle_time = std::chrono::seconds(5);
+
+struct connection {
+    explicit connection(const asio::any_io_executor& executor) : stream(executor) {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::chrono::steady_clock::time_point idle_since;
+};
+
+} // namespace
+
+class http_client::pool {
+public:
+    pool(std::string address, std::uint16_t port, std::size_t max_body_bytes)
+        : address_(std::move(address)), port_(port), max_body_bytes_(max_body_bytes)
+    {
+    }
+
+    std::size_t max_body_bytes() const { return max_body_bytes_; }
+    std::string host() const { return fmt::format("{}:{}", address_, port_); }
+
+    // A kept connection that is still fresh, or null.
+    std::unique_ptr<connection> take_idle()
+    {
+        const auto oldest = std::chrono::steady_clock::now() - max_idle_time;
+        while (!idle_.empty()) {
+            auto last = std::move(idle_.back());
+            idle_.pop_back();
+            if (last->idle_since > oldest) {
+                return last;
+            }
+        }
+        return nullptr;
+    }
+
+    void keep(std::unique_ptr<connection> used)
+    {
+        used->idle_since = std::chrono::steady_clock::now();
+        used->stream.expires_never();
+        if (idle_.size() < max_idle_connections) {
+            idle_.push_back(std::move(used));
+        }
+    }
+
+    asio::awaitable<absl::StatusOr<std::unique_ptr<connection>>>
+    connect(std::chrono::steady_clock::time_point deadline)
+    {
+        beast::error_code error;
+        const auto address = asio::ip::make_address(address_, error);
+        if (error) {
+            co_return absl::InvalidArgumentError("not an IP address: " + address_);
+        }
+        auto fresh = std::make_unique<connection>(co_await asio::this_coro::executor);
+        fresh->stream.expires_at(deadline);
+        const asio::ip::tcp::endpoint server(address, port_);
+        const auto [connect_error] = co_await fresh->stream.async_connect(server, as_result);
+        if (connect_error) {
+            co_return absl::UnavailableError(connect_error.message());
+        }
+        fresh->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+        co_return fresh;
+    }
+
+private:
+    std::string address_;
+    std::uint16_t port_;
+    std::size_t max_body_bytes_;
+    std::vector<std::unique_ptr<connection>> idle_;
+};
+
+http_client::http_client(std::string address, std::uint16_t port, std::size_t max_body_bytes)
+    : pool_(std::make_shared<pool>(std::move(address), port, max_body_bytes))
+{
+}
+
+http_client::~http_client() = default;
+
+asio::awaitable<absl::StatusOr<http_client::response>> http_client::call(request message,
+                                                                         duration timeout)
+{
+    const auto shared = pool_;
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    auto used = shared->take_idle();
+    if (used == nullptr) {
+        auto fresh = co_await shared->connect(deadline);
+        if (!fresh.ok()) {
+            co_return fresh.status();
+        }
+        used = std::move(*fresh);
+    }
+    used->stream.expires_at(deadline);
+    message.set(http::field::host, shared->host());
+    message.prepare_payload();
+    const auto [write_error, written] =
+        co_await http::async_write(used->stream, message, as_result);
+    if (write_error) {
+        const bool is_sent = written > 0 || write_error == beast::error::timeout;
+        co_return is_sent ? absl::UnknownError(write_error.message())
+                          : absl::UnavailableError(write_error.message());
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(shared->max_body_bytes());
+    parser.skip(message.method() == http::verb::head);
+    const auto [read_error, count] =
+        co_await http::async_read(used->stream, used->buffer, parser, as_result);
+    if (read_error) {
+        co_return absl::UnknownError(read_error.message());
+    }
+    if (parser.get().keep_alive() && used->buffer.size() == 0) {
+        shared->keep(std::move(used));
+    }
+    co_return parser.release();
+}
+
+} // namespace snipespar::net
--- /dev/null
+++ b/src/operator/platform_session.cpp
@@ -0,0 +1,106 @@
+#include "operator/platform_session.h"
+
+#include "base/digest.h"
+#include "config/layout.h"
+#include "config/root.h"
+#include "platform/http_object_store.h"
+#include "platform/retrying_store.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
+
+namespace snipespar::operators {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t nonce_bytes = 16;
+constexpr unsigned max_load_tries = 5;
+
+asio::awaitable<void> sleep(duration wait)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, wait);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+using store_stack =
+    platform::retrying_store<platform::http_object_store, asio::awaitable<void> (*)(duration)>;
+
+asio::awaitable<void> perform_one(store_stack& store, platform::request call,
+                                  platform::object_reply& reply)
+{
+    reply = co_await store.perform(std::move(call));
+}
+
+// Reads one version; Aborted when a newer one was accepted meanwhile.
+absl::StatusOr<config::snapshot> load_once(const platform_session& session,
+                                           const std::string& environment)
+{
+    const auto reply = session.perform(platform::get_object{config::root_key(environment)});
+    if (!reply.status.ok()) {
+        return reply.status;
+    }
+    const auto root = config::decode_root(reply.objects.front().value);
+    if (!root.ok()) {
+        return root.status();
+    }
+    config::part_map parts;
+    for (const auto& ref : root->parts) {
+        auto part =
+            session.perform(platform::get_object{config::part_key(environment, ref.sha256)});
+        if (absl::IsNotFound(part.status)) {
+            return absl::AbortedError("a newer version was accepted while this one was read");
+        }
+        if (!part.status.ok()) {
+            return part.status;
+        }
+        parts[ref.sha256] = std::move(part.objects.front().value);
+    }
+    return config::assemble(*root, parts);
+}
+
+} // namespace
+
+platform_session::platform_session(const cli::platform_access& access) : access_(access) {}
+
+platform::object_reply platform_session::perform(const platform::request& call) const
+{
+    asio::io_context context(1);
+    platform::http_object_store http(access_.platform.ip, access_.platform.port, access_.timeout);
+    platform::retry_settings settings;
+    settings.total_wait = access_.timeout;
+    settings.seed = std::random_device{}();
+    store_stack store(http, &sleep, settings);
+    platform::object_reply reply;
+    asio::co_spawn(context, perform_one(store, call, reply), asio::detached);
+    context.run();
+    return reply;
+}
+
+config::publish_result platform_session::publish(const std::string& environment,
+                                                 config::publisher::change_function change) const
+{
+    config::publisher writer(environment, to_hex(random_bytes(nonce_bytes)), std::move(change));
+    while (writer.next()) {
+        writer.on_reply(perform(*writer.next()));
+    }
+    return writer.result();
+}
+
+absl::StatusOr<config::snapshot> platform_session::load(const std::string& environment) const
+{
+    auto result = load_once(*this, environment);
+    for (unsigned tries = 1; absl::IsAborted(result.status()) && tries < max_load_tries; ++tries) {
+        result = load_once(*this, environment);
+    }
+    return result;
+}
+
+} // namespace snipespar::operators
--- /dev/null
+++ b/src/platform/http_object_store.cpp
@@ -0,0 +1,180 @@
+#include "platform/http_object_store.h"
+
+#include "base/json_reader.h"
+
+#include <absl/strings/numbers.h>
+#include <chrono>
+#include <fmt/core.h>
+
+namespace snipespar::platform {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned http_version = 11;
+// Room for a list of keys beside the largest value.
+constexpr std::size_t max_body_bytes = 16 * max_value_bytes;
+
+std::string entity_tag(revision value)
+{
+    return fmt::format("\"{}\"", value);
+}
+
+// The revision in an entity tag, or 0.
+revision parse_tag(std::string text)
+{
+    std::erase(text, '"');
+    revision value = 0;
+    return absl::SimpleAtoi(text, &value) ? value : 0;
+}
+
+// Builds the HTTP form of each call.
+struct request_builder {
+    using message = net::http_client::request;
+
+    message operator()(const get_object& call) const
+    {
+        return {http::verb::get, "/objects/" + call.key, http_version};
+    }
+
+    message operator()(const list_objects& call) const
+    {
+        return {http::verb::get, "/objects?prefix=" + call.prefix, http_version};
+    }
+
+    message operator()(const put_object& call) const
+    {
+        message result{http::verb::put, "/objects/" + call.key, http_version};
+        result.body() = call.value;
+        if (call.expected == revision{0}) {
+            result.set(http::field::if_none_match, "*");
+        }
+        else if (call.expected) {
+            result.set(http::field::if_match, entity_tag(*call.expected));
+        }
+        return result;
+    }
+
+    message operator()(const erase_object& call) const
+    {
+        message result{http::verb::delete_, "/objects/" + call.key, http_version};
+        result.set(http::field::if_match, entity_tag(call.expected));
+        return result;
+    }
+
+    message operator()(const watch_object& call) const
+    {
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(call.wait);
+        return {
+            http::verb::get,
+            fmt::format("/objects/{}?watch&from={}&wait_ms={}", call.key, call.after, wait.count()),
+            http_version};
+    }
+
+    message operator()(const list_hosts&) const
+    {
+        return {http::verb::get, "/hosts", http_version};
+    }
+};
+
+// The status of an answered call.
+absl::Status status_of(const net::http_client::response& answer)
+{
+    switch (answer.result()) {
+    case http::status::ok:
+    case http::status::created:
+    case http::status::no_content:
+        return absl::OkStatus();
+    case http::status::not_found:
+        return absl::NotFoundError("no such object");
+    case http::status::precondition_failed:
+        return absl::AbortedError("the object has another revision");
+    case http::status::too_many_requests:
+        return absl::ResourceExhaustedError("the platform's rate is used up");
+    case http::status::service_unavailable:
+        return absl::UnavailableError("the platform is out of service");
+    default:
+        break;
+    }
+    const auto text = fmt::format("status {}", answer.result_int());
+    const bool is_server_fault =
+        http::to_status_class(answer.result()) == http::status_class::server_error;
+    return is_server_fault ? absl::UnknownError(text) : absl::InvalidArgumentError(text);
+}
+
+void read_list(const std::string& body, object_reply& reply)
+{
+    const auto value = json_reader::parse(body, reply.status);
+    const json_reader fields(value, "list", reply.status);
+    fields.each("objects", [&](const json_reader& item) {
+        reply.objects.push_back({item.text("key"), {}, item.integer<revision>("revision")});
+    });
+}
+
+void read_hosts(const std::string& body, object_reply& reply)
+{
+    const auto value = json_reader::parse(body, reply.status);
+    const json_reader fields(value, "hosts", reply.status);
+    fields.each("hosts", [&](const json_reader& item) {
+        reply.hosts.push_back({host_id(item.text("host")),
+                               failure_domain_id(item.text("failure_domain")), item.text("address"),
+                               item.text("role"), item.flag("leaving")});
+    });
+}
+
+void read_answer(const request& call, net::http_client::response answer, object_reply& reply)
+{
+    if (std::holds_alternative<list_hosts>(call)) {
+        return read_hosts(answer.body(), reply);
+    }
+    if (std::holds_alternative<list_objects>(call)) {
+        return read_list(answer.body(), reply);
+    }
+    const auto tag = parse_tag(std::string(answer[http::field::etag]));
+    if (const auto* put = std::get_if<put_object>(&call)) {
+        reply.objects.push_back({put->key, {}, tag});
+    }
+    else if (const auto* get = std::get_if<get_object>(&call)) {
+        reply.objects.push_back({get->key, std::move(answer.body()), tag});
+    }
+    else if (const auto* watch = std::get_if<watch_object>(&call)) {
+        if (answer.result() == http::status::ok) {
+            reply.objects.push_back({watch->key, std::move(answer.body()), tag});
+        }
+    }
+}
+
+bool changes_something(const request& call)
+{
+    return std::holds_alternative<put_object>(call) || std::holds_alternative<erase_object>(call);
+}
+
+} // namespace
+
+http_object_store::http_object_store(std::string address, std::uint16_t port, duration timeout)
+    : client_(std::move(address), port, max_body_bytes), timeout_(timeout)
+{
+}
+
+asio::awaitable<object_reply> http_object_store::perform(request call)
+{
+    const auto* watch = std::get_if<watch_object>(&call);
+    const auto timeout = watch == nullptr ? timeout_ : timeout_ + watch->wait;
+    auto answer = co_await client_.call(std::visit(request_builder{}, call), timeout);
+    object_reply reply;
+    if (!answer.ok()) {
+        const bool is_safe = absl::IsUnknown(answer.status()) && !changes_something(call);
+        reply.status =
+            is_safe ? absl::UnavailableError(answer.status().message()) : answer.status();
+        co_return reply;
+    }
+    reply.status = status_of(*answer);
+    if (reply.status.ok()) {
+        read_answer(call, std::move(*answer), reply);
+    }
+    co_return reply;
+}
+
+} // namespace snipespar::platform
--- /dev/null
+++ b/src/platform/object.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "snipespar/ids.h"
+#include "snipespar/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace snipespar::platform {
+
+/// Largest value that the platform holds, in bytes.
+inline constexpr std::size_t max_value_bytes = 1'000'000;
+
+/// Version of one object; rises with each change of any object. 0 means that there is no object.
+using revision = std::uint64_t;
+
+/// One object, or one entry of a list, which comes without its value.
+struct object {
+    std::string key;
+    std::string value;
+    platform::revision revision = 0;
+
+    friend bool operator==(const object&, const object&) = default;
+};
+
+/// One line of the platform's lagging host list.
+struct host_record {
+    host_id host;
+    failure_domain_id failure_domain;
+    /// IP address and port of the process's links.
+    std::string address;
+    std::string role;
+    bool leaving = false;
+
+    friend bool operator==(const host_record&, const host_record&) = default;
+};
+
+/// Reads one object.
+struct get_object {
+    std::string key;
+};
+
+/// Reads keys and revisions below a prefix; may lag.
+struct list_objects {
+    std::string prefix;
+};
+
+/// Writes one object if it is at revision `expected` (0: if there is none); without `expected`,
+/// whatever is there.
+struct put_object {
+    std::string key;
+    std::string value;
+    std::optional<revision> expected;
+};
+
+/// Erases one object if it is at revision `expected`.
+struct erase_object {
+    std::string key;
+    revision expected = 0;
+};
+
+/// Waits until an object is newer than `after`, at most `wait`.
+struct watch_object {
+    std::string key;
+    revision after = 0;
+    duration wait{};
+};
+
+/// Reads the lagging list of hosts.
+struct list_hosts {};
+
+/// One call to the platform.
+using request =
+    std::variant<get_object, list_objects, put_object, erase_object, watch_object, list_hosts>;
+
+} // namespace snipespar::platform
--- /dev/null
+++ b/src/platform/object_reply.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "platform/object.h"
+
+#include <absl/status/status.h>
+#include <vector>
+
+namespace snipespar::platform {
+
+/// The platform's answer to one call. The status says what is known about the call's effect:
+/// OK, NotFound (no such object), Aborted (a condition did not hold; no effect), Unavailable and
+/// ResourceExhausted (no effect; may be tried again), Unknown (a change may or may not have taken
+/// effect), anything else (refused; no effect).
+struct object_reply {
+    absl::Status status;
+    /// The object read or written (written ones without their value), the list, or nothing after a
+    /// watch that ran out.
+    std::vector<object> objects;
+    std::vector<host_record> hosts;
+};
+
+} // namespace snipespar::platform
