Follow the accepted configuration in entry and agent

The entry watches the platform and exchanges with its peers; agents learn over their links. New requests are refused with not-run while the version is not confirmed; the agent checks the key again and cancels streams of withdrawn keys.

--- a/src/agent/agent_server.cpp
+++ b/src/agent/agent_server.cpp
@@ -1,9 +1,12 @@
 #include "agent/agent_server.h"
 
 #include "cli/agent_settings.h"
+#include "config/follower_message.h"
+#include "config/snapshot.h"
 #include "link/endpoint_options.h"
 #include "link/link.h"
 #include "net/start_number.h"
+#include "net/steady_time.h"
 
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -15,6 +18,44 @@
 constexpr std::uint64_t drain_retry_after_ms = 1000;
 constexpr std::uint64_t load_retry_after_ms = 1000;
 constexpr int heartbeats_until_dead = 3;
+constexpr std::uint64_t unconfirmed_retry_after_ms = 1000;
+constexpr auto tick_interval = std::chrono::milliseconds(200);
+
+// Entries are told apart by host and start, so that a replacement is a new peer.
+host_id peer_name(const link::link_ptr& entry)
+{
+    const auto& process = entry->remote().process;
+    return host_id(process.host.str() + "/" + std::to_string(process.start));
+}
+
+config::follower_settings make_follower_settings(const cli::agent_settings& settings)
+{
+    config::follower_settings made;
+    made.self = settings.host;
+    made.environment = settings.environment;
+    made.watches_platform = false;
+    made.seed = settings.seed == 0 ? net::start_number() : settings.seed;
+    return made;
+}
+
+config::follower_services
+make_follower_services(const std::set<link::link_ptr>& entries,
+                       std::function<void(const std::shared_ptr<const config::snapshot>&)> adopt)
+{
+    config::follower_services services;
+    services.send = [&entries](const host_id& peer, const std::string& payload) {
+        for (const auto& entry : entries) {
+            if (peer_name(entry) == peer) {
+                entry->send(link::peer_message{config::follower_topic, payload});
+                return;
+            }
+        }
+    };
+    services.watch = [](const config::watch_root&) {};
+    services.read_part = [](const std::string&) {};
+    services.adopt = std::move(adopt);
+    return services;
+}
 
 link::endpoint_options make_link_options(const cli::agent_settings& settings)
 {
@@ -32,12 +73,12 @@
 agent_server::agent_server(boost::asio::io_context& context, const cli::agent_settings& settings)
     : context_(context), upstream_{settings.upstream.ip, settings.upstream.port},
       listen_ip_(settings.listen.ip), listen_port_(settings.listen.port),
-      orders_(context.get_executor(), upstream_), fencing_number_(net::start_number()),
+      orders_(context.get_executor(), upstream_),
+      config_(make_follower_settings(settings), settings.failure_domain,
+              make_follower_services(entries_, [this](const auto& config) { set_config(config); })),
+      tick_timer_(context), fencing_number_(net::start_number()),
       links_(context, make_link_options(settings),
-             {[this](const link::link_ptr& entry) {
-                  entries_.insert(entry);
-                  entry->send(make_report());
-              },
+             {[this](const link::link_ptr& entry) { on_up(entry); },
               [this](const link::link_ptr& entry, link::frame message) {
                   on_frame(entry, std::move(message));
               },
@@ -47,9 +88,63 @@
 
 absl::Status agent_server::start()
 {
+    tick();
     return links_.listen(listen_ip_, listen_port_);
 }
 
+void agent_server::on_up(const link::link_ptr& from)
+{
+    entries_.insert(from);
+    from->send(make_report());
+    config_.on_peer_up(peer_name(from), steady_now());
+}
+
+void agent_server::tick()
+{
+    config_.perform(config_.logic().on_tick(steady_now()), steady_now());
+    tick_timer_.expires_after(tick_interval);
+    tick_timer_.async_wait([this](const auto& error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+void agent_server::set_config(const std::shared_ptr<const config::snapshot>& config)
+{
+    links_.advertise(config->version);
+    std::vector<stream_key> withdrawn;
+    for (const auto& [key, owner] : keys_) {
+        if (is_withdrawn(owner)) {
+            withdrawn.push_back(key);
+        }
+    }
+    for (const auto& key : withdrawn) {
+        key.from->send(link::failed{key.stream, run_state::unknown, "key_withdrawn", 0});
+        on_cancel(key);
+    }
+}
+
+bool agent_server::is_withdrawn(const key_id& key) const
+{
+    const auto& config = config_.logic().in_force();
+    if (!config || key.empty()) {
+        return false;
+    }
+    const auto found = config->keys.find(key);
+    return found != config->keys.end() && found->second.withdrawn;
+}
+
+// Why a request may not run under the configuration in force; empty if it may.
+std::string agent_server::refusal_reason(const link::run_request& request) const
+{
+    if (is_withdrawn(request.key)) {
+        return "key_withdrawn";
+    }
+    const auto& logic = config_.logic();
+    return logic.in_force() && !logic.may_admit(steady_now()) ? "configuration_unconfirmed" : "";
+}
+
 void agent_server::drain(std::function<void()> drained)
 {
     draining_ = true;
@@ -76,6 +171,11 @@
     else if (const auto* cancelled = std::get_if<link::cancel>(&message)) {
         on_cancel({from, cancelled->stream});
     }
+    else if (const auto* sent = std::get_if<link::peer_message>(&message)) {
+        if (sent->topic == config::follower_topic) {
+            config_.on_message(peer_name(from), sent->payload, steady_now());
+        }
+    }
     else if (const auto* more = std::get_if<link::window>(&message)) {
         const auto found = calls_.find({from, more->stream});
         if (found != calls_.end()) {
@@ -87,6 +187,7 @@
 void agent_server::on_down(const link::link_ptr& from)
 {
     entries_.erase(from);
+    config_.on_peer_down(peer_name(from));
     std::vector<stream_key> lost;
     for (const auto& [key, call] : calls_) {
         if (key.from == from) {
@@ -105,11 +206,16 @@
         from->send(link::refused{request.stream, "draining", drain_retry_after_ms});
         return;
     }
+    if (auto reason = refusal_reason(request); !reason.empty()) {
+        from->send(link::refused{request.stream, std::move(reason), unconfirmed_retry_after_ms});
+        return;
+    }
     if (calls_.contains(key)) {
         from->close("stream number used twice");
         return;
     }
     from->send(link::accepted{request.stream});
+    keys_[key] = request.key;
     const std::string adapter =
         request.adapter.adapter.empty() ? std::string() : request.adapter.str();
     const std::string source = request.adapter_source;
@@ -152,6 +258,7 @@
 void agent_server::call_finished(const stream_key& key)
 {
     calls_.erase(key);
+    keys_.erase(key);
     if (draining_ && calls_.empty() && drained_) {
         boost::asio::post(context_, std::exchange(drained_, nullptr));
     }
--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -197,6 +197,11 @@
         co_return co_await write_refusal({503, "starting", "No configuration is in force yet.",
                                           run_state::not_run, startup_retry_after});
     }
+    if (!services_.is_confirmed()) {
+        co_return co_await write_refusal({503, "configuration_unconfirmed",
+                                          "This host cannot confirm its configuration.",
+                                          run_state::not_run, startup_retry_after});
+    }
     auto plan =
         plan_request(*access, request, request_id_, outcome_.began, services_.request_timeout);
     if (const auto* error = std::get_if<refusal>(&plan)) {
--- a/src/entry/connection_services.h
+++ b/src/entry/connection_services.h
@@ -22,6 +22,9 @@
 struct connection_services {
     /// The configuration in force; null before the first one.
     std::function<std::shared_ptr<const config::access>()> access;
+    /// Whether the configuration in force is known to be the accepted one, so that new requests
+    /// may be admitted under it.
+    std::function<bool()> is_confirmed;
     std::function<std::string()> next_request_id;
     /// Makes the session of an admitted request.
     std::function<std::shared_ptr<request_session>(const boost::asio::any_io_executor&,
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -2,6 +2,7 @@
 
 #include "cli/entry_settings.h"
 #include "config/access.h"
+#include "config/follower_message.h"
 #include "config/snapshot.h"
 #include "entry/traffic_thread.h"
 #include "link/endpoint_options.h"
@@ -71,6 +72,14 @@
     });
     links_ = std::make_unique<agent_links>(traffic_.front()->context(),
                                            make_link_options(settings, start_), make_link_events());
+    if (settings.platform) {
+        config_ = std::make_unique<config_service>(
+            control, settings, peers_,
+            [this](const upstream_id& agent, const std::string& payload) {
+                links_->send(agent, {config::follower_topic, payload});
+            },
+            [this](const std::shared_ptr<const config::snapshot>& config) { set_config(config); });
+    }
 }
 
 entry_server::~entry_server()
@@ -95,6 +104,9 @@
     if (absl::Status status = peers_.listen(link_listen_.ip, link_listen_.port); !status.ok()) {
         return status;
     }
+    if (config_) {
+        config_->start();
+    }
     for (const auto& peer : dialled_peers_) {
         peers_.dial(peer.ip, peer.port);
     }
@@ -128,6 +140,9 @@
     if (!access_.load()) {
         return {false, "no configuration in force"};
     }
+    if (config_ && !config_->may_admit()) {
+        return {false, "the configuration in force is not confirmed"};
+    }
     return {true, ""};
 }
 
@@ -202,6 +217,7 @@
 {
     connection_services services;
     services.access = [this] { return access_.load(); };
+    services.is_confirmed = [this] { return !config_ || config_->may_admit(); };
     services.next_request_id = [this] { return request_prefix_ + std::to_string(++last_request_); };
     services.make_session = [this](const auto& executor, const planned_request& planned) {
         return make_session(executor, planned);
@@ -255,7 +271,13 @@
             chooser_.on_report(upstream, report, steady_now());
         });
     };
-    events.message = [](const upstream_id&, const link::peer_message&) {};
+    events.message = [this](const upstream_id& upstream, const link::peer_message& message) {
+        if (config_ && message.topic == config::follower_topic) {
+            boost::asio::post(control_, [this, upstream, payload = message.payload] {
+                config_->on_agent_message(upstream, payload);
+            });
+        }
+    };
     return events;
 }
 
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -2,6 +2,7 @@
 
 #include "cli/endpoint.h"
 #include "entry/agent_links.h"
+#include "entry/config_service.h"
 #include "entry/connection_services.h"
 #include "entry/entry_metrics.h"
 #include "entry/peer_links.h"
@@ -88,6 +89,8 @@
     std::vector<std::unique_ptr<traffic_thread>> traffic_;
     std::unique_ptr<agent_links> links_;
     peer_links peers_;
+    /// Null when the configuration comes from a local file.
+    std::unique_ptr<config_service> config_;
     connection_services connection_services_;
     /// Callers' listener, the listener for other entries, and where those listen.
     cli::endpoint listen_;
