--- a/src/entry/request_session.cpp
+++ b/src/entry/request_session.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// The agent learned of the withdrawal before this entry did.
+constexpr std::string_view key_withdrawn_reason = "key_withdrawn";
+
 namespace asio = boost::asio;
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
@@ -177,11 +180,18 @@
         end_.detail = refusal->reason;
         end_attempt(attempt_outcome::dropped);
         const bool leaving = refusal->reason == "draining";
+        if (refusal->reason == key_withdrawn_reason) {
+            return apply(lifecycle_.on_key_withdrawn(now));
+        }
         apply(
             lifecycle_.on_refused(attempt, {optional_wait(refusal->retry_after_ms), leaving}, now));
     }
     else if (const auto* failure = std::get_if<link::failed>(&current_)) {
         end_.detail = failure->reason;
+        if (failure->reason == key_withdrawn_reason) {
+            end_attempt(attempt_outcome::dropped);
+            return apply(lifecycle_.on_key_withdrawn(now));
+        }
         end_attempt(attempt_outcome::failed);
         apply(lifecycle_.on_failed(attempt, failure->state, now));
     }
