--- a/tools/engine_stand_in/session.cpp
+++ b/tools/engine_stand_in/session.cpp
@@ -108,7 +108,10 @@
         const request message = parser.release();
         std::ostringstream bytes;
         bytes << message;
-        engine_.record().received(bytes.str());
+        // A question about the record must not find itself.
+        if (!message.target().starts_with("/record")) {
+            engine_.record().received(bytes.str());
+        }
         keep_alive_ = message.keep_alive();
         if (!co_await answer(message)) {
             co_return;
