--- a/src/entry/connection_services.h
+++ b/src/entry/connection_services.h
@@ -28,6 +28,9 @@
 struct connection_services {
     /// The configuration in force; null before the first one.
     std::function<std::shared_ptr<const config::access>()> access;
+    /// Whether the configuration in force is known to be the accepted one, so that new requests
+    /// may be admitted under it.
+    std::function<bool()> is_confirmed;
     std::function<std::string()> next_request_id;
     /// Asks for a request's tokens of its team's budget.
     std::function<std::unique_ptr<budget_reservation>(const boost::asio::any_io_executor&,
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -3,6 +3,7 @@
 #include "cli/endpoint.h"
 #include "entry/agent_links.h"
 #include "entry/claim_gate.h"
+#include "entry/config_service.h"
 #include "entry/connection_services.h"
 #include "entry/entry_metrics.h"
 #include "entry/local_limit_store.h"
@@ -99,6 +100,8 @@
     incarnation self_;
     local_limit_store local_limits_;
     team_budgets budgets_;
+    /// Null when the configuration comes from a local file.
+    std::unique_ptr<config_service> config_;
     connection_services connection_services_;
     /// Callers' listener, the listener for other entries, and where those listen.
     cli::endpoint listen_;
