Run every request of an agent through the scheduler

Cause: the agent loaded adapters without regard to slots, pins, teams or fencing, and the scheduler and the record of suspects were joined to nothing. The runner carries the scheduler's decisions out: exchanges, orders with fencing numbers, reads of the engine, permits for loads by a fixed part of the weight store's rate. A broken exchange is reported only after a probe has told whether the engine died, so that a death is known with all that was in flight; what is learned goes to all agents by way of the entries. Ruled out for now: permits from the shared limits, which needs the entries to grant them to agents over links.

--- a/src/agent/agent_server.cpp
+++ b/src/agent/agent_server.cpp
@@ -1,5 +1,6 @@
 #include "agent/agent_server.h"
 
+#include "base/cbor.h"
 #include "cli/agent_settings.h"
 #include "config/follower_message.h"
 #include "config/snapshot.h"
@@ -7,8 +8,11 @@
 #include "link/link.h"
 #include "net/start_number.h"
 #include "net/steady_time.h"
+#include "poison/suspect_codec.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace snipespar::agent {
@@ -16,10 +20,15 @@
 namespace {
 
 constexpr std::uint64_t drain_retry_after_ms = 1000;
-constexpr std::uint64_t load_retry_after_ms = 1000;
 constexpr int heartbeats_until_dead = 3;
 constexpr std::uint64_t unconfirmed_retry_after_ms = 1000;
 constexpr auto tick_interval = std::chrono::milliseconds(200);
+constexpr const char* suspects_topic = "suspects";
+
+// Limits of an upstream whose declaration this agent has not seen, because the entry that sends
+// the requests serves a local document.
+constexpr std::uint32_t undeclared_slots = 8;
+constexpr std::uint32_t undeclared_max_running = 2048;
 
 // Entries are told apart by host and start, so that a replacement is a new peer.
 host_id peer_name(const link::link_ptr& entry)
@@ -57,11 +66,26 @@
     return services;
 }
 
-link::endpoint_options make_link_options(const cli::agent_settings& settings)
+// Part of the weight store's rate that falls to each engine.
+duration load_interval_of(const config::snapshot& config)
+{
+    std::int64_t engines = 0;
+    for (const auto& [id, upstream] : config.upstreams) {
+        engines += upstream.kind == config::upstream_kind::engine ? 1 : 0;
+    }
+    if (engines == 0 || config.weight_store.loads_per_s <= 0) {
+        return {};
+    }
+    const std::chrono::duration<double> interval(static_cast<double>(engines) /
+                                                 config.weight_store.loads_per_s);
+    return std::chrono::ceil<duration>(interval);
+}
+
+link::endpoint_options make_link_options(const cli::agent_settings& settings, std::uint64_t start)
 {
     link::endpoint_options options;
     options.fleet_secret = settings.fleet_secret;
-    options.self = {link::role::agent, {settings.host, net::start_number()}};
+    options.self = {link::role::agent, {settings.host, start}};
     options.heartbeat_interval = settings.heartbeat;
     options.heartbeat_timeout = heartbeats_until_dead * settings.heartbeat;
     options.seed = settings.seed;
@@ -71,13 +95,13 @@
 } // namespace
 
 agent_server::agent_server(boost::asio::io_context& context, const cli::agent_settings& settings)
-    : context_(context), upstream_{settings.upstream.ip, settings.upstream.port},
-      listen_ip_(settings.listen.ip), listen_port_(settings.listen.port),
-      orders_(context.get_executor(), upstream_),
+    : context_(context), upstream_{settings.upstream.ip, settings.upstream.port}, id_(settings.id),
+      start_(net::start_number()), listen_ip_(settings.listen.ip),
+      listen_port_(settings.listen.port), longest_order_time_(settings.longest_order_time),
       config_(make_follower_settings(settings), settings.failure_domain,
               make_follower_services(entries_, [this](const auto& config) { set_config(config); })),
-      tick_timer_(context), fencing_number_(net::start_number()),
-      links_(context, make_link_options(settings),
+      tick_timer_(context),
+      links_(context, make_link_options(settings, start_),
              {[this](const link::link_ptr& entry) { on_up(entry); },
               [this](const link::link_ptr& entry, link::frame message) {
                   on_frame(entry, std::move(message));
@@ -96,6 +120,9 @@
 {
     entries_.insert(from);
     from->send(make_report());
+    if (runner_) {
+        from->send(link::peer_message{suspects_topic, to_cbor(encode(runner_->suspects()))});
+    }
     config_.on_peer_up(peer_name(from), steady_now());
 }
 
@@ -113,15 +140,93 @@
 void agent_server::set_config(const std::shared_ptr<const config::snapshot>& config)
 {
     links_.advertise(config->version);
-    std::vector<stream_key> withdrawn;
+    start_runner(config.get(), is_engine(*config));
     for (const auto& [key, owner] : keys_) {
         if (is_withdrawn(owner)) {
-            withdrawn.push_back(key);
+            key.from->send(link::failed{key.stream, run_state::unknown, "key_withdrawn", 0});
+        }
+    }
+    cancel_of([this](const stream_key&, const key_id& owner) { return is_withdrawn(owner); });
+}
+
+// Ends the requests in progress for which `selected` holds.
+void agent_server::cancel_of(const std::function<bool(const stream_key&, const key_id&)>& selected)
+{
+    std::vector<stream_key> ended;
+    for (const auto& [key, owner] : keys_) {
+        if (selected(key, owner)) {
+            ended.push_back(key);
         }
     }
-    for (const auto& key : withdrawn) {
-        key.from->send(link::failed{key.stream, run_state::unknown, "key_withdrawn", 0});
-        on_cancel(key);
+    for (const auto& key : ended) {
+        runner_->cancel(key);
+        keys_.erase(key);
+    }
+}
+
+bool agent_server::is_engine(const config::snapshot& config) const
+{
+    const auto found = config.upstreams.find(id_);
+    return found != config.upstreams.end() && found->second.kind == config::upstream_kind::engine;
+}
+
+// Starts the runner once the upstream is known; later changes of its declaration take effect with
+// the agent's next start.
+void agent_server::start_runner(const config::snapshot* config, bool is_engine)
+{
+    if (runner_ != nullptr || (config != nullptr && !config->upstreams.contains(id_))) {
+        return;
+    }
+    runner_ = std::make_unique<request_runner>(context_.get_executor(), upstream_,
+                                               make_runner_options(config, is_engine),
+                                               make_runner_events());
+    runner_->start();
+}
+
+runner_options agent_server::make_runner_options(const config::snapshot* config,
+                                                 bool is_engine) const
+{
+    runner_options options;
+    options.id = id_;
+    options.start = start_;
+    options.is_engine = is_engine;
+    auto& scheduling = options.scheduling;
+    scheduling.residency.first_fence = start_;
+    scheduling.residency.longest_order_time = longest_order_time_;
+    scheduling.residency.slots = undeclared_slots;
+    scheduling.max_running = undeclared_max_running;
+    if (config != nullptr) {
+        const auto& declared = config->upstreams.at(id_);
+        options.load_interval = load_interval_of(*config);
+        scheduling.residency.slots = std::max(1U, declared.adapter_slots);
+        scheduling.residency.checks_fencing = declared.checks_fencing;
+        scheduling.max_running = std::max(1U, declared.max_running);
+    }
+    if (!options.is_engine) {
+        scheduling.residency.longest_order_time = {};
+    }
+    scheduling.max_queued = std::max<std::size_t>(scheduling.max_queued, scheduling.max_running);
+    return options;
+}
+
+runner_events agent_server::make_runner_events()
+{
+    runner_events events;
+    events.changed = [this] { report_to_all(); };
+    events.drained = [this] {
+        if (drained_) {
+            boost::asio::post(context_, std::exchange(drained_, nullptr));
+        }
+    };
+    events.suspects = [this](const poison::suspect_digest& digest) { share_suspects(digest); };
+    return events;
+}
+
+void agent_server::share_suspects(const poison::suspect_digest& digest) const
+{
+    const link::peer_message message{suspects_topic, to_cbor(encode(digest))};
+    for (const auto& entry : entries_) {
+        entry->send(message);
     }
 }
 
@@ -149,16 +254,18 @@
 {
     draining_ = true;
     drained_ = std::move(drained);
-    report_to_all();
-    if (calls_.empty()) {
-        boost::asio::post(context_, drained_);
+    if (runner_) {
+        runner_->drain();
+        return;
     }
+    report_to_all();
+    boost::asio::post(context_, std::exchange(drained_, nullptr));
 }
 
 void agent_server::stop()
 {
-    for (const auto& [key, call] : calls_) {
-        call->cancel();
+    if (runner_) {
+        runner_->stop();
     }
     links_.stop();
 }
@@ -169,18 +276,32 @@
         on_run_request(from, std::move(*request));
     }
     else if (const auto* cancelled = std::get_if<link::cancel>(&message)) {
-        on_cancel({from, cancelled->stream});
+        const stream_key wanted{from, cancelled->stream};
+        cancel_of([&](const stream_key& key, const key_id&) { return key == wanted; });
     }
     else if (const auto* sent = std::get_if<link::peer_message>(&message)) {
-        if (sent->topic == config::follower_topic) {
-            config_.on_message(peer_name(from), sent->payload, steady_now());
-        }
+        on_peer_message(from, *sent);
     }
-    else if (const auto* more = std::get_if<link::window>(&message)) {
-        const auto found = calls_.find({from, more->stream});
-        if (found != calls_.end()) {
-            found->second->add_window(more->bytes);
-        }
+    else if (const auto* more = std::get_if<link::window>(&message); more != nullptr && runner_) {
+        runner_->add_window({from, more->stream}, more->bytes);
+    }
+}
+
+void agent_server::on_peer_message(const link::link_ptr& from, const link::peer_message& message)
+{
+    if (message.topic == config::follower_topic) {
+        config_.on_message(peer_name(from), message.payload, steady_now());
+        return;
+    }
+    if (message.topic != suspects_topic || runner_ == nullptr) {
+        return;
+    }
+    const auto value = from_cbor(message.payload);
+    if (!value.ok()) {
+        return;
+    }
+    if (const auto digest = poison::decode_suspect_digest(*value); digest.ok()) {
+        runner_->merge_suspects(*digest);
     }
 }
 
@@ -188,15 +309,7 @@
 {
     entries_.erase(from);
     config_.on_peer_down(peer_name(from));
-    std::vector<stream_key> lost;
-    for (const auto& [key, call] : calls_) {
-        if (key.from == from) {
-            lost.push_back(key);
-        }
-    }
-    for (const auto& key : lost) {
-        on_cancel(key);
-    }
+    cancel_of([&](const stream_key& key, const key_id&) { return key.from == from; });
 }
 
 void agent_server::on_run_request(const link::link_ptr& from, link::run_request request)
@@ -210,67 +323,41 @@
         from->send(link::refused{request.stream, std::move(reason), unconfirmed_retry_after_ms});
         return;
     }
-    if (calls_.contains(key)) {
+    if (keys_.contains(key)) {
         from->close("stream number used twice");
         return;
     }
-    from->send(link::accepted{request.stream});
-    keys_[key] = request.key;
-    const std::string adapter =
-        request.adapter.adapter.empty() ? std::string() : request.adapter.str();
-    const std::string source = request.adapter_source;
-    calls_[key] = std::make_shared<upstream_call>(
-        context_.get_executor(), upstream_, std::move(request),
-        [from](const link::frame& message) { from->send(message); });
-    if (adapter.empty() || resident_.contains(adapter)) {
-        run(key);
+    if (request.config_version == 0) {
+        start_runner(nullptr, !request.adapter.adapter.empty());
+    }
+    if (runner_ == nullptr) {
+        from->send(
+            link::refused{request.stream, "configuration_unconfirmed", unconfirmed_retry_after_ms});
         return;
     }
-    orders_.load(adapter, source, ++fencing_number_, [this, key, adapter](bool ok) {
-        if (ok) {
-            resident_.insert(adapter);
-            run(key);
-        }
-        else if (calls_.contains(key)) {
-            key.from->send(link::refused{key.stream, "adapter_load_failed", load_retry_after_ms});
-            call_finished(key);
+    keys_[key] = request.key;
+    runner_->submit(key, std::move(request), [this, key](const link::frame& message) {
+        key.from->send(message);
+        if (std::holds_alternative<link::done>(message) ||
+            std::holds_alternative<link::failed>(message) ||
+            std::holds_alternative<link::refused>(message)) {
+            forget(key);
         }
     });
 }
 
-void agent_server::on_cancel(const stream_key& key)
+void agent_server::forget(const stream_key& key)
 {
-    const auto found = calls_.find(key);
-    if (found != calls_.end()) {
-        found->second->cancel();
-        call_finished(key);
-    }
-}
-
-void agent_server::run(const stream_key& key)
-{
-    const auto found = calls_.find(key);
-    if (found != calls_.end()) {
-        found->second->start([this, key] { call_finished(key); });
-    }
-}
-
-void agent_server::call_finished(const stream_key& key)
-{
-    calls_.erase(key);
     keys_.erase(key);
-    if (draining_ && calls_.empty() && drained_) {
-        boost::asio::post(context_, std::exchange(drained_, nullptr));
-    }
 }
 
 link::upstream_report agent_server::make_report() const
 {
     link::upstream_report report;
-    report.ready = !draining_;
-    report.leaving = draining_;
-    report.running = static_cast<std::uint32_t>(calls_.size());
-    report.resident.assign(resident_.begin(), resident_.end());
+    if (runner_) {
+        report = runner_->report();
+    }
+    report.leaving = report.leaving || draining_;
     return report;
 }
 
--- a/src/agent/agent_server.h
+++ b/src/agent/agent_server.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "agent/adapter_orders.h"
+#include "agent/request_runner.h"
 #include "agent/stream_key.h"
-#include "agent/upstream_call.h"
 #include "config/follower_exchange.h"
 #include "link/endpoint.h"
 
@@ -47,25 +46,31 @@
     bool is_withdrawn(const key_id& key) const;
     std::string refusal_reason(const link::run_request& request) const;
     void on_run_request(const link::link_ptr& from, link::run_request request);
-    void on_cancel(const stream_key& key);
-    void run(const stream_key& key);
-    void call_finished(const stream_key& key);
+    void start_runner(const config::snapshot* config, bool is_engine);
+    bool is_engine(const config::snapshot& config) const;
+    runner_options make_runner_options(const config::snapshot* config, bool is_engine) const;
+    runner_events make_runner_events();
+    void forget(const stream_key& key);
+    void cancel_of(const std::function<bool(const stream_key&, const key_id&)>& selected);
+    void share_suspects(const poison::suspect_digest& digest) const;
+    void on_peer_message(const link::link_ptr& from, const link::peer_message& message);
     link::upstream_report make_report() const;
     void report_to_all();
 
     boost::asio::io_context& context_;
     upstream_address upstream_;
+    upstream_id id_;
+    std::uint64_t start_;
     std::string listen_ip_;
     std::uint16_t listen_port_;
-    adapter_orders orders_;
+    duration longest_order_time_;
     std::set<link::link_ptr> entries_;
     config::follower_exchange config_;
     boost::asio::steady_timer tick_timer_;
     /// Keys of the requests in progress.
     std::map<stream_key, key_id> keys_;
-    std::map<stream_key, std::shared_ptr<upstream_call>> calls_;
-    std::set<std::string> resident_;
-    std::uint64_t fencing_number_ = 0;
+    /// None until the upstream's declaration is known.
+    std::unique_ptr<request_runner> runner_;
     bool draining_ = false;
     std::function<void()> drained_;
     link::endpoint links_;
--- /dev/null
+++ b/src/agent/upstream_probe.cpp
@@ -0,0 +1,101 @@
+#include "agent/upstream_probe.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+namespace snipespar::agent {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+constexpr auto probe_timeout = std::chrono::seconds(2);
+constexpr std::size_t max_answer_bytes = std::size_t{4} << 20U;
+constexpr int http_version = 11;
+
+struct json_answer {
+    bool reached = true;
+    std::optional<json> body;
+};
+
+asio::awaitable<json_answer> get(net::http_client& client, const char* path)
+{
+    net::http_client::request request{http::verb::get, path, http_version};
+    const auto answer = co_await client.call(std::move(request), probe_timeout);
+    if (!answer.ok()) {
+        co_return json_answer{!absl::IsUnavailable(answer.status()), std::nullopt};
+    }
+    constexpr bool allow_exceptions = false;
+    json body = json::parse(answer->body(), nullptr, allow_exceptions);
+    if (answer->result() != http::status::ok || !body.is_object()) {
+        co_return json_answer{};
+    }
+    co_return json_answer{true, std::move(body)};
+}
+
+// The adapters of a model list; names without a version are base models.
+std::set<adapter_ref> adapters_in(const json& models)
+{
+    std::set<adapter_ref> held;
+    const auto data = models.find("data");
+    if (data == models.end() || !data->is_array()) {
+        return held;
+    }
+    for (const auto& model : *data) {
+        const auto id = model.is_object() ? model.find("id") : model.end();
+        if (!model.is_object() || id == model.end() || !id->is_string()) {
+            continue;
+        }
+        const auto name = id->get<std::string>();
+        if (const auto at = name.rfind('@'); at != std::string::npos) {
+            held.insert({adapter_id(name.substr(0, at)), name.substr(at + 1)});
+        }
+    }
+    return held;
+}
+
+asio::awaitable<probe_result> probe(net::http_client& client)
+{
+    probe_result result;
+    const auto models = co_await get(client, "/v1/models");
+    if (!models.reached) {
+        result.is = probe_result::state::down;
+        co_return result;
+    }
+    const auto load = co_await get(client, "/load");
+    if (!models.body || !load.body) {
+        co_return result;
+    }
+    const auto incarnation = load.body->find("incarnation");
+    if (incarnation != load.body->end() && incarnation->is_number_unsigned()) {
+        result.incarnation = incarnation->get<std::uint64_t>();
+    }
+    result.held = adapters_in(*models.body);
+    result.is = probe_result::state::alive;
+    co_return result;
+}
+
+} // namespace
+
+upstream_probe::upstream_probe(asio::any_io_executor executor, const upstream_address& engine)
+    : executor_(std::move(executor)),
+      client_(std::make_shared<net::http_client>(engine.ip, engine.port, max_answer_bytes))
+{
+}
+
+void upstream_probe::read(done_function done) const
+{
+    asio::co_spawn(
+        executor_,
+        [client = client_, done = std::move(done)]() -> asio::awaitable<void> {
+            done(co_await probe(*client));
+        },
+        asio::detached);
+}
+
+} // namespace snipespar::agent
--- a/src/cli/agent_settings.h
+++ b/src/cli/agent_settings.h
@@ -28,6 +28,8 @@
     std::vector<endpoint> entries;
     duration drain_timeout{};
     duration heartbeat{};
+    /// After it, an order of an agent that died has no effect on the upstream any more.
+    duration longest_order_time{};
     std::optional<endpoint> trace_endpoint;
     duration counters_interval{};
     /// 0 asks for a fresh seed.
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -165,8 +165,7 @@
         .trace_endpoint = reader.read("trace-endpoint", parse_endpoint),
         .counters_interval = reader.read_or_empty("counters-interval", parse_duration),
         .seed = reader.read_or_empty("seed", parse_number),
-        .fleet_secret =
-            secret(reader.read_secret("fleet-secret", min_fleet_secret_bytes)),
+        .fleet_secret = secret(reader.read_secret("fleet-secret", min_fleet_secret_bytes)),
     };
     if (reader.is_given("platform") == reader.is_given("config-file")) {
         reader.add_finding("--platform", "give exactly one of --platform and --config-file");
@@ -191,11 +190,11 @@
         .entries = reader.read_or_empty("entries", parse_endpoint_list),
         .drain_timeout = reader.read_or_empty("drain-timeout", parse_duration),
         .heartbeat = reader.read_or_empty("heartbeat", parse_duration),
+        .longest_order_time = reader.read_or_empty("longest-order-time", parse_duration),
         .trace_endpoint = reader.read("trace-endpoint", parse_endpoint),
         .counters_interval = reader.read_or_empty("counters-interval", parse_duration),
         .seed = reader.read_or_empty("seed", parse_number),
-        .fleet_secret =
-            secret(reader.read_secret("fleet-secret", min_fleet_secret_bytes)),
+        .fleet_secret = secret(reader.read_secret("fleet-secret", min_fleet_secret_bytes)),
     };
 }
 
--- a/src/cli/setting_tables.cpp
+++ b/src/cli/setting_tables.cpp
@@ -100,6 +100,9 @@
             "connects."},
     drain_timeout_setting,
     heartbeat_setting,
+    setting{"longest-order-time", "<duration>", presence::defaulted, "5s",
+            "How long an order of an agent that died may still take effect on an engine that does "
+            "not check fencing numbers; a new agent gives no order before."},
     trace_endpoint_setting,
     counters_interval_setting,
     seed_setting,
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -25,6 +25,9 @@
 
 constexpr int heartbeats_until_dead = 3;
 
+// What agents tell of requests that crash upstreams; entries pass it on to all other agents.
+constexpr const char* suspects_topic = "suspects";
+
 boost::asio::ip::tcp::endpoint to_tcp_endpoint(const cli::endpoint& address)
 {
     return {boost::asio::ip::make_address(address.ip), address.port};
@@ -74,6 +77,9 @@
         metrics_.peer_links.add(present ? 1 : -1);
         states_.update("peer", peer.host.str(), present ? "linked" : "lost");
     });
+    peers_.on_message(suspects_topic, [this](const incarnation&, const std::string& payload) {
+        links_->broadcast({suspects_topic, payload});
+    });
     links_ = std::make_unique<agent_links>(traffic_.front()->context(),
                                            make_link_options(settings, start_), make_link_events());
     if (settings.platform) {
@@ -309,6 +315,12 @@
                 config_->on_agent_message(upstream, payload);
             });
         }
+        if (message.topic == suspects_topic) {
+            links_->broadcast(message);
+            boost::asio::post(control_, [this, payload = message.payload] {
+                peers_.broadcast(suspects_topic, payload);
+            });
+        }
     };
     return events;
 }
--- a/tests/process/support/fleet.cpp
+++ b/tests/process/support/fleet.cpp
@@ -142,7 +142,7 @@
                         {"agent", "--listen=" + pair.agent_address.str(),
                          "--admin-listen=" + pair.agent_admin.str(),
                          "--upstream=" + pair.upstream_address.str(), "--upstream-id=" + id,
-                         "--host=h" + id, "--failure-domain=d1"},
+                         "--host=h" + id, "--failure-domain=d1", "--longest-order-time=100ms"},
                         {{"SNIPESPAR_FLEET_SECRET",
                           options_.agent_secret.empty() ? fleet_secret : options_.agent_secret}}};
     append(pair.agent_start.arguments, options_.agent_arguments);
