Contain crashing requests in the processes; tests of engines that crash, forget and fail

Cause: the new process tests showed three faults. A request that a restarted engine answered with 404 was blamed for the restart; digests that reached an agent before its first request were dropped; and a probe on a kept connection told 'unclear' for a dead engine, so that deaths were recorded without what had been in flight. An answer now proves that the upstream was alive, early digests are kept, entries remember what they were told and pass it to whoever links, and the probe tries once more on a new connection.

--- a/src/agent/agent_server.cpp
+++ b/src/agent/agent_server.cpp
@@ -180,6 +180,7 @@
     runner_ = std::make_unique<request_runner>(context_.get_executor(), upstream_,
                                                make_runner_options(config, is_engine),
                                                make_runner_events());
+    runner_->merge_suspects(std::exchange(early_suspects_, {}));
     runner_->start();
 }
 
@@ -293,16 +294,20 @@
         config_.on_message(peer_name(from), message.payload, steady_now());
         return;
     }
-    if (message.topic != suspects_topic || runner_ == nullptr) {
+    if (message.topic != suspects_topic) {
         return;
     }
     const auto value = from_cbor(message.payload);
     if (!value.ok()) {
         return;
     }
-    if (const auto digest = poison::decode_suspect_digest(*value); digest.ok()) {
+    const auto digest = poison::decode_suspect_digest(*value);
+    if (digest.ok() && runner_) {
         runner_->merge_suspects(*digest);
     }
+    else if (digest.ok()) {
+        early_suspects_.insert(early_suspects_.end(), digest->begin(), digest->end());
+    }
 }
 
 void agent_server::on_down(const link::link_ptr& from)
--- a/src/agent/agent_server.h
+++ b/src/agent/agent_server.h
@@ -71,6 +71,8 @@
     std::map<stream_key, key_id> keys_;
     /// None until the upstream's declaration is known.
     std::unique_ptr<request_runner> runner_;
+    /// What came before there was a runner to tell it to.
+    poison::suspect_digest early_suspects_;
     bool draining_ = false;
     std::function<void()> drained_;
     link::endpoint links_;
--- a/src/agent/request_runner.cpp
+++ b/src/agent/request_runner.cpp
@@ -52,6 +52,13 @@
     return item;
 }
 
+// Whether an exchange that failed like this may have been cut off by the upstream's death. An
+// upstream that answered, however badly, was alive.
+bool may_be_death(const link::failed& failure)
+{
+    return failure.reason == "upstream_closed" || failure.reason == "upstream_truncated";
+}
+
 } // namespace
 
 request_runner::request_runner(boost::asio::any_io_executor executor, upstream_address upstream,
@@ -330,8 +337,9 @@
 void request_runner::on_call_broken(request_number id)
 {
     const auto asked_at = steady_now();
-    const bool cancelled = !requests_.at(id).last.has_value();
-    if (cancelled || !options_.is_engine) {
+    const auto& last = requests_.at(id).last;
+    const auto* failure = last ? std::get_if<link::failed>(&*last) : nullptr;
+    if (failure == nullptr || !may_be_death(*failure) || !options_.is_engine) {
         apply(scheduler_.on_failed(id, true, asked_at));
         release(id);
         return;
--- a/src/agent/upstream_call.cpp
+++ b/src/agent/upstream_call.cpp
@@ -81,6 +81,19 @@
     return message;
 }
 
+// Names a failed read: silence, a connection that ended too early, or an answer that is not HTTP.
+const char* read_failure(const beast::error_code& error)
+{
+    if (error == beast::error::timeout) {
+        return "upstream_silent";
+    }
+    const bool is_http_error =
+        error.category() == beast::error_code(http::error::bad_method).category();
+    const bool ended_early =
+        error == http::error::end_of_stream || error == http::error::partial_message;
+    return is_http_error && !ended_early ? "upstream_bad_answer" : "upstream_closed";
+}
+
 bool is_hop_by_hop(http::field name)
 {
     switch (name) {
@@ -178,7 +191,7 @@
     const auto [read_error, read] =
         co_await http::async_read_header(stream_, buffer, parser, as_result);
     if (read_error) {
-        fail(read_error == beast::error::timeout ? "upstream_silent" : "upstream_bad_answer");
+        fail(read_failure(read_error));
         co_return;
     }
 
@@ -208,7 +221,7 @@
         co_await http::async_read_some(source.stream, source.buffer, source.parser, as_result);
     chunk.resize(chunk.size() - body.size);
     if (error && error != http::error::need_buffer) {
-        fail(error == beast::error::timeout ? "upstream_silent" : "upstream_closed");
+        fail(read_failure(error));
     }
     co_return chunk;
 }
--- a/src/agent/upstream_probe.cpp
+++ b/src/agent/upstream_probe.cpp
@@ -25,8 +25,12 @@
 
 asio::awaitable<json_answer> get(net::http_client& client, const char* path)
 {
-    net::http_client::request request{http::verb::get, path, http_version};
-    const auto answer = co_await client.call(std::move(request), probe_timeout);
+    const net::http_client::request request{http::verb::get, path, http_version};
+    auto answer = co_await client.call(request, probe_timeout);
+    if (!answer.ok() && !absl::IsUnavailable(answer.status())) {
+        // A kept connection that broke says nothing; a new one tells whether anybody listens.
+        answer = co_await client.call(request, probe_timeout);
+    }
     if (!answer.ok()) {
         co_return json_answer{!absl::IsUnavailable(answer.status()), std::nullopt};
     }
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_server.h"
 
+#include "base/cbor.h"
 #include "cli/entry_settings.h"
 #include "config/access.h"
 #include "config/follower_message.h"
@@ -9,6 +10,7 @@
 #include "link/endpoint_options.h"
 #include "net/start_number.h"
 #include "net/steady_time.h"
+#include "poison/suspect_codec.h"
 #include "telemetry/admin_server.h"
 #include "telemetry/gauge.h"
 #include "telemetry/span_exporter.h"
@@ -76,9 +78,12 @@
     peers_.on_presence([this](const incarnation& peer, bool present) {
         metrics_.peer_links.add(present ? 1 : -1);
         states_.update("peer", peer.host.str(), present ? "linked" : "lost");
+        if (present) {
+            peers_.send(peer, suspects_topic, known_suspects());
+        }
     });
     peers_.on_message(suspects_topic, [this](const incarnation&, const std::string& payload) {
-        links_->broadcast({suspects_topic, payload});
+        learn_suspects(payload);
     });
     links_ = std::make_unique<agent_links>(traffic_.front()->context(),
                                            make_link_options(settings, start_), make_link_events());
@@ -97,6 +102,29 @@
     stop();
 }
 
+// Takes what a digest tells of requests that crash upstreams and passes it on to all agents if it
+// is new. Returns whether the digest was well-formed.
+bool entry_server::learn_suspects(const std::string& payload)
+{
+    const auto value = from_cbor(payload);
+    if (!value.ok()) {
+        return false;
+    }
+    const auto digest = poison::decode_suspect_digest(*value);
+    if (!digest.ok()) {
+        return false;
+    }
+    if (!suspects_.merge(*digest, steady_now()).empty()) {
+        links_->broadcast({suspects_topic, payload});
+    }
+    return true;
+}
+
+std::string entry_server::known_suspects() const
+{
+    return to_cbor(encode(suspects_.digest(steady_now())));
+}
+
 absl::Status entry_server::start()
 {
     std::vector<traffic_thread*> threads;
@@ -184,6 +212,7 @@
     counters_timer_.async_wait([this](const auto& error) {
         if (!error) {
             metrics_.registry().report(log_);
+            suspects_.on_tick(steady_now());
             report_counters();
         }
     });
@@ -294,6 +323,7 @@
         boost::asio::post(control_, [this, upstream, agent] {
             metrics_.agent_links.add(1);
             states_.update("agent_link", upstream.str(), "up");
+            links_->send(upstream, {suspects_topic, known_suspects()});
             chooser_.on_link_up(upstream, agent);
         });
     };
@@ -316,9 +346,10 @@
             });
         }
         if (message.topic == suspects_topic) {
-            links_->broadcast(message);
             boost::asio::post(control_, [this, payload = message.payload] {
-                peers_.broadcast(suspects_topic, payload);
+                if (learn_suspects(payload)) {
+                    peers_.broadcast(suspects_topic, payload);
+                }
             });
         }
     };
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -10,6 +10,7 @@
 #include "entry/peer_links.h"
 #include "entry/team_budgets.h"
 #include "entry/upstream_chooser.h"
+#include "poison/suspect_table.h"
 #include "telemetry/admin_handlers.h"
 #include "telemetry/logger.h"
 #include "telemetry/state_log.h"
@@ -79,6 +80,8 @@
     telemetry::readiness readiness() const;
     std::string status_document() const;
     void finish_drain();
+    bool learn_suspects(const std::string& payload);
+    std::string known_suspects() const;
     void report_counters();
 
     boost::asio::io_context& control_;
@@ -92,6 +95,8 @@
     boost::asio::steady_timer counters_timer_;
     duration counters_interval_;
     upstream_chooser chooser_;
+    /// Requests that crash upstreams, as far as any agent or entry has told.
+    poison::suspect_table suspects_;
     std::vector<std::unique_ptr<traffic_thread>> traffic_;
     std::unique_ptr<agent_links> links_;
     peer_links peers_;
--- /dev/null
+++ b/tests/process/upstream_faults_test.cpp
@@ -0,0 +1,117 @@
+#include "process/support/fleet.h"
+#include "process/support/wait_until.h"
+#include "support/http_probe.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace snipespar::testing {
+
+namespace {
+
+constexpr const char* poison = "this prompt crashes engines";
+
+http_reply call(const cli::endpoint& peer, const http_call& wanted)
+{
+    auto reply = send_call(peer, wanted);
+    CPPUNIT_ASSERT_MESSAGE(reply.ok() ? "" : std::string(reply.status().message()), reply.ok());
+    return *std::move(reply);
+}
+
+http_call completion(const std::string& model, const std::string& prompt)
+{
+    http_call wanted = completion_call("trial-north", model, 3);
+    auto body = nlohmann::json::parse(wanted.body);
+    body["prompt"] = prompt;
+    wanted.body = body.dump();
+    return wanted;
+}
+
+void set_faults(const upstream_pair& pair, const nlohmann::json& faults)
+{
+    http_call wanted;
+    wanted.method = "POST";
+    wanted.target = "/faults";
+    wanted.body = faults.dump();
+    CPPUNIT_ASSERT_EQUAL(200U, call(pair.upstream_address, wanted).status);
+}
+
+} // namespace
+
+/// Engines that crash, forget and fail, under real agents and entries.
+class upstream_faults_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(upstream_faults_test);
+    CPPUNIT_TEST(poison_request_takes_down_at_most_two_engines);
+    CPPUNIT_TEST(engine_that_forgot_its_adapters_loads_them_again);
+    CPPUNIT_TEST(failed_load_is_tried_again_and_never_answered_by_another_adapter);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void poison_request_takes_down_at_most_two_engines()
+    {
+        fleet_options options;
+        options.engines = 4;
+        options.entries = 2;
+        fleet test(options);
+        CPPUNIT_ASSERT(test.wait_until_ready());
+        for (std::size_t i = 0; i < options.engines; ++i) {
+            set_faults(test.engine(i), {{"crash_on", poison}});
+        }
+        constexpr int repeats = 10;
+        for (int i = 0; i < repeats; ++i) {
+            const auto through = test.entry(static_cast<std::size_t>(i) % 2).address;
+            CPPUNIT_ASSERT(call(through, completion("a1@v1", poison)).status != 200U);
+        }
+        std::size_t alive = 0;
+        for (std::size_t i = 0; i < options.engines; ++i) {
+            alive += test.engine(i).upstream->running() ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(alive + 2 >= options.engines);
+        CPPUNIT_ASSERT(wait_until([&] {
+            return call(test.entry().address, completion("a1@v1", "harmless")).status == 200U;
+        }));
+    }
+
+    void engine_that_forgot_its_adapters_loads_them_again()
+    {
+        fleet test;
+        CPPUNIT_ASSERT(test.wait_until_ready());
+        const auto before = call(test.entry().address, completion("a1@v2", "same"));
+        CPPUNIT_ASSERT_EQUAL(200U, before.status);
+        set_faults(test.engine(), {{"cold_restart", true}});
+        CPPUNIT_ASSERT(wait_until([&] {
+            const auto after = call(test.entry().address, completion("a1@v2", "same"));
+            return after.status == 200U && text_of(after) == text_of(before);
+        }));
+    }
+
+    void failed_load_is_tried_again_and_never_answered_by_another_adapter()
+    {
+        fleet test;
+        CPPUNIT_ASSERT(test.wait_until_ready());
+        set_faults(test.engine(), {{"fail_loads", 3}});
+        CPPUNIT_ASSERT(wait_until([&] {
+            const auto reply = call(test.entry().address, completion("a1@v2", "x"));
+            const auto body = nlohmann::json::parse(reply.body);
+            if (reply.status != 200U) {
+                CPPUNIT_ASSERT_EQUAL(std::string("not-run"),
+                                     body["error"]["ran"].get<std::string>());
+                return false;
+            }
+            CPPUNIT_ASSERT_EQUAL(std::string("a1@v2"), body["model"].get<std::string>());
+            return true;
+        }));
+    }
+
+private:
+    static std::string text_of(const http_reply& reply)
+    {
+        return nlohmann::json::parse(reply.body)["choices"][0]["text"].get<std::string>();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(upstream_faults_test);
+
+} // namespace snipespar::testing
