Join shared budgets, claims and the host list to the platform

Cause: each entry kept the allocation tables by itself, so that several entries allowed several times a team's budget; keyed calls that are not idempotent were refused always; and hosts that the platform lists as leaving still got work. An entry born in an outage takes the entries linked to it for the list once. Seen failing: without that, config_follow_test's entry born in an outage refused everything.

--- a/src/cli/agent_settings.h
+++ b/src/cli/agent_settings.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "base/secret.h"
 #include "cli/endpoint.h"
 #include "snipespar/ids.h"
 #include "snipespar/time.h"
-#include "base/secret.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -94,6 +94,10 @@
                 links_->send(agent, {config::follower_topic, payload});
             },
             [this](const std::shared_ptr<const config::snapshot>& config) { set_config(config); });
+        records_ = std::make_unique<platform_records>(
+            control, settings, [this] { return peers_.present(); },
+            [this](const std::vector<host_id>& leaving) { chooser_.on_leaving_hosts(leaving); });
+        use_claims(records_->claims());
     }
 }
 
@@ -142,7 +146,10 @@
     if (absl::Status status = peers_.listen(link_listen_.ip, link_listen_.port); !status.ok()) {
         return status;
     }
-    budgets_.start(local_limits_.store());
+    budgets_.start(records_ ? records_->limits() : local_limits_.store());
+    if (records_) {
+        records_->start();
+    }
     if (config_) {
         config_->start();
     }
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -8,6 +8,7 @@
 #include "entry/entry_metrics.h"
 #include "entry/local_limit_store.h"
 #include "entry/peer_links.h"
+#include "entry/platform_records.h"
 #include "entry/team_budgets.h"
 #include "entry/upstream_chooser.h"
 #include "poison/suspect_table.h"
@@ -103,6 +104,8 @@
     /// Null without a platform.
     std::unique_ptr<claim_gate> claims_;
     incarnation self_;
+    /// Null when the configuration comes from a local file.
+    std::unique_ptr<platform_records> records_;
     local_limit_store local_limits_;
     team_budgets budgets_;
     /// Null when the configuration comes from a local file.
--- /dev/null
+++ b/src/entry/platform_records.cpp
@@ -0,0 +1,197 @@
+#include "entry/platform_records.h"
+
+#include "cli/entry_settings.h"
+#include "limits/limits_codec.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace snipespar::entry {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr duration call_timeout = std::chrono::seconds(2);
+constexpr auto list_interval = std::chrono::seconds(1);
+constexpr const char* entry_role = "entry";
+
+std::optional<limits::versioned_table> table_of(const platform::object_reply& reply)
+{
+    if (absl::IsNotFound(reply.status)) {
+        return limits::versioned_table{};
+    }
+    if (!reply.status.ok() || reply.objects.empty()) {
+        return std::nullopt;
+    }
+    constexpr bool allow_exceptions = false;
+    const auto value =
+        nlohmann::json::parse(reply.objects.front().value, nullptr, allow_exceptions);
+    const auto table = limits::decode_table(value);
+    if (!table.ok()) {
+        return std::nullopt;
+    }
+    return limits::versioned_table{reply.objects.front().revision, *table};
+}
+
+limits::write_outcome outcome_of(const absl::Status& status)
+{
+    if (status.ok()) {
+        return limits::write_outcome::written;
+    }
+    return absl::IsAborted(status) ? limits::write_outcome::conflict
+                                   : limits::write_outcome::unknown;
+}
+
+claims::write_result claim_result_of(const platform::object_reply& reply)
+{
+    if (reply.status.ok() && !reply.objects.empty()) {
+        return {claims::write_status::written, reply.objects.front().revision};
+    }
+    if (absl::IsAborted(reply.status)) {
+        return {claims::write_status::conflict, 0};
+    }
+    return {claims::write_status::unknown, 0};
+}
+
+} // namespace
+
+platform_records::platform_records(asio::io_context& control, const cli::entry_settings& settings,
+                                   linked_entries linked, leaving_handler leaving)
+    : control_(control), timer_(control),
+      store_(settings.platform->ip, settings.platform->port, call_timeout),
+      environment_(settings.environment), self_(settings.host),
+      own_domain_(settings.failure_domain), linked_(std::move(linked)), leaving_(std::move(leaving))
+{
+}
+
+void platform_records::start()
+{
+    list_hosts();
+}
+
+void platform_records::stop()
+{
+    stopped_ = true;
+    timer_.cancel();
+}
+
+limit_store platform_records::limits()
+{
+    limit_store result;
+    result.read = [this](const limits::read_table& read, auto reply) {
+        perform(platform::get_object{table_key(read.group)},
+                [reply = std::move(reply)](const platform::object_reply& answer) {
+                    reply(table_of(answer));
+                });
+    };
+    result.write = [this](const limits::write_table& write, auto reply) {
+        perform(platform::put_object{table_key(write.group), encode(write.table).dump(),
+                                     write.expected_version},
+                [reply = std::move(reply)](const platform::object_reply& answer) {
+                    reply(outcome_of(answer.status));
+                });
+    };
+    result.members = [this] { return std::exchange(listed_, std::nullopt); };
+    return result;
+}
+
+claim_store platform_records::claims()
+{
+    claim_store result;
+    result.read = [this](const std::string& key, auto done) {
+        perform(platform::get_object{environment_ + "/" + key},
+                [done = std::move(done)](const platform::object_reply& answer) {
+                    if (answer.status.ok() && !answer.objects.empty()) {
+                        const auto& found = answer.objects.front();
+                        done(claims::read_status::found, found.revision, found.value);
+                        return;
+                    }
+                    const bool absent = absl::IsNotFound(answer.status);
+                    done(absent ? claims::read_status::absent : claims::read_status::unavailable, 0,
+                         "");
+                });
+    };
+    result.write = [this](const std::string& key, std::string value, std::uint64_t expected,
+                          auto done) {
+        perform(platform::put_object{environment_ + "/" + key, std::move(value), expected},
+                [done = std::move(done)](const platform::object_reply& answer) {
+                    done(claim_result_of(answer));
+                });
+    };
+    return result;
+}
+
+void platform_records::perform(platform::request call, reply_handler reply)
+{
+    asio::co_spawn(
+        control_,
+        [this, call = std::move(call),
+         reply = std::move(reply)]() mutable -> asio::awaitable<void> {
+            auto answer = co_await store_.perform(std::move(call));
+            if (!stopped_) {
+                reply(std::move(answer));
+            }
+        },
+        asio::detached);
+}
+
+void platform_records::list_hosts()
+{
+    perform(platform::list_hosts{}, [this](const platform::object_reply& answer) {
+        const bool born_in_outage = !ever_listed_ && !linked_().empty();
+        if (answer.status.ok() || born_in_outage) {
+            listed_ = members_of(answer.hosts);
+            ever_listed_ = true;
+        }
+        if (answer.status.ok()) {
+            std::vector<host_id> leaving;
+            for (const auto& host : answer.hosts) {
+                if (host.leaving) {
+                    leaving.push_back(host.host);
+                }
+            }
+            leaving_(leaving);
+        }
+        timer_.expires_after(list_interval);
+        timer_.async_wait([this](const auto& error) {
+            if (!error) {
+                list_hosts();
+            }
+        });
+    });
+}
+
+std::string platform_records::table_key(std::uint32_t group) const
+{
+    return "limits/" + environment_ + "/" + std::to_string(group);
+}
+
+// The listed entries, and those that run without being listed yet: this one and the linked ones.
+std::vector<limits::member>
+platform_records::members_of(const std::vector<platform::host_record>& hosts) const
+{
+    std::vector<limits::member> members;
+    for (const auto& host : hosts) {
+        if (host.role == entry_role) {
+            members.push_back({{host.host, 0}, host.failure_domain, host.leaving});
+        }
+    }
+    const auto add_unlisted = [&](const incarnation& process, const failure_domain_id& domain) {
+        const bool listed = std::ranges::any_of(
+            members, [&](const auto& member) { return member.id.host == process.host; });
+        if (!listed) {
+            members.push_back({process, domain, false});
+        }
+    };
+    add_unlisted({self_, 0}, own_domain_);
+    for (const auto& process : linked_()) {
+        add_unlisted(process, failure_domain_id());
+    }
+    return members;
+}
+
+} // namespace snipespar::entry
--- a/src/entry/upstream_chooser.cpp
+++ b/src/entry/upstream_chooser.cpp
@@ -56,6 +56,11 @@
     view_.on_report(id, std::move(load), now);
 }
 
+void upstream_chooser::on_leaving_hosts(const std::vector<host_id>& leaving)
+{
+    view_.on_host_list({leaving.begin(), leaving.end()});
+}
+
 void upstream_chooser::on_attempt_ended(const upstream_id& id, attempt_outcome outcome,
                                         duration took, time_point now)
 {
--- a/src/entry/upstream_chooser.h
+++ b/src/entry/upstream_chooser.h
@@ -48,6 +48,9 @@
     void on_link_up(const upstream_id& id, const incarnation& agent);
     void on_link_lost(const upstream_id& id);
     void on_report(const upstream_id& id, const link::upstream_report& report, time_point now);
+
+    /// The platform's list of hosts names these as leaving.
+    void on_leaving_hosts(const std::vector<host_id>& leaving);
     void on_attempt_ended(const upstream_id& id, attempt_outcome outcome, duration took,
                           time_point now);
 
--- a/tests/process/support/fleet.h
+++ b/tests/process/support/fleet.h
@@ -45,8 +45,8 @@
 
 /// Real processes of the project on loopback, with a document that holds two teams (`north` and
 /// `south`, keys `trial-north` and `trial-south`), adapters `a1` and `a2` (version `v1` and `v2` of
-/// `a1` for `north`, `v1` of `a2` for `south`), a third team `narrow` with 100 tokens a second and a
-/// burst of 200 that may call `v1` of `a1`, and the routes `/stock` (only GET is idempotent) and
+/// `a1` for `north`, `v1` of `a2` for `south`), a third team `narrow` with 100 tokens a second and
+/// a burst of 200 that may call `v1` of `a1`, and the routes `/stock` (only GET is idempotent) and
 /// `/open` (open to all). Nothing outlives the object.
 class fleet {
 public:
