--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/shared_snapshot.h"
 #include "cli/endpoint.h"
 #include "entry/agent_links.h"
 #include "entry/claim_gate.h"
@@ -116,7 +117,7 @@
     cli::endpoint link_listen_;
     cli::endpoint admin_listen_;
     std::vector<cli::endpoint> dialled_peers_;
-    std::atomic<std::shared_ptr<const config::access>> access_;
+    shared_snapshot<config::access> access_;
     std::atomic<std::uint64_t> last_request_{0};
     std::atomic<std::uint64_t> last_ticket_{0};
     std::atomic<std::int64_t> requests_in_progress_{0};
