--- /dev/null
+++ b/src/base/text_view.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <absl/strings/string_view.h>
+#include <string_view>
+
+namespace snipespar {
+
+/// Debian's Abseil has a string view type of its own; these convert without a copy.
+inline absl::string_view to_absl(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+inline std::string_view to_std(absl::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace snipespar
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -37,6 +37,14 @@
     static const std::vector<command> list{
         {"entry", {"entry"}, "Serves callers on this host.", entry_table()},
         {"agent", {"agent"}, "Serves one upstream beside it.", agent_table()},
+        {"gateway",
+         {"gateway"},
+         "Serves callers on this host, straight from the upstreams of the platform.",
+         gateway_table()},
+        {"sidecar",
+         {"sidecar"},
+         "Orders the engine on this host to hold the adapters that gateways need.",
+         sidecar_table()},
         {"check", {"check FILE"}, "Validates a configuration document.", check_table()},
         {"apply", {"apply FILE"}, "Validates a document and puts it in force.", operator_table()},
         {"promote",
@@ -198,6 +206,34 @@
     };
 }
 
+gateway_settings read_gateway(settings_reader& reader)
+{
+    return {
+        .listen = reader.read_or_empty("listen", parse_listen_endpoint),
+        .admin_listen = reader.read_or_empty("admin-listen", parse_listen_endpoint),
+        .control_listen = reader.read_or_empty("control-listen", parse_listen_endpoint),
+        .platform = reader.read_or_empty("platform", parse_endpoint),
+        .host = host_id(reader.read_or_empty("host", parse_name)),
+        .failure_domain = failure_domain_id(reader.read_or_empty("failure-domain", parse_name)),
+        .drain_timeout = reader.read_or_empty("drain-timeout", parse_duration),
+        .retry_ratio = reader.read_or_empty("retry-ratio", parse_real),
+        .retry_slack = reader.read_or_empty("retry-slack", parse_real),
+        .seed = reader.read_or_empty("seed", parse_number),
+    };
+}
+
+sidecar_settings read_sidecar(settings_reader& reader)
+{
+    return {
+        .control_listen = reader.read_or_empty("control-listen", parse_listen_endpoint),
+        .admin_listen = reader.read_or_empty("admin-listen", parse_listen_endpoint),
+        .engine = reader.read_or_empty("engine", parse_endpoint),
+        .platform = reader.read_or_empty("platform", parse_endpoint),
+        .host = host_id(reader.read_or_empty("host", parse_name)),
+        .seed = reader.read_or_empty("seed", parse_number),
+    };
+}
+
 platform_access read_access(settings_reader& reader)
 {
     return {
@@ -279,6 +315,12 @@
     if (item.name == "agent") {
         return read_agent(reader);
     }
+    if (item.name == "gateway") {
+        return read_gateway(reader);
+    }
+    if (item.name == "sidecar") {
+        return read_sidecar(reader);
+    }
     return read_operator(item, reader, values);
 }
 
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -3,8 +3,10 @@
 #include "cli/agent_settings.h"
 #include "cli/entry_settings.h"
 #include "cli/exit_code.h"
+#include "cli/gateway_settings.h"
 #include "cli/operator_settings.h"
 #include "cli/settings_reader.h"
+#include "cli/sidecar_settings.h"
 
 #include <string>
 #include <variant>
@@ -23,7 +25,8 @@
 
 /// What the command line asks for.
 using parsed_command =
-    std::variant<entry_settings, agent_settings, operator_settings, printed_text>;
+    std::variant<entry_settings, agent_settings, gateway_settings, sidecar_settings,
+                 operator_settings, printed_text>;
 
 /// Parses the arguments after the program's name together with the environment. All faults of the
 /// settings are reported in one `printed_text`; no text of a secret appears in it.
--- a/src/cli/setting_tables.cpp
+++ b/src/cli/setting_tables.cpp
@@ -109,6 +109,39 @@
     fleet_secret_setting,
 };
 
+constexpr setting control_listen_setting{
+    "control-listen", "<ip:port>", presence::required, "",
+    "Address of datagrams between gateways and sidecars. Every host uses the same port."};
+
+constexpr std::array gateway_settings_list{
+    setting{"listen", "<ip:port>", presence::required, "", "Address on which callers are served."},
+    setting{"admin-listen", "<ip:port>", presence::required, "",
+            "Address of readiness and metrics."},
+    control_listen_setting,
+    required_platform_setting,
+    host_setting,
+    failure_domain_setting,
+    setting{"drain-timeout", "<duration>", presence::defaulted, "7500ms",
+            "After SIGTERM, how long requests in progress may take to end before the stop is "
+            "forced."},
+    setting{"retry-ratio", "<number>", presence::defaulted, "0.2",
+            "Retries that each request allows, over all gateways."},
+    setting{"retry-slack", "<number>", presence::defaulted, "50",
+            "Retries allowed beyond that within ten seconds, over all gateways."},
+    seed_setting,
+};
+
+constexpr std::array sidecar_settings_list{
+    control_listen_setting,
+    setting{"admin-listen", "<ip:port>", presence::required, "",
+            "Address of readiness and metrics."},
+    setting{"engine", "<ip:port>", presence::required, "",
+            "Address of the engine on this host, as gateways address it."},
+    required_platform_setting,
+    host_setting,
+    seed_setting,
+};
+
 constexpr std::array operator_settings_list{
     required_platform_setting,
     environment_setting,
@@ -138,6 +171,16 @@
     return agent_settings_list;
 }
 
+std::span<const setting> gateway_table()
+{
+    return gateway_settings_list;
+}
+
+std::span<const setting> sidecar_table()
+{
+    return sidecar_settings_list;
+}
+
 std::span<const setting> check_table()
 {
     return check_settings_list;
--- a/src/cli/setting_tables.h
+++ b/src/cli/setting_tables.h
@@ -12,6 +12,12 @@
 /// Settings of `snipespar agent`.
 std::span<const setting> agent_table();
 
+/// Settings of `snipespar gateway`.
+std::span<const setting> gateway_table();
+
+/// Settings of `snipespar sidecar`.
+std::span<const setting> sidecar_table();
+
 /// Settings of `snipespar check`, which works on a local file only.
 std::span<const setting> check_table();
 
--- a/src/cli/value_parsers.cpp
+++ b/src/cli/value_parsers.cpp
@@ -1,11 +1,15 @@
 #include "cli/value_parsers.h"
 
+#include "base/text_view.h"
+
 #include <absl/status/status.h>
 #include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <fmt/format.h>
 #include <limits>
 #include <span>
@@ -180,6 +184,15 @@
     return number;
 }
 
+absl::StatusOr<double> parse_real(std::string_view text)
+{
+    double number = 0;
+    if (!absl::SimpleAtod(to_absl(text), &number) || !(number >= 0) || !std::isfinite(number)) {
+        return unexpected(text, "a decimal number that is not negative");
+    }
+    return number;
+}
+
 absl::StatusOr<std::string> parse_name(std::string_view text)
 {
     const bool valid = !text.empty() && text.size() <= max_name_length &&
--- a/src/cli/value_parsers.h
+++ b/src/cli/value_parsers.h
@@ -34,6 +34,9 @@
 /// Any whole number of 64 bits.
 absl::StatusOr<std::uint64_t> parse_number(std::string_view text);
 
+/// A decimal number that is not negative.
+absl::StatusOr<double> parse_real(std::string_view text);
+
 /// A name of 1 to 63 letters, digits, dots, underscores and hyphens.
 absl::StatusOr<std::string> parse_name(std::string_view text);
 
--- /dev/null
+++ b/src/control/adapter_demand.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace snipespar::control {
+
+/// Use of one adapter at one engine, as one gateway sees it.
+struct adapter_use {
+    std::string model;
+    std::string adapter;
+    /// Calls that wait for the adapter to be loaded.
+    int waiting = 0;
+    /// Calls that were sent to the engine and are not finished.
+    int running = 0;
+
+    friend bool operator==(const adapter_use&, const adapter_use&) = default;
+};
+
+/// What a gateway tells a sidecar: the adapters that it uses or needs at this engine.
+struct adapter_demand {
+    std::string gateway;
+    std::uint64_t gateway_start = 0;
+    std::uint64_t config_version = 0;
+    /// Places for adapters, as configured for the engine's service.
+    int adapter_slots = 0;
+    /// Base models that the engine has to offer.
+    std::vector<std::string> models;
+    std::vector<adapter_use> uses;
+
+    friend bool operator==(const adapter_demand&, const adapter_demand&) = default;
+};
+
+} // namespace snipespar::control
--- /dev/null
+++ b/src/control/datagram_socket.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "cli/endpoint.h"
+#include "control/message.h"
+
+#include <absl/status/status.h>
+#include <array>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <string>
+
+namespace snipespar::control {
+
+/// Sends and receives messages as datagrams. Sending never waits: a datagram that does not fit the
+/// socket's buffer is dropped, as it may be on the way.
+class datagram_socket {
+public:
+    /// Called with each message and the address `ip:port` that it came from.
+    using receiver = std::function<void(const message&, const cli::endpoint& from)>;
+
+    explicit datagram_socket(const boost::asio::any_io_executor& executor) : socket_(executor) {}
+
+    /// Binds the address and starts to receive.
+    absl::Status open(const cli::endpoint& listen, receiver received);
+
+    void send(const cli::endpoint& to, const std::string& bytes);
+
+    /// Datagrams that were no message.
+    std::uint64_t rejected() const { return rejected_; }
+
+private:
+    void receive();
+
+    // Largest datagram that can be received whole.
+    static constexpr std::size_t max_datagram_bytes = 65'536;
+
+    boost::asio::ip::udp::socket socket_;
+    receiver received_;
+    boost::asio::ip::udp::endpoint from_;
+    std::array<char, max_datagram_bytes> block_{};
+    std::uint64_t rejected_ = 0;
+};
+
+} // namespace snipespar::control
--- /dev/null
+++ b/src/control/sidecar_report.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "gateway/engine_status.h"
+
+#include <string>
+#include <vector>
+
+namespace snipespar::control {
+
+/// What a sidecar tells the gateways that use its engine.
+struct sidecar_report {
+    gateway::engine_status status;
+    /// Addresses `ip:port` of the gateways that it has heard of lately.
+    std::vector<std::string> gateways;
+
+    friend bool operator==(const sidecar_report&, const sidecar_report&) = default;
+};
+
+} // namespace snipespar::control
--- /dev/null
+++ b/src/gateway/call_exchange.cpp
@@ -0,0 +1,611 @@
+#include "gateway/call_exchange.h"
+
+#include "base/text_view.h"
+#include "gateway/attempt_header.h"
+#include "gateway/caller_connection.h"
+#include "gateway/channel_pool.h"
+#include "gateway/fleet_config.h"
+#include "gateway/gateway_context.h"
+#include "gateway/refusal.h"
+#include "gateway/upstream_channel.h"
+#include "net/steady_time.h"
+#include "platform/call_codec.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace snipespar::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// An answer has to reach the caller before it stops waiting: a millisecond on the way and some for
+// a busy processor.
+constexpr auto answer_margin = milliseconds(12);
+// With less time left no upstream can do anything useful.
+constexpr auto least_useful_time = milliseconds(20);
+constexpr auto connect_timeout = milliseconds(300);
+// A load takes a quarter of a second, and longer while many are on their way.
+constexpr auto load_patience = milliseconds(900);
+// Waits for an adapter after which a request is refused.
+constexpr int max_waits = 4;
+// Requests beyond the route's attempts that may be sent after upstreams refused to run it.
+constexpr int refused_sends_allowed = 2;
+// An upstream that is silent for this multiple of what callers expect has most likely failed.
+constexpr int stall_factor = 3;
+constexpr auto least_first_event_stall = milliseconds(1500);
+constexpr auto least_gap_stall = milliseconds(900);
+// A repeatable request is moved from a silent upstream while half of its time is left.
+constexpr int stall_share_of_limit = 2;
+// Callers come back after a refusal for load within this span, spread evenly.
+constexpr auto shortest_return = milliseconds(150);
+constexpr auto longest_return = milliseconds(600);
+constexpr int urgency_levels_of_route = 3;
+constexpr int lowest_urgency = 9;
+// Bytes that a caller may leave unread before its stream is broken off.
+constexpr std::size_t max_unsent_bytes = 1024 * 1024;
+// How long an older version of an adapter may be used after a newer one was announced. Upstreams
+// have to use the newer one five seconds after it.
+constexpr auto version_grace = milliseconds(3500);
+
+constexpr std::string_view last_chunk = "0\r\n\r\n";
+
+std::string chunk(std::string_view bytes)
+{
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+} // namespace
+
+call_exchange::call_exchange(gateway_context& context, std::shared_ptr<caller_connection> caller,
+                             call request, time_point arrived)
+    : context_(context), caller_(std::move(caller)), call_(std::move(request)), arrived_(arrived),
+      deadline_(arrived + std::chrono::hours(1)), config_(context.config),
+      last_event_(call_.last_event)
+{
+}
+
+void call_exchange::start()
+{
+    context_.metrics.in_flight.add(1);
+    if (plan()) {
+        try_next();
+    }
+}
+
+// Finds route, team and service; refuses what the configuration does not allow.
+bool call_exchange::plan()
+{
+    if (config_ == nullptr) {
+        refuse({503, "no_configuration", longest_return, false});
+        return false;
+    }
+    route_ = config_->find_route(call_.host, call_.path());
+    if (route_ == nullptr) {
+        refuse({404, "unknown_route", std::nullopt, false});
+        return false;
+    }
+    team_ = config_->find_team(call_.key);
+    if (config_->has_teams() && !route_->is_public && team_ == nullptr) {
+        refuse({401, "unknown_key", std::nullopt, false});
+        return false;
+    }
+    const auto wait = call_.wait.value_or(route_->time_limit);
+    deadline_ = arrived_ + std::min(wait, route_->time_limit) - answer_margin;
+
+    double sum = 0;
+    for (const auto& item : route_->services) {
+        sum += item.weight;
+    }
+    double pick = std::uniform_real_distribution<double>(0, std::max(sum, 1e-9))(context_.random);
+    for (const auto& item : route_->services) {
+        service_ = config_->find_service(item.service);
+        pick -= item.weight;
+        if (pick < 0) {
+            break;
+        }
+    }
+    if (service_ == nullptr) {
+        refuse({503, "unknown_service", longest_return, false});
+        return false;
+    }
+    context_.retries[service_->name].on_request();
+    if (team_ != nullptr) {
+        tokens_ = call_.has_token_count ? call_.prompt_tokens + call_.max_output_tokens
+                                        : team_->default_tokens;
+        if (const auto wait_for_tokens = context_.teams.take(team_->id, tokens_, steady_now())) {
+            refuse({429, "over_team_limit", *wait_for_tokens, false});
+            return false;
+        }
+    }
+    return true;
+}
+
+std::string call_exchange::adapter_key() const
+{
+    return call_.adapter.empty() ? std::string() : call_.model + "/" + call_.adapter;
+}
+
+std::uint64_t call_exchange::least_version(time_point now) const
+{
+    const auto found = context_.versions.find(adapter_key());
+    if (found == context_.versions.end()) {
+        return 0;
+    }
+    return now - found->second.known_since < version_grace ? found->second.previous
+                                                           : found->second.version;
+}
+
+void call_exchange::try_next()
+{
+    const auto now = steady_now();
+    if (deadline_ - now < least_useful_time) {
+        return give_up("no_time_left");
+    }
+    const placement_query query{service_->name, service_->engine ? adapter_key() : std::string(),
+                                call_.model, least_version(now), excluded_};
+    const auto chosen = context_.upstreams.all().empty()
+                            ? placement(no_upstream{})
+                            : context_.selector.choose(query, *service_, context_.upstreams,
+                                                       context_.gateways, now);
+    if (const auto* target = std::get_if<send_to>(&chosen)) {
+        if (may_send(now)) {
+            send(target->upstream, now);
+        }
+        return;
+    }
+    if (const auto* target = std::get_if<wait_for_adapter>(&chosen)) {
+        return wait_for_load(target->upstream, now);
+    }
+    give_up(std::get<no_upstream>(chosen).is_overloaded ? "upstreams_full" : "no_upstream");
+}
+
+void call_exchange::wait_for_load(const upstream_id& upstream, time_point now)
+{
+    if (++waits_ > max_waits) {
+        return give_up("adapter_not_loaded");
+    }
+    context_.metrics.adapter_waits.add();
+    awaited_ = upstream;
+    wait_ends_ = now + load_patience;
+    context_.upstreams.on_adapter_wait(upstream, adapter_key(), 1);
+    context_.send_demand(upstream);
+}
+
+void call_exchange::stop_waiting()
+{
+    if (!awaited_.empty()) {
+        context_.upstreams.on_adapter_wait(awaited_, adapter_key(), -1);
+        awaited_ = {};
+    }
+}
+
+void call_exchange::on_engine_status(const upstream_id& upstream)
+{
+    if (is_done_ || awaited_ != upstream) {
+        return;
+    }
+    const auto* state = context_.upstreams.find(upstream);
+    const bool is_open =
+        state != nullptr && upstream_table::is_open(*state, steady_now()) && state->status;
+    if (!is_open) {
+        stop_waiting();
+        return try_next();
+    }
+    const auto held = state->status->adapters.find(adapter_key());
+    if (held != state->status->adapters.end() && held->second >= least_version(steady_now())) {
+        stop_waiting();
+        --waits_;
+        if (may_send(steady_now())) {
+            send(upstream, steady_now());
+        }
+    }
+}
+
+void call_exchange::on_config() {}
+
+// Whether a request may leave now; refuses the call otherwise.
+bool call_exchange::may_send(time_point now)
+{
+    if (sends_ == 0) {
+        return true;
+    }
+    if (!can_try_again(now)) {
+        give_up("attempts_used_up");
+        return false;
+    }
+    if (!context_.retries[service_->name].try_take()) {
+        context_.metrics.retries_denied.add();
+        give_up("retry_budget_used_up");
+        return false;
+    }
+    context_.metrics.retries.add();
+    return true;
+}
+
+bool call_exchange::can_try_again(time_point now) const
+{
+    const bool may_run_again = runs_ == 0 || route_->is_repeatable();
+    return may_run_again && runs_ < route_->max_attempts &&
+           sends_ < route_->max_attempts + refused_sends_allowed &&
+           deadline_ - now >= least_useful_time;
+}
+
+void call_exchange::send(const upstream_id& upstream, time_point now)
+{
+    const auto* state = context_.upstreams.find(upstream);
+    upstream_ = upstream;
+    excluded_.insert(upstream);
+    sent_at_ = now;
+    progress_at_ = now;
+    is_answering_ = false;
+    header_.reset();
+    body_.clear();
+    events_ = {};
+    const auto address = state->entry.address;
+    context_.upstreams.on_call_sent(upstream, adapter_key(), call_.prompt_tokens);
+
+    attempt_header attempt;
+    attempt.upstream = upstream;
+    attempt.team = team_ == nullptr ? team_id() : team_->id;
+    attempt.time_left = deadline_ + answer_margin - now;
+    attempt.last_event = last_event_;
+    if (service_->engine) {
+        const int route_level = std::min(route_->priority, urgency_levels_of_route - 1);
+        const int team_level = team_ == nullptr ? 0 : team_->priority;
+        attempt.urgency =
+            std::min(team_level * urgency_levels_of_route + route_level, lowest_urgency);
+    }
+    channel_ = context_.channels.take(address, now);
+    ++sends_;
+    ++runs_;
+    const auto self = shared_from_this();
+    const auto used = channel_;
+    const auto guarded = [self, used](auto action) {
+        return [self, used, action](const auto&... arguments) {
+            if (!self->is_done_ && self->channel_ == used) {
+                ((*self).*action)(arguments...);
+            }
+        };
+    };
+    channel_handler handler;
+    handler.header = guarded(&call_exchange::on_header);
+    handler.body = guarded(&call_exchange::on_body);
+    handler.ended = guarded(&call_exchange::on_ended);
+    handler.failed = guarded(&call_exchange::on_failed);
+    channel_->exchange(platform::encode_attempt(call_, attempt), call_.body, call_.request_id,
+                       call_.method == "HEAD", std::min<duration>(connect_timeout, deadline_ - now),
+                       std::move(handler));
+}
+
+void call_exchange::on_header(const answer_header& header)
+{
+    progress_at_ = steady_now();
+    header_ = header;
+    if (!is_answering_) {
+        is_answering_ = true;
+        context_.upstreams.on_call_answering(upstream_, call_.prompt_tokens);
+    }
+    const bool is_usable = header.is_success() && header.is_sealed && !header.is_encoded;
+    if (header.is_success() && !is_usable) {
+        return on_attempt_failed("answer_not_the_upstreams_own");
+    }
+    if (route_->kind == call_kind::stream && is_usable) {
+        context_.metrics.latency.record(
+            std::chrono::duration<double>(steady_now() - arrived_).count());
+        if (!is_stream_open_) {
+            pass_stream_header();
+        }
+    }
+}
+
+void call_exchange::on_body(std::string_view bytes)
+{
+    progress_at_ = steady_now();
+    if (is_stream_open_ && header_->is_success()) {
+        return pass_events(bytes);
+    }
+    body_ += bytes;
+}
+
+void call_exchange::on_ended()
+{
+    if (header_->is_not_run) {
+        return on_not_run();
+    }
+    if (is_stream_open_ && header_->is_success()) {
+        if (events_.has_partial()) {
+            return resume_elsewhere("stream_ends_inside_an_event");
+        }
+        return end_stream();
+    }
+    if (is_stream_open_) {
+        return resume_elsewhere("resumption_failed");
+    }
+    const whole_answer answer{*header_, std::move(body_)};
+    const bool is_failure = header_->status >= 500;
+    if (!is_failure) {
+        release_upstream(call_result::success, true);
+        return pass_whole(answer);
+    }
+    release_upstream(call_result::failure, true);
+    failure_ = answer;
+    const auto now = steady_now();
+    if (can_try_again(now) && context_.retries[service_->name].available() >= 1) {
+        return try_next();
+    }
+    pass_whole(answer);
+}
+
+void call_exchange::on_failed(const absl::Status& status)
+{
+    if (absl::IsUnavailable(status)) {
+        // Nothing of it arrived.
+        --sends_;
+        --runs_;
+    }
+    on_attempt_failed(to_std(status.message()));
+}
+
+// The upstream refused to run the request.
+void call_exchange::on_not_run()
+{
+    --runs_;
+    const auto status = header_->status;
+    const bool is_other = !header_->upstream.empty() && header_->upstream != upstream_.str();
+    const bool is_missing = status == 421 && !is_other;
+    if (is_other) {
+        context_.upstreams.remove(upstream_, steady_now());
+    }
+    if (is_missing) {
+        context_.upstreams.on_adapter_missing(upstream_, adapter_key());
+    }
+    context_.log.info("attempt_refused", {{"request", call_.request_id},
+                                          {"upstream", upstream_.str()},
+                                          {"status", status},
+                                          {"other_upstream", is_other},
+                                          {"sends", sends_}});
+    release_upstream(call_result::refused, true);
+    if (can_try_again(steady_now())) {
+        return try_next();
+    }
+    give_up("upstreams_refused");
+}
+
+// The upstream broke off, stayed silent or answered with something unusable.
+void call_exchange::on_attempt_failed(std::string_view cause)
+{
+    context_.log.info("attempt_failed", {{"request", call_.request_id},
+                                         {"upstream", upstream_.str()},
+                                         {"cause", std::string(cause)},
+                                         {"sends", sends_},
+                                         {"runs", runs_},
+                                         {"answering", is_answering_}});
+    if (is_stream_open_) {
+        return resume_elsewhere(cause);
+    }
+    release_upstream(call_result::failure, false);
+    if (can_try_again(steady_now())) {
+        return try_next();
+    }
+    give_up("upstream_failed");
+}
+
+void call_exchange::resume_elsewhere(std::string_view cause)
+{
+    release_upstream(call_result::failure, false);
+    if (!can_try_again(steady_now())) {
+        return abort_answer(cause);
+    }
+    context_.metrics.resumed_streams.add();
+    try_next();
+}
+
+void call_exchange::pass_stream_header()
+{
+    is_stream_open_ = true;
+    caller_->send(fmt::format("HTTP/1.1 {} {}\r\n{}Transfer-Encoding: chunked\r\n{}\r\n",
+                              header_->status, header_->reason, header_->forwarded_header,
+                              context_.is_draining ? "Connection: close\r\n" : ""));
+}
+
+void call_exchange::pass_events(std::string_view bytes)
+{
+    std::string passed;
+    for (const auto& event : events_.feed(bytes)) {
+        if (event.number) {
+            if (last_event_ && *event.number <= *last_event_) {
+                continue;
+            }
+            if (last_event_ && *event.number != *last_event_ + 1) {
+                if (!passed.empty()) {
+                    caller_->send(chunk(passed));
+                }
+                return on_attempt_failed("event_missing");
+            }
+            last_event_ = event.number;
+        }
+        passed += event.bytes;
+    }
+    if (passed.empty()) {
+        return;
+    }
+    if (caller_->unsent_bytes() > max_unsent_bytes) {
+        return abort_answer("caller_does_not_read");
+    }
+    caller_->send(chunk(passed));
+}
+
+void call_exchange::end_stream()
+{
+    release_upstream(call_result::success, true);
+    context_.metrics.answers.add();
+    const auto caller = caller_;
+    caller->send(std::string(last_chunk));
+    finish();
+    caller->end_answer(context_.is_draining || !call_.keep_alive);
+}
+
+void call_exchange::pass_whole(const whole_answer& answer)
+{
+    context_.metrics.answers.add();
+    context_.metrics.latency.record(std::chrono::duration<double>(steady_now() - arrived_).count());
+    const bool closes = context_.is_draining || !call_.keep_alive;
+    const auto caller = caller_;
+    std::string text = fmt::format("HTTP/1.1 {} {}\r\n{}", answer.header.status,
+                                   answer.header.reason, answer.header.forwarded_header);
+    if (closes) {
+        text += "Connection: close\r\n";
+    }
+    const bool has_body = answer.header.status != 204 && answer.header.status != 304;
+    if (has_body) {
+        text += fmt::format("Content-Length: {}\r\n", answer.body.size());
+    }
+    text += "\r\n";
+    if (call_.method != "HEAD") {
+        text += answer.body;
+    }
+    caller->send(std::move(text));
+    finish();
+    caller->end_answer(closes);
+}
+
+void call_exchange::release_upstream(call_result result, bool keeps_channel)
+{
+    if (channel_ == nullptr) {
+        return;
+    }
+    const auto now = steady_now();
+    const auto used = std::exchange(channel_, nullptr);
+    if (!is_answering_) {
+        context_.upstreams.on_call_answering(upstream_, call_.prompt_tokens);
+    }
+    context_.upstreams.on_call_ended(upstream_, adapter_key(), result, now);
+    if (keeps_channel) {
+        context_.channels.give_back(used, now);
+    }
+    else {
+        used->abandon();
+    }
+}
+
+// Gives the final answer to a request for which no upstream is left.
+void call_exchange::give_up(std::string_view cause)
+{
+    if (is_stream_open_) {
+        return abort_answer(cause);
+    }
+    if (failure_) {
+        const auto answer = *std::exchange(failure_, std::nullopt);
+        return pass_whole(answer);
+    }
+    if (runs_ > 0) {
+        return refuse({502, std::string(cause), std::nullopt, false});
+    }
+    std::uniform_int_distribution<duration::rep> spread(duration(shortest_return).count(),
+                                                        duration(longest_return).count());
+    refuse({503, std::string(cause), duration(spread(context_.random)), false});
+}
+
+void call_exchange::refuse(const refusal& refused)
+{
+    context_.metrics.refusals.add();
+    context_.log.info(
+        "call_refused",
+        {{"request", call_.request_id},
+         {"status", refused.status},
+         {"cause", refused.cause},
+         {"route", route_ == nullptr ? std::string() : route_->id.str()},
+         {"adapter", adapter_key()},
+         {"team", team_ == nullptr ? std::string() : team_->id.str()},
+         {"sends", sends_},
+         {"runs", runs_},
+         {"after_ms",
+          std::chrono::duration_cast<milliseconds>(steady_now() - arrived_).count()},
+         {"config", config_ == nullptr ? std::uint64_t{0} : config_->version()}});
+    auto answer = refused;
+    answer.closes = context_.is_draining || !call_.keep_alive;
+    const auto caller = caller_;
+    caller->send(to_http(answer, call_.request_id));
+    finish();
+    caller->end_answer(answer.closes);
+}
+
+void call_exchange::abort_answer(std::string_view cause)
+{
+    context_.metrics.broken_streams.add();
+    context_.log.warning("stream_broken", {{"request", call_.request_id},
+                                           {"upstream", upstream_.str()},
+                                           {"cause", std::string(cause)},
+                                           {"last_event", last_event_.value_or(0)},
+                                           {"runs", runs_}});
+    release_upstream(call_result::refused, false);
+    const auto caller = caller_;
+    finish();
+    caller->abort();
+}
+
+void call_exchange::on_caller_left()
+{
+    if (is_done_) {
+        return;
+    }
+    context_.metrics.cancellations.add();
+    release_upstream(call_result::refused, false);
+    finish();
+}
+
+void call_exchange::finish()
+{
+    if (is_done_) {
+        return;
+    }
+    is_done_ = true;
+    stop_waiting();
+    context_.metrics.in_flight.add(-1);
+    context_.exchanges.erase(shared_from_this());
+}
+
+duration call_exchange::stall_limit() const
+{
+    if (route_->kind == call_kind::stream) {
+        return is_stream_open_
+                   ? std::max<duration>(2 * route_->target_gap, least_gap_stall)
+                   : std::max<duration>(stall_factor * route_->target_latency,
+                                        least_first_event_stall);
+    }
+    return std::min<duration>(stall_factor * route_->target_latency,
+                              route_->time_limit / stall_share_of_limit);
+}
+
+void call_exchange::on_tick(time_point now)
+{
+    if (is_done_) {
+        return;
+    }
+    if (now >= deadline_) {
+        const bool is_running = channel_ != nullptr;
+        release_upstream(call_result::refused, false);
+        if (is_stream_open_) {
+            return abort_answer("time_limit");
+        }
+        if (is_running) {
+            return refuse({504, "time_limit", std::nullopt, false});
+        }
+        return give_up("time_limit");
+    }
+    if (!awaited_.empty() && now >= wait_ends_) {
+        const auto awaited = awaited_;
+        stop_waiting();
+        excluded_.insert(awaited);
+        return try_next();
+    }
+    if (channel_ != nullptr && route_->is_repeatable() && now - progress_at_ > stall_limit() &&
+        can_try_again(now) && context_.retries[service_->name].available() >= 1) {
+        on_attempt_failed("silent");
+    }
+}
+
+} // namespace snipespar::gateway
--- /dev/null
+++ b/src/gateway/caller_connection.cpp
@@ -0,0 +1,263 @@
+#include "gateway/caller_connection.h"
+
+#include "gateway/call_exchange.h"
+#include "gateway/fleet_config.h"
+#include "gateway/gateway_context.h"
+#include "gateway/refusal.h"
+#include "net/socket_options.h"
+#include "net/steady_time.h"
+#include "platform/call_codec.h"
+
+#include <absl/strings/match.h>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <utility>
+
+namespace snipespar::gateway {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+// Bytes of further requests that are kept while one is in progress.
+constexpr std::size_t max_pipelined_bytes = 64 * 1024;
+
+} // namespace
+
+caller_connection::caller_connection(asio::ip::tcp::socket socket, gateway_context& context)
+    : socket_(std::move(socket)), context_(context), idle_since_(steady_now())
+{
+}
+
+void caller_connection::start()
+{
+    net::set_liveness_options(socket_);
+    reset_parser();
+    read();
+}
+
+void caller_connection::reset_parser()
+{
+    const caller_limits limits = context_.config ? context_.config->limits() : caller_limits{};
+    parser_.emplace();
+    parser_->header_limit(limits.max_header_bytes);
+    parser_->body_limit(limits.max_body_bytes);
+    parser_->eager(true);
+    is_continue_sent_ = false;
+}
+
+void caller_connection::read()
+{
+    if (is_reading_ || is_closed_ || input_.size() > max_pipelined_bytes) {
+        return;
+    }
+    is_reading_ = true;
+    socket_.async_read_some(asio::buffer(block_),
+                            [self = shared_from_this()](const auto& error, std::size_t count) {
+                                self->is_reading_ = false;
+                                self->on_read(error, count);
+                            });
+}
+
+void caller_connection::on_read(const boost::system::error_code& error, std::size_t count)
+{
+    if (is_closed_) {
+        return;
+    }
+    if (error) {
+        return leave();
+    }
+    input_.append(block_.data(), count);
+    if (exchange_ == nullptr && !is_closing_) {
+        parse();
+    }
+    read();
+}
+
+void caller_connection::parse()
+{
+    while (!input_.empty() && exchange_ == nullptr && !is_closing_ && !is_closed_) {
+        if (!request_began_) {
+            request_began_ = steady_now();
+            reset_parser();
+        }
+        boost::system::error_code error;
+        const auto used = parser_->put(asio::buffer(input_), error);
+        input_.erase(0, used);
+        if (error && error != http::error::need_more) {
+            return refuse_bad_request(error);
+        }
+        if (parser_->is_done()) {
+            take_request();
+            continue;
+        }
+        if (parser_->is_header_done() && !is_continue_sent_ &&
+            absl::EqualsIgnoreCase(
+                std::string(parser_->get()[http::field::expect]), "100-continue")) {
+            is_continue_sent_ = true;
+            send("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        if (used == 0 || error == http::error::need_more) {
+            return;
+        }
+    }
+}
+
+void caller_connection::take_request()
+{
+    const auto arrived = *std::exchange(request_began_, std::nullopt);
+    context_.metrics.calls.add();
+    auto message = parser_->release();
+    const std::string id(message["Request-Id"]);
+    auto call = platform::decode_call(std::move(message));
+    if (!call.ok()) {
+        context_.log.info("call_refused", {{"request", id},
+                                           {"status", 400},
+                                           {"cause", std::string(call.status().message())}});
+        context_.metrics.refusals.add();
+        return answer({400, std::string(call.status().message()), std::nullopt, false}, id);
+    }
+    exchange_ = std::make_shared<call_exchange>(context_, shared_from_this(), *std::move(call),
+                                                arrived);
+    const auto started = exchange_;
+    context_.exchanges.insert(started);
+    started->start();
+}
+
+void caller_connection::refuse_bad_request(const boost::system::error_code& error)
+{
+    refusal refused{400, "malformed request: " + error.message(), std::nullopt, true};
+    if (error == http::error::header_limit) {
+        refused = {431, "the request header is too large", std::nullopt, true};
+    }
+    else if (error == http::error::body_limit) {
+        refused = {413, "the request body is too large", std::nullopt, true};
+    }
+    context_.log.info("call_refused", {{"status", refused.status}, {"cause", refused.cause}});
+    context_.metrics.refusals.add();
+    answer(refused, {});
+}
+
+void caller_connection::answer(const refusal& refused, const std::string& request_id)
+{
+    send(to_http(refused, request_id));
+    end_answer(refused.closes);
+}
+
+void caller_connection::send(std::string bytes)
+{
+    if (is_closed_) {
+        return;
+    }
+    if (output_.empty()) {
+        output_ = std::move(bytes);
+    }
+    else {
+        output_ += bytes;
+    }
+    if (!is_writing_) {
+        write();
+    }
+}
+
+void caller_connection::write()
+{
+    is_writing_ = true;
+    writing_ = std::exchange(output_, {});
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this()](const auto& error, std::size_t) {
+                          self->is_writing_ = false;
+                          self->writing_.clear();
+                          if (self->is_closed_) {
+                              return;
+                          }
+                          if (error) {
+                              return self->leave();
+                          }
+                          if (!self->output_.empty()) {
+                              return self->write();
+                          }
+                          if (self->is_closing_) {
+                              self->close();
+                          }
+                      });
+}
+
+void caller_connection::end_answer(bool closes)
+{
+    exchange_.reset();
+    request_began_.reset();
+    idle_since_ = steady_now();
+    if (closes) {
+        is_closing_ = true;
+        if (!is_writing_) {
+            close();
+        }
+        return;
+    }
+    if (!input_.empty()) {
+        asio::post(context_.executor, [self = shared_from_this()] {
+            if (!self->is_closed_ && self->exchange_ == nullptr) {
+                self->parse();
+                self->read();
+            }
+        });
+    }
+}
+
+void caller_connection::abort()
+{
+    exchange_.reset();
+    close();
+}
+
+void caller_connection::leave()
+{
+    if (const auto left = std::exchange(exchange_, nullptr)) {
+        left->on_caller_left();
+    }
+    close();
+}
+
+void caller_connection::close()
+{
+    if (!is_closed_) {
+        is_closed_ = true;
+        boost::system::error_code ignored;
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        socket_.close(ignored);
+    }
+}
+
+void caller_connection::on_tick(time_point now)
+{
+    if (is_closed_ || exchange_ != nullptr) {
+        return;
+    }
+    const caller_limits limits = context_.config ? context_.config->limits() : caller_limits{};
+    if (request_began_) {
+        // A body may take as long as a connection may be idle.
+        const auto allowed =
+            parser_->is_header_done() ? limits.idle_timeout : limits.header_timeout;
+        if (now - *request_began_ > allowed && !is_closing_) {
+            context_.log.info("call_refused", {{"status", 408}, {"cause", "request_too_slow"}});
+            context_.metrics.refusals.add();
+            answer({408, "the request was not received in time", std::nullopt, true}, {});
+        }
+    }
+    else if (now - idle_since_ > limits.idle_timeout) {
+        close();
+    }
+}
+
+void caller_connection::close_if_idle()
+{
+    if (exchange_ == nullptr && !request_began_ && !is_writing_ && input_.empty()) {
+        close();
+    }
+}
+
+} // namespace snipespar::gateway
--- /dev/null
+++ b/src/gateway/caller_connection.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "snipespar/time.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace snipespar::gateway {
+
+class call_exchange;
+struct gateway_context;
+struct refusal;
+
+/// One caller's connection: reads requests one after the other and writes their answers.
+class caller_connection : public std::enable_shared_from_this<caller_connection> {
+public:
+    caller_connection(boost::asio::ip::tcp::socket socket, gateway_context& context);
+
+    void start();
+
+    /// Queues bytes of the present answer.
+    void send(std::string bytes);
+
+    /// Bytes queued and not yet taken by the caller's connection.
+    std::size_t unsent_bytes() const { return output_.size() + writing_.size(); }
+
+    /// The present answer is complete; the next request follows unless the connection closes.
+    void end_answer(bool closes);
+
+    /// Closes without completing the present answer.
+    void abort();
+
+    /// Closes the connection if it is idle or slow beyond the limits.
+    void on_tick(time_point now);
+
+    /// Closes the connection if no request is in progress.
+    void close_if_idle();
+
+    bool is_closed() const { return is_closed_; }
+
+private:
+    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    void reset_parser();
+    void read();
+    void on_read(const boost::system::error_code& error, std::size_t count);
+    void parse();
+    void take_request();
+    void refuse_bad_request(const boost::system::error_code& error);
+    void answer(const refusal& refused, const std::string& request_id);
+    void write();
+    void close();
+    void leave();
+
+    boost::asio::ip::tcp::socket socket_;
+    gateway_context& context_;
+    std::optional<parser> parser_;
+    std::array<char, 8192> block_{};
+    std::string input_;
+    std::string output_;
+    std::string writing_;
+    std::shared_ptr<call_exchange> exchange_;
+    /// When the first byte of the request that is being read came; unset between requests.
+    std::optional<time_point> request_began_;
+    time_point idle_since_;
+    bool is_reading_ = false;
+    bool is_writing_ = false;
+    bool is_closing_ = false;
+    bool is_closed_ = false;
+    bool is_continue_sent_ = false;
+};
+
+} // namespace snipespar::gateway
--- /dev/null
+++ b/src/gateway/gateway_context.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "gateway/channel_pool.h"
+#include "gateway/fleet_config.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/team_meter.h"
+#include "gateway/upstream_selector.h"
+#include "gateway/upstream_table.h"
+#include "route/retry_budget.h"
+#include "snipespar/ids.h"
+#include "snipespar/time.h"
+#include "telemetry/logger.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace snipespar::gateway {
+
+class call_exchange;
+
+/// A version of an adapter that was announced, and since when this gateway knows.
+struct announced_version {
+    std::uint64_t version = 0;
+    /// The version before, which may still be used for a while.
+    std::uint64_t previous = 0;
+    time_point known_since;
+
+    friend bool operator==(const announced_version&, const announced_version&) = default;
+};
+
+/// What all connections and exchanges of one gateway share. Used on one thread.
+struct gateway_context {
+    gateway_context(boost::asio::any_io_executor runs_on, failure_domain_id domain,
+                    std::uint64_t start, std::uint64_t seed, telemetry::logger& output)
+        : executor(runs_on), log(output), selector(std::move(domain), seed), teams(start),
+          channels(runs_on), random(seed)
+    {
+    }
+    gateway_context(const gateway_context&) = delete;
+    gateway_context& operator=(const gateway_context&) = delete;
+
+    boost::asio::any_io_executor executor;
+    telemetry::logger& log;
+    gateway_metrics metrics;
+    /// Null until a configuration is known.
+    std::shared_ptr<const fleet_config> config;
+    upstream_table upstreams;
+    upstream_selector selector;
+    team_meter teams;
+    /// By service.
+    std::map<std::string, route::retry_budget> retries;
+    /// By `model/adapter`.
+    std::map<std::string, announced_version, std::less<>> versions;
+    channel_pool channels;
+    std::mt19937_64 random;
+    /// Exchanges that are not finished.
+    std::set<std::shared_ptr<call_exchange>> exchanges;
+    /// Gateways that share the upstreams, this one included.
+    int gateways = 1;
+    bool is_draining = false;
+    /// Tells the sidecar of this upstream what is needed there.
+    std::function<void(const upstream_id&)> send_demand;
+};
+
+} // namespace snipespar::gateway
--- /dev/null
+++ b/src/gateway/gateway_server.cpp
@@ -0,0 +1,515 @@
+#include "gateway/gateway_server.h"
+
+#include "gateway/call_exchange.h"
+#include "gateway/caller_connection.h"
+#include "net/start_number.h"
+#include "net/steady_time.h"
+#include "platform/adapter_version_codec.h"
+#include "platform/config_codec.h"
+#include "platform/upstream_entry_codec.h"
+#include "telemetry/admin_server.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace snipespar::gateway {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Resolution of time limits.
+constexpr auto tick_interval = milliseconds(20);
+// Idle connections and remembered hosts are looked through at this interval.
+constexpr auto slow_tick_interval = milliseconds(250);
+// Every sidecar hears of the adapters in use at this interval, and at once of a new need.
+constexpr auto demand_interval = milliseconds(500);
+// Use of team limits is told at this interval while it changes, and else at the longer one.
+constexpr auto usage_interval = milliseconds(250);
+constexpr auto idle_usage_interval = milliseconds(1000);
+// Pause between two readings of the configuration that other gateways have a newer version of.
+constexpr auto config_refresh_pause = milliseconds(1000);
+// After it, the balancer has noticed that this gateway is not ready and sends no new connections.
+constexpr auto balancer_notice_time = milliseconds(2500);
+// Idle callers are let go at once when the process stops; requests on their way still come.
+constexpr auto idle_close_time = milliseconds(1000);
+// Part of the fleet's retry allowance that is spread over the gateways; the rest covers gateways
+// that start anew with a full allowance.
+constexpr double retry_share = 0.6;
+constexpr int listen_backlog = 1024;
+
+std::uint64_t seed_of(std::uint64_t given)
+{
+    return given != 0 ? given : std::random_device{}();
+}
+
+} // namespace
+
+gateway_server::gateway_server(asio::io_context& io, const cli::gateway_settings& settings,
+                               telemetry::logger& log)
+    : io_(io), settings_(settings), start_(net::start_number()),
+      context_(io.get_executor(), settings.failure_domain, start_, seed_of(settings.seed), log),
+      peers_(settings.control_listen), acceptor_(io), tick_timer_(io),
+      datagrams_(io.get_executor()),
+      config_watch_(make_watch("config", &gateway_server::on_config_listed,
+                               &gateway_server::on_config_changed)),
+      upstream_watch_(make_watch("servers", &gateway_server::on_upstreams_listed,
+                                 &gateway_server::on_upstream_changed)),
+      version_watch_(make_watch("versions", &gateway_server::on_versions_listed,
+                                &gateway_server::on_version_changed))
+{
+    context_.send_demand = [this](const upstream_id& upstream) { queue_demand(upstream); };
+}
+
+gateway_server::~gateway_server() = default;
+
+platform::object_watch gateway_server::make_watch(
+    const std::string& kind,
+    void (gateway_server::*listed)(const std::vector<platform::watched_object>&),
+    void (gateway_server::*changed)(const platform::watched_object&))
+{
+    return platform::object_watch(
+        io_.get_executor(), settings_.platform, kind, context_.random(),
+        {[this, listed](const auto& objects) { (this->*listed)(objects); },
+         [this, changed](const auto& object) { (this->*changed)(object); },
+         [this, kind](bool is_reached, const std::string& reason) {
+             on_contact(kind, is_reached, reason);
+         }});
+}
+
+absl::Status gateway_server::start()
+{
+    if (auto status = listen(); !status.ok()) {
+        return status;
+    }
+    auto status = datagrams_.open(settings_.control_listen,
+                                  [this](const auto& content, const auto& from) {
+                                      on_message(content, from);
+                                  });
+    if (!status.ok()) {
+        return status;
+    }
+    telemetry::admin_handlers handlers{
+        [this] { return context_.metrics.registry.exposition(); },
+        [this] { return readiness(); },
+        [this] { return this->status(); },
+    };
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(settings_.admin_listen.ip, error);
+    auto admin = telemetry::admin_server::make(
+        io_.get_executor(), tcp::endpoint(address, settings_.admin_listen.port),
+        std::move(handlers));
+    if (!admin.ok()) {
+        return admin.status();
+    }
+    admin_ = *std::move(admin);
+    config_watch_.start();
+    upstream_watch_.start();
+    version_watch_.start();
+    accept();
+    tick();
+    context_.log.info("started", {{"role", "gateway"},
+                                  {"host", settings_.host.str()},
+                                  {"failure_domain", settings_.failure_domain.str()},
+                                  {"listen", settings_.listen.str()},
+                                  {"platform", settings_.platform.str()},
+                                  {"start", start_}});
+    return absl::OkStatus();
+}
+
+absl::Status gateway_server::listen()
+{
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(settings_.listen.ip, error);
+    const tcp::endpoint local(address, settings_.listen.port);
+    if (!error) {
+        std::ignore = acceptor_.open(local.protocol(), error);
+    }
+    if (!error) {
+        std::ignore = acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        std::ignore = acceptor_.bind(local, error);
+    }
+    if (!error) {
+        std::ignore = acceptor_.listen(listen_backlog, error);
+    }
+    return error ? absl::UnavailableError("cannot listen on " + settings_.listen.str() + ": " +
+                                          error.message())
+                 : absl::OkStatus();
+}
+
+void gateway_server::accept()
+{
+    acceptor_.async_accept([this](const auto& error, tcp::socket socket) {
+        if (!acceptor_.is_open()) {
+            return;
+        }
+        if (!error) {
+            const auto connection =
+                std::make_shared<caller_connection>(std::move(socket), context_);
+            connections_.push_back(connection);
+            connection->start();
+        }
+        accept();
+    });
+}
+
+void gateway_server::tick()
+{
+    const auto now = steady_now();
+    const auto active = context_.exchanges;
+    for (const auto& exchange : active) {
+        exchange->on_tick(now);
+    }
+    if (now - slow_tick_at_ >= slow_tick_interval) {
+        slow_tick_at_ = now;
+        tick_slowly(now);
+    }
+    if (drained_ && context_.exchanges.empty() && now - drain_began_ >= balancer_notice_time) {
+        const auto done = std::exchange(drained_, {});
+        context_.log.info("stopped", {{"role", "gateway"}, {"forced", false}});
+        done();
+        return;
+    }
+    tick_timer_.expires_after(tick_interval);
+    tick_timer_.async_wait([this](const auto& error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+void gateway_server::tick_slowly(time_point now)
+{
+    for (auto item = connections_.begin(); item != connections_.end();) {
+        const auto connection = item->lock();
+        if (connection == nullptr || connection->is_closed()) {
+            item = connections_.erase(item);
+            continue;
+        }
+        connection->on_tick(now);
+        if (context_.is_draining && now - drain_began_ >= idle_close_time) {
+            connection->close_if_idle();
+        }
+        ++item;
+    }
+    context_.channels.on_tick(now);
+    context_.upstreams.on_tick(now);
+    context_.teams.on_tick(now);
+    peers_.on_tick(now);
+    if (context_.gateways != peers_.count()) {
+        context_.gateways = peers_.count();
+        context_.log.info("gateways_changed", {{"count", context_.gateways}});
+        update_retry_budgets();
+    }
+    if (now - demand_sent_at_ >= demand_interval) {
+        demand_sent_at_ = now;
+        for (const auto& [id, state] : context_.upstreams.all()) {
+            send_demand(id);
+        }
+    }
+    send_usage(now);
+    if (context_.is_draining && now - drain_began_ >= balancer_notice_time &&
+        acceptor_.is_open()) {
+        boost::system::error_code ignored;
+        std::ignore = acceptor_.close(ignored);
+    }
+}
+
+void gateway_server::drain(std::function<void()> done)
+{
+    context_.is_draining = true;
+    drain_began_ = steady_now();
+    drained_ = std::move(done);
+    context_.log.info("draining", {{"in_flight", context_.exchanges.size()}});
+    usage_sent_at_ = {};
+    send_usage(drain_began_);
+}
+
+telemetry::readiness gateway_server::readiness() const
+{
+    if (context_.is_draining) {
+        return {false, "draining"};
+    }
+    if (context_.config == nullptr) {
+        return {false, "no configuration yet"};
+    }
+    if (!has_upstreams_) {
+        return {false, "upstreams not known yet"};
+    }
+    return {true, {}};
+}
+
+std::string gateway_server::status() const
+{
+    nlohmann::json upstreams = nlohmann::json::array();
+    for (const auto& [id, state] : context_.upstreams.all()) {
+        upstreams.push_back({{"id", id.str()},
+                             {"service", state.entry.service},
+                             {"address", state.entry.address.str()},
+                             {"draining", state.entry.is_draining},
+                             {"in_flight", state.in_flight},
+                             {"failure_rate", state.failure_rate}});
+    }
+    const nlohmann::json value{
+        {"config", context_.config == nullptr ? 0 : context_.config->version()},
+        {"gateways", context_.gateways},
+        {"in_flight", context_.exchanges.size()},
+        {"upstreams", upstreams}};
+    return value.dump();
+}
+
+void gateway_server::on_config_listed(const std::vector<platform::watched_object>& objects)
+{
+    for (const auto& object : objects) {
+        on_config_changed(object);
+    }
+}
+
+void gateway_server::on_config_changed(const platform::watched_object& object)
+{
+    if (object.is_removed) {
+        return;
+    }
+    auto config = platform::decode_config(object.content);
+    if (!config.ok()) {
+        context_.log.warning("config_rejected",
+                             {{"cause", std::string(config.status().message())}});
+        return;
+    }
+    const auto known = context_.config == nullptr ? 0 : context_.config->version();
+    if ((*config)->version() <= known) {
+        return;
+    }
+    context_.config = *std::move(config);
+    context_.teams.set_limits(*context_.config, steady_now());
+    update_retry_budgets();
+    context_.log.info("config_accepted", {{"version", context_.config->version()},
+                                          {"was", known},
+                                          {"routes", context_.config->content().routes.size()}});
+}
+
+void gateway_server::on_upstreams_listed(const std::vector<platform::watched_object>& objects)
+{
+    std::vector<upstream_entry> entries;
+    for (const auto& object : objects) {
+        auto entry = platform::decode_upstream_entry(object.name, object.content);
+        if (entry.ok()) {
+            entries.push_back(*std::move(entry));
+        }
+        else {
+            context_.log.warning("upstream_rejected",
+                                 {{"cause", std::string(entry.status().message())}});
+        }
+    }
+    context_.upstreams.replace(entries, steady_now());
+    has_upstreams_ = true;
+    context_.log.info("upstreams_listed", {{"count", entries.size()}});
+}
+
+void gateway_server::on_upstream_changed(const platform::watched_object& object)
+{
+    const auto now = steady_now();
+    const upstream_id id(object.name);
+    if (object.is_removed) {
+        context_.upstreams.remove(id, now);
+        context_.log.info("upstream_gone", {{"upstream", object.name}});
+        return;
+    }
+    const auto entry = platform::decode_upstream_entry(object.name, object.content);
+    if (!entry.ok()) {
+        context_.upstreams.remove(id, now);
+        context_.log.warning("upstream_rejected",
+                             {{"cause", std::string(entry.status().message())}});
+        return;
+    }
+    const auto* known = context_.upstreams.find(id);
+    if (known == nullptr || known->entry != *entry || known->gone_at) {
+        context_.log.info("upstream_changed", {{"upstream", object.name},
+                                               {"service", entry->service},
+                                               {"address", entry->address.str()},
+                                               {"draining", entry->is_draining}});
+    }
+    context_.upstreams.update(*entry, now);
+}
+
+void gateway_server::on_versions_listed(const std::vector<platform::watched_object>& objects)
+{
+    for (const auto& object : objects) {
+        on_version_changed(object);
+    }
+}
+
+void gateway_server::on_version_changed(const platform::watched_object& object)
+{
+    if (object.is_removed) {
+        return;
+    }
+    const auto announced = platform::decode_adapter_version(object.content);
+    if (!announced.ok()) {
+        context_.log.warning("version_rejected",
+                             {{"cause", std::string(announced.status().message())}});
+        return;
+    }
+    auto& known = context_.versions[announced->model + "/" + announced->adapter];
+    if (announced->version > known.version) {
+        known = {announced->version, known.version, steady_now()};
+        context_.log.info("version_announced", {{"model", announced->model},
+                                                {"adapter", announced->adapter},
+                                                {"version", announced->version}});
+    }
+}
+
+void gateway_server::on_contact(const std::string& kind, bool is_reached,
+                                const std::string& reason)
+{
+    if (is_reached) {
+        context_.log.info("platform_reached", {{"kind", kind}});
+        if (kind == "servers") {
+            context_.upstreams.on_registry_return(steady_now());
+        }
+    }
+    else {
+        context_.log.warning("platform_lost", {{"kind", kind}, {"reason", reason}});
+    }
+}
+
+void gateway_server::on_message(const control::message& content, const cli::endpoint& from)
+{
+    if (const auto* report = std::get_if<control::sidecar_report>(&content)) {
+        on_report(*report);
+    }
+    else if (const auto* usage = std::get_if<control::gateway_usage>(&content)) {
+        on_usage(*usage, from);
+    }
+}
+
+void gateway_server::on_report(const control::sidecar_report& report)
+{
+    const auto now = steady_now();
+    for (const auto& gateway : report.gateways) {
+        const auto colon = gateway.rfind(':');
+        if (colon != std::string::npos) {
+            peers_.on_heard({gateway.substr(0, colon), settings_.control_listen.port}, now);
+        }
+    }
+    context_.upstreams.on_engine_status(report.status, now);
+    std::set<upstream_id> affected;
+    for (const auto& [id, state] : context_.upstreams.all()) {
+        if (state.entry.address.str() == report.status.engine) {
+            affected.insert(id);
+        }
+    }
+    const auto active = context_.exchanges;
+    for (const auto& exchange : active) {
+        for (const auto& id : affected) {
+            exchange->on_engine_status(id);
+        }
+    }
+}
+
+void gateway_server::on_usage(const control::gateway_usage& usage, const cli::endpoint& from)
+{
+    const auto now = steady_now();
+    context_.teams.on_usage(usage, now);
+    if (usage.is_leaving) {
+        peers_.on_leaving(from);
+        return;
+    }
+    peers_.on_heard(from, now);
+    const auto known = context_.config == nullptr ? 0 : context_.config->version();
+    if (usage.config_version > known && now - config_refreshed_at_ > config_refresh_pause) {
+        config_refreshed_at_ = now;
+        config_watch_.refresh();
+    }
+}
+
+// Tells a sidecar of a new need once the present event has been handled, so that several needs go
+// in one message.
+void gateway_server::queue_demand(const upstream_id& upstream)
+{
+    if (demands_.empty()) {
+        asio::post(io_, [this] {
+            const auto queued = std::exchange(demands_, {});
+            for (const auto& id : queued) {
+                send_demand(id);
+            }
+        });
+    }
+    demands_.insert(upstream);
+}
+
+void gateway_server::send_demand(const upstream_id& upstream)
+{
+    const auto* state = context_.upstreams.find(upstream);
+    const auto* service = state == nullptr || context_.config == nullptr
+                              ? nullptr
+                              : context_.config->find_service(state->entry.service);
+    if (service == nullptr || !service->engine) {
+        return;
+    }
+    control::adapter_demand demand{
+        .gateway = settings_.host.str(),
+        .gateway_start = start_,
+        .config_version = context_.config->version(),
+        .adapter_slots = service->engine->adapter_slots,
+        .models = service->engine->models,
+        .uses = {},
+    };
+    for (const auto& [name, calls] : state->adapters) {
+        const auto slash = name.find('/');
+        if (calls.waiting > 0 || calls.running > 0) {
+            demand.uses.push_back({name.substr(0, slash), name.substr(slash + 1), calls.waiting,
+                                   calls.running});
+        }
+    }
+    datagrams_.send({state->entry.address.ip, settings_.control_listen.port},
+                    control::encode(demand));
+}
+
+void gateway_server::send_usage(time_point now)
+{
+    const auto& admitted = context_.teams.admitted();
+    const bool is_due = now - usage_sent_at_ >= idle_usage_interval;
+    const bool has_changed = now - usage_sent_at_ >= usage_interval && admitted != usage_sent_;
+    if (!is_due && !has_changed) {
+        return;
+    }
+    usage_sent_ = admitted;
+    usage_sent_at_ = now;
+    const control::gateway_usage usage{
+        .gateway = settings_.host.str(),
+        .gateway_start = start_,
+        .sequence = ++usage_sequence_,
+        .config_version = context_.config == nullptr ? 0 : context_.config->version(),
+        .is_leaving = context_.is_draining,
+        .team_tokens = admitted,
+    };
+    const auto bytes = control::encode(usage);
+    for (const auto& peer : peers_.all()) {
+        datagrams_.send(peer, bytes);
+    }
+}
+
+void gateway_server::update_retry_budgets()
+{
+    if (context_.config == nullptr) {
+        return;
+    }
+    for (const auto& service : context_.config->content().services) {
+        auto& budget = context_.retries[service.name];
+        budget.set_limits({.retries_per_request = settings_.retry_ratio * retry_share,
+                           .capacity = settings_.retry_slack * retry_share / context_.gateways});
+    }
+}
+
+} // namespace snipespar::gateway
--- /dev/null
+++ b/src/gateway/gateway_server.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "cli/gateway_settings.h"
+#include "control/datagram_socket.h"
+#include "control/message.h"
+#include "gateway/gateway_context.h"
+#include "gateway/peer_directory.h"
+#include "platform/object_watch.h"
+#include "telemetry/admin_handlers.h"
+#include "telemetry/logger.h"
+
+#include <absl/status/status.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace snipespar::telemetry {
+class admin_server;
+}
+
+namespace snipespar::gateway {
+
+class caller_connection;
+
+/// One gateway process: accepts callers, follows configuration and upstreams, and exchanges its
+/// state with sidecars and other gateways. Runs on one thread.
+class gateway_server {
+public:
+    gateway_server(boost::asio::io_context& io, const cli::gateway_settings& settings,
+                   telemetry::logger& log);
+    ~gateway_server();
+    gateway_server(const gateway_server&) = delete;
+    gateway_server& operator=(const gateway_server&) = delete;
+
+    /// Binds the addresses and starts. Fails when one cannot be bound.
+    absl::Status start();
+
+    /// Stops taking new work; `done` is called once all requests have ended.
+    void drain(std::function<void()> done);
+
+private:
+    platform::object_watch make_watch(const std::string& kind,
+                                      void (gateway_server::*listed)(
+                                          const std::vector<platform::watched_object>&),
+                                      void (gateway_server::*changed)(
+                                          const platform::watched_object&));
+    absl::Status listen();
+    void accept();
+    void tick();
+    void tick_slowly(time_point now);
+    telemetry::readiness readiness() const;
+    std::string status() const;
+
+    void on_config_listed(const std::vector<platform::watched_object>& objects);
+    void on_config_changed(const platform::watched_object& object);
+    void on_upstreams_listed(const std::vector<platform::watched_object>& objects);
+    void on_upstream_changed(const platform::watched_object& object);
+    void on_versions_listed(const std::vector<platform::watched_object>& objects);
+    void on_version_changed(const platform::watched_object& object);
+    void on_contact(const std::string& kind, bool is_reached, const std::string& reason);
+
+    void on_message(const control::message& content, const cli::endpoint& from);
+    void on_report(const control::sidecar_report& report);
+    void on_usage(const control::gateway_usage& usage, const cli::endpoint& from);
+    void queue_demand(const upstream_id& upstream);
+    void send_demand(const upstream_id& upstream);
+    void send_usage(time_point now);
+    void update_retry_budgets();
+
+    boost::asio::io_context& io_;
+    cli::gateway_settings settings_;
+    std::uint64_t start_;
+    gateway_context context_;
+    peer_directory peers_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer tick_timer_;
+    control::datagram_socket datagrams_;
+    platform::object_watch config_watch_;
+    platform::object_watch upstream_watch_;
+    platform::object_watch version_watch_;
+    std::unique_ptr<telemetry::admin_server> admin_;
+    std::list<std::weak_ptr<caller_connection>> connections_;
+
+    bool has_upstreams_ = false;
+    std::set<upstream_id> demands_;
+    std::uint64_t usage_sequence_ = 0;
+    std::map<std::string, std::uint64_t> usage_sent_;
+    time_point usage_sent_at_;
+    time_point slow_tick_at_;
+    time_point demand_sent_at_;
+    time_point config_refreshed_at_;
+    time_point drain_began_;
+    std::function<void()> drained_;
+};
+
+} // namespace snipespar::gateway
--- /dev/null
+++ b/src/gateway/peer_directory.cpp
@@ -0,0 +1,33 @@
+#include "gateway/peer_directory.h"
+
+namespace snipespar::gateway {
+
+namespace {
+
+// Gateways and sidecars report at least twice a second.
+constexpr auto forget_after = std::chrono::seconds(4);
+
+} // namespace
+
+void peer_directory::on_heard(const cli::endpoint& peer, time_point now)
+{
+    if (peer != self_) {
+        peers_[peer] = now;
+    }
+}
+
+void peer_directory::on_tick(time_point now)
+{
+    std::erase_if(peers_, [&](const auto& item) { return now - item.second > forget_after; });
+}
+
+std::vector<cli::endpoint> peer_directory::all() const
+{
+    std::vector<cli::endpoint> list;
+    for (const auto& [peer, heard] : peers_) {
+        list.push_back(peer);
+    }
+    return list;
+}
+
+} // namespace snipespar::gateway
--- /dev/null
+++ b/src/gateway/refusal.cpp
@@ -0,0 +1,30 @@
+#include "gateway/refusal.h"
+
+#include <boost/beast/http/status.hpp>
+#include <fmt/format.h>
+
+namespace snipespar::gateway {
+
+std::string to_http(const refusal& answer, const std::string& request_id)
+{
+    const auto reason = boost::beast::http::obsolete_reason(
+        static_cast<boost::beast::http::status>(answer.status));
+    const std::string body = answer.cause + "\n";
+    std::string text = fmt::format("HTTP/1.1 {} {}\r\n", answer.status,
+                                   std::string_view(reason.data(), reason.size()));
+    if (!request_id.empty()) {
+        text += fmt::format("Request-Id: {}\r\n", request_id);
+    }
+    if (answer.retry_after) {
+        text += fmt::format("Retry-After: {:.3f}\r\n",
+                            std::chrono::duration<double>(*answer.retry_after).count());
+    }
+    if (answer.closes) {
+        text += "Connection: close\r\n";
+    }
+    text += fmt::format("Content-Type: text/plain\r\nContent-Length: {}\r\n\r\n{}", body.size(),
+                        body);
+    return text;
+}
+
+} // namespace snipespar::gateway
--- /dev/null
+++ b/src/gateway/run_gateway.cpp
@@ -0,0 +1,61 @@
+#include "gateway/run_gateway.h"
+
+#include "cli/exit_code.h"
+#include "cli/gateway_settings.h"
+#include "gateway/gateway_server.h"
+#include "net/process_signals.h"
+#include "telemetry/bounded_output.h"
+#include "telemetry/logger.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdlib>
+#include <fmt/core.h>
+#include <unistd.h>
+
+namespace snipespar::gateway {
+
+namespace {
+
+// Lines a second that a busy process may log, and how many may come at once.
+constexpr double log_lines_per_s = 100;
+constexpr double log_burst = 400;
+
+} // namespace
+
+int run_gateway(const cli::gateway_settings& settings)
+{
+    telemetry::bounded_output output(STDOUT_FILENO, log_lines_per_s, log_burst);
+    telemetry::logger log([&](std::string_view line) { output.write(line); });
+    boost::asio::io_context io(1);
+    gateway_server server(io, settings, log);
+    if (const auto status = server.start(); !status.ok()) {
+        log.error("start_failed", {{"reason", std::string(status.message())}});
+        return static_cast<int>(cli::exit_code::failed);
+    }
+    boost::asio::steady_timer deadline(io);
+    const auto force = [&] {
+        log.warning("stopped", {{"role", "gateway"}, {"forced", true}});
+        // Requests in progress still refer to the server, so nothing of it may be destroyed.
+        std::_Exit(static_cast<int>(cli::exit_code::ok));
+    };
+    net::process_signals signals(
+        io,
+        {.stop =
+             [&] {
+                 server.drain([&] { io.stop(); });
+                 deadline.expires_after(settings.drain_timeout);
+                 deadline.async_wait([&](const auto& error) {
+                     if (!error) {
+                         force();
+                     }
+                 });
+             },
+         .stop_again = force,
+         // Flags and variables do not change while the process runs.
+         .reload = [&] { log.info("reloaded", {{"changes", 0}}); }});
+    io.run();
+    std::_Exit(static_cast<int>(cli::exit_code::ok));
+}
+
+} // namespace snipespar::gateway
--- /dev/null
+++ b/src/gateway/upstream_channel.cpp
@@ -0,0 +1,287 @@
+#include "gateway/upstream_channel.h"
+
+#include "net/socket_options.h"
+#include "platform/call_codec.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <fmt/core.h>
+#include <utility>
+
+namespace snipespar::gateway {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+// Answers' heads are small; a larger one is not from a sound upstream.
+constexpr std::uint32_t max_answer_header_bytes = 32 * 1024;
+
+} // namespace
+
+upstream_channel::upstream_channel(const asio::any_io_executor& executor, cli::endpoint upstream)
+    : socket_(executor), upstream_(std::move(upstream))
+{
+}
+
+void upstream_channel::exchange(std::string head, std::string body, std::string request_id,
+                                bool is_head_request, duration connect_timeout,
+                                channel_handler handler)
+{
+    head_ = std::move(head);
+    body_ = std::move(body);
+    request_id_ = std::move(request_id);
+    handler_ = std::move(handler);
+    is_head_request_ = is_head_request;
+    is_busy_ = true;
+    is_written_ = false;
+    has_answer_ = false;
+    is_stray_ = false;
+    ++round_;
+    ++exchanges_;
+    if (is_connected_) {
+        write();
+    }
+    else {
+        connect(connect_timeout);
+    }
+}
+
+void upstream_channel::connect(duration timeout)
+{
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(upstream_.ip, error);
+    if (error) {
+        asio::post(socket_.get_executor(), [self = shared_from_this(), error] {
+            self->fail(absl::UnavailableError(error.message()));
+        });
+        return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(socket_.get_executor(), timeout);
+    timer->async_wait([self = shared_from_this(), timer](const auto& wait_error) {
+        if (!wait_error && !self->is_connected_) {
+            self->fail(absl::UnavailableError("connect timed out"));
+        }
+    });
+    socket_.async_connect(
+        asio::ip::tcp::endpoint(address, upstream_.port),
+        [self = shared_from_this(), timer](const auto& connect_error) {
+            timer->cancel();
+            if (self->is_closed_) {
+                return;
+            }
+            if (connect_error) {
+                return self->fail(absl::UnavailableError(connect_error.message()));
+            }
+            self->is_connected_ = true;
+            net::set_liveness_options(self->socket_);
+            self->write();
+        });
+}
+
+void upstream_channel::write()
+{
+    parser_.emplace();
+    parser_->header_limit(max_answer_header_bytes);
+    parser_->body_limit(boost::none);
+    parser_->eager(true);
+    parser_->skip(is_head_request_);
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head_), asio::buffer(body_)};
+    asio::async_write(socket_, buffers,
+                      [self = shared_from_this(), round = round_](const auto& error,
+                                                                  std::size_t written) {
+                          if (self->is_closed_ || round != self->round_) {
+                              return;
+                          }
+                          if (!error) {
+                              self->is_written_ = true;
+                              return;
+                          }
+                          self->can_reuse_ = false;
+                          if (written == 0 && !self->has_answer_) {
+                              self->fail(absl::UnavailableError(error.message()));
+                          }
+                      });
+    if (!is_reading_) {
+        read();
+    }
+}
+
+void upstream_channel::read()
+{
+    is_reading_ = true;
+    socket_.async_read_some(asio::buffer(block_), [self = shared_from_this()](const auto& error,
+                                                                              std::size_t count) {
+        self->is_reading_ = false;
+        if (self->is_closed_ || !self->is_busy_) {
+            return;
+        }
+        if (!error) {
+            return self->on_bytes(count);
+        }
+        boost::system::error_code parse_error;
+        if (error == asio::error::eof && self->has_answer_ && self->parser_) {
+            self->can_reuse_ = false;
+            self->parser_->put_eof(parse_error);
+            if (!parse_error && self->parser_->is_done()) {
+                self->pass_body();
+                return self->finish();
+            }
+        }
+        self->fail(absl::UnknownError(error.message()));
+    });
+}
+
+void upstream_channel::on_bytes(std::size_t count)
+{
+    const auto self = shared_from_this();
+    input_.append(block_.data(), count);
+    boost::system::error_code error;
+    while (is_busy_ && !is_closed_ && parse(error)) {
+    }
+    if (error) {
+        return fail(absl::UnknownError(error.message()));
+    }
+    if (is_busy_ && !is_closed_) {
+        read();
+    }
+}
+
+// Parses what is there; returns whether more can be done with the bytes that are left.
+bool upstream_channel::parse(boost::system::error_code& error)
+{
+    if (input_.empty()) {
+        return false;
+    }
+    const auto used = parser_->put(asio::buffer(input_), error);
+    input_.erase(0, used);
+    if (error == http::error::need_more) {
+        error = {};
+    }
+    if (error) {
+        return false;
+    }
+    if (parser_->is_header_done() && !has_answer_ && !is_stray_ && !take_header()) {
+        return false;
+    }
+    if (!is_busy_ || is_closed_) {
+        return false;
+    }
+    if (has_answer_) {
+        pass_body();
+    }
+    if (!is_busy_ || is_closed_) {
+        return false;
+    }
+    if (!parser_->is_done()) {
+        return used != 0 && !input_.empty();
+    }
+    if (is_stray_) {
+        is_stray_ = false;
+        const bool can_go_on = parser_->get().keep_alive();
+        parser_.emplace();
+        parser_->header_limit(max_answer_header_bytes);
+        parser_->body_limit(boost::none);
+        parser_->eager(true);
+        parser_->skip(is_head_request_);
+        if (!can_go_on) {
+            error = asio::error::make_error_code(asio::error::connection_aborted);
+        }
+        return can_go_on;
+    }
+    finish();
+    return false;
+}
+
+// Decides whose answer it is; returns whether the exchange goes on.
+bool upstream_channel::take_header()
+{
+    auto answer = platform::decode_answer(parser_->get());
+    const bool is_own = answer.request_id == request_id_ ||
+                        (answer.request_id.empty() && answer.is_not_run);
+    if (!is_own) {
+        is_stray_ = true;
+        return true;
+    }
+    has_answer_ = true;
+    keep_alive_s_ = answer.keep_alive_s;
+    if (!parser_->get().keep_alive()) {
+        can_reuse_ = false;
+    }
+    const auto header = handler_.header;
+    header(answer);
+    return is_busy_ && !is_closed_;
+}
+
+void upstream_channel::pass_body()
+{
+    auto& body = parser_->get().body();
+    if (!body.empty()) {
+        const std::string bytes = std::move(body);
+        body.clear();
+        const auto handle = handler_.body;
+        handle(bytes);
+    }
+}
+
+void upstream_channel::finish()
+{
+    is_busy_ = false;
+    // Bytes beyond the answer belong to no request, and a request that is not written yet would
+    // mix with the next one.
+    can_reuse_ = can_reuse_ && input_.empty() && is_written_;
+    const auto ended = std::exchange(handler_, {}).ended;
+    ended();
+}
+
+void upstream_channel::fail(absl::Status status)
+{
+    const auto self = shared_from_this();
+    const bool was_busy = std::exchange(is_busy_, false);
+    close();
+    const auto failed = std::exchange(handler_, {}).failed;
+    if (was_busy && failed) {
+        failed(status);
+    }
+}
+
+void upstream_channel::abandon()
+{
+    is_busy_ = false;
+    handler_ = {};
+    close();
+}
+
+bool upstream_channel::is_reusable() const
+{
+    return can_reuse_ && is_connected_ && !is_closed_ && !is_busy_;
+}
+
+void upstream_channel::watch_idle(std::function<void()> closed)
+{
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this(), round = round_,
+                        closed = std::move(closed)](const auto& error) {
+                           if (!error && !self->is_closed_ && !self->is_busy_ &&
+                               round == self->round_) {
+                               self->close();
+                               closed();
+                           }
+                       });
+}
+
+void upstream_channel::close()
+{
+    if (!is_closed_) {
+        is_closed_ = true;
+        can_reuse_ = false;
+        boost::system::error_code ignored;
+        socket_.close(ignored);
+    }
+}
+
+} // namespace snipespar::gateway
--- /dev/null
+++ b/src/gateway/upstream_selector.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "gateway/upstream_state.h"
+#include "snipespar/ids.h"
+#include "snipespar/time.h"
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace snipespar::gateway {
+
+struct service_rule;
+class upstream_table;
+
+/// What a call needs of the upstream that runs it.
+struct placement_query {
+    std::string service;
+    /// `model/adapter`; empty when any upstream of the service will do.
+    std::string adapter;
+    std::string model;
+    /// Lowest version of the adapter that may still be used.
+    std::uint64_t least_version = 0;
+    /// Upstreams that the call must not go to (again).
+    std::set<upstream_id> excluded;
+};
+
+/// The call can be sent now.
+struct send_to {
+    upstream_id upstream;
+
+    friend bool operator==(const send_to&, const send_to&) = default;
+};
+
+/// The adapter has to be loaded at this upstream first.
+struct wait_for_adapter {
+    upstream_id upstream;
+
+    friend bool operator==(const wait_for_adapter&, const wait_for_adapter&) = default;
+};
+
+/// No upstream can take the call.
+struct no_upstream {
+    /// There are upstreams, but all of them are full.
+    bool is_overloaded = false;
+
+    friend bool operator==(const no_upstream&, const no_upstream&) = default;
+};
+
+using placement = std::variant<send_to, wait_for_adapter, no_upstream>;
+
+/// Chooses where calls run. Calls of one adapter go to the first engine of the adapter's ranking
+/// (rendezvous hashing) that holds it and is not much busier than the others; when all of those are
+/// busy, the next one of the ranking loads it too.
+class upstream_selector {
+public:
+    /// `gateways` of this kind share the upstreams.
+    upstream_selector(failure_domain_id own_domain, std::uint64_t seed)
+        : own_domain_(std::move(own_domain)), random_(seed)
+    {
+    }
+
+    placement choose(const placement_query& query, const service_rule& service,
+                     const upstream_table& table, int gateways, time_point now);
+
+private:
+    placement choose_plain(const std::vector<const upstream_state*>& candidates, int gateways);
+    placement choose_engine(const placement_query& query, const service_rule& service,
+                            std::vector<const upstream_state*> candidates, int gateways,
+                            time_point now);
+
+    failure_domain_id own_domain_;
+    std::mt19937_64 random_;
+};
+
+} // namespace snipespar::gateway
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,7 +1,10 @@
 #include "agent/run_agent.h"
 #include "cli/command_line.h"
 #include "entry/run_entry.h"
+#include "gateway/run_gateway.h"
 #include "operator/run_operator.h"
+#include "platform/wire_names.h"
+#include "sidecar/run_sidecar.h"
 
 #include <fmt/core.h>
 #include <string>
@@ -20,6 +23,16 @@
 
     int operator()(const cli::agent_settings& settings) const { return agent::run_agent(settings); }
 
+    int operator()(const cli::gateway_settings& settings) const
+    {
+        return gateway::run_gateway(settings);
+    }
+
+    int operator()(const cli::sidecar_settings& settings) const
+    {
+        return sidecar::run_sidecar(settings);
+    }
+
     int operator()(const cli::operator_settings& settings) const
     {
         return operators::run_operator(settings);
@@ -43,6 +56,8 @@
             variables.emplace(text.substr(0, equals), text.substr(equals + 1));
         }
     }
+    // The platform sets it for every process; it is no setting of this program.
+    variables.erase(std::string(platform::wire::settings_file_variable));
     return variables;
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,7 @@
 #include "net/http_client.h"
 
+#include "net/socket_options.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -26,6 +28,8 @@
 // A server closes idle connections on its own time; older ones are not used again, so that a
 // request rarely meets a connection that is just being closed.
 constexpr auto max_idle_time = std::chrono::seconds(5);
+// A long poll may wait much longer for its answer than a server takes to accept a connection.
+constexpr auto connect_timeout = std::chrono::seconds(1);
 
 struct connection {
     explicit connection(const asio::any_io_executor& executor) : stream(executor) {}
@@ -79,13 +83,14 @@
             co_return absl::InvalidArgumentError("not an IP address: " + address_);
         }
         auto fresh = std::make_unique<connection>(co_await asio::this_coro::executor);
-        fresh->stream.expires_at(deadline);
+        fresh->stream.expires_at(
+            std::min(deadline, std::chrono::steady_clock::now() + connect_timeout));
         const asio::ip::tcp::endpoint server(address, port_);
         const auto [connect_error] = co_await fresh->stream.async_connect(server, as_result);
         if (connect_error) {
             co_return absl::UnavailableError(connect_error.message());
         }
-        fresh->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+        set_liveness_options(fresh->stream.socket());
         co_return fresh;
     }
 
--- /dev/null
+++ b/src/platform/call_codec.cpp
@@ -0,0 +1,260 @@
+#include "platform/call_codec.h"
+
+#include "base/stable_hash.h"
+#include "base/text_view.h"
+#include "platform/wire_names.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <fmt/format.h>
+#include <iterator>
+#include <string_view>
+#include <vector>
+
+namespace snipespar::platform {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+template <class View>
+std::string_view to_view(View text)
+{
+    return {text.data(), text.size()};
+}
+
+// Header lines that concern one connection only, in lower case.
+constexpr std::array<std::string_view, 11> connection_names{
+    "connection", "keep-alive", "proxy-connection", "te",     "trailer",        "upgrade",
+    "expect",     "host",       "transfer-encoding", "content-length", "proxy-authorization"};
+
+// Header lines that the system sets itself; a caller's own are dropped.
+constexpr std::array<std::string_view, 13> own_names{
+    "authorization",    "deadline-ms", "expect-instance", "tenant",    "last-event-id",
+    "request-priority", "hold",        "pin-ms",          "kv-backup", "kv-from",
+    "kv-fetch",         "request-id",  "expect-version"};
+
+// End-to-end lines of the protocol; they stay even if a Connection line names them.
+constexpr std::array<std::string_view, 4> end_to_end_names{"model", "token-count", "prompt-prefix",
+                                                           "length-hint"};
+
+template <std::size_t Count>
+bool contains(const std::array<std::string_view, Count>& names, std::string_view name)
+{
+    return std::any_of(names.begin(), names.end(), [&](std::string_view item) {
+        return absl::EqualsIgnoreCase(to_absl(item), to_absl(name));
+    });
+}
+
+// Names listed in the Connection lines.
+std::vector<std::string> named_by_connection(const http::fields& fields)
+{
+    std::vector<std::string> names;
+    const auto range = fields.equal_range(http::field::connection);
+    for (auto item = range.first; item != range.second; ++item) {
+        for (const auto token : http::token_list(item->value())) {
+            names.emplace_back(token);
+        }
+    }
+    return names;
+}
+
+bool is_named(const std::vector<std::string>& names, std::string_view name)
+{
+    return std::any_of(names.begin(), names.end(), [&](const std::string& item) {
+        return absl::EqualsIgnoreCase(to_absl(item), to_absl(name));
+    });
+}
+
+std::string_view field(const http::fields& fields, std::string_view name)
+{
+    const auto found = fields.find(boost::beast::string_view(name.data(), name.size()));
+    return found == fields.end() ? std::string_view() : to_view(found->value());
+}
+
+absl::Status bad_line(std::string_view name, std::string_view reason)
+{
+    return absl::InvalidArgumentError(fmt::format("{}: {}", name, reason));
+}
+
+absl::Status read_wait(const http::fields& fields, gateway::call& call)
+{
+    const auto text = field(fields, wire::time_left);
+    if (text.empty()) {
+        return absl::OkStatus();
+    }
+    std::int64_t milliseconds = 0;
+    // A day is far beyond any caller's patience, and far from overflowing microseconds.
+    constexpr std::int64_t longest_wait_ms = 86'400'000;
+    if (!absl::SimpleAtoi(to_absl(text), &milliseconds) || milliseconds < 0) {
+        return bad_line(wire::time_left, "must be a whole number of milliseconds");
+    }
+    call.wait = std::chrono::milliseconds(std::min(milliseconds, longest_wait_ms));
+    return absl::OkStatus();
+}
+
+absl::Status read_token_count(const http::fields& fields, gateway::call& call)
+{
+    const auto text = field(fields, wire::token_count);
+    if (text.empty()) {
+        return absl::OkStatus();
+    }
+    const std::vector<std::string> parts = absl::StrSplit(to_absl(text), ',');
+    if (parts.size() != 2 || !absl::SimpleAtoi(parts[0], &call.prompt_tokens) ||
+        !absl::SimpleAtoi(parts[1], &call.max_output_tokens)) {
+        return bad_line(wire::token_count, "must be two whole numbers separated by a comma");
+    }
+    call.has_token_count = true;
+    return absl::OkStatus();
+}
+
+absl::Status read_last_event(const http::fields& fields, gateway::call& call)
+{
+    const auto text = field(fields, wire::last_event);
+    if (text.empty()) {
+        return absl::OkStatus();
+    }
+    std::uint64_t number = 0;
+    if (!absl::SimpleAtoi(to_absl(text), &number)) {
+        return bad_line(wire::last_event, "must be a whole number");
+    }
+    call.last_event = number;
+    return absl::OkStatus();
+}
+
+void read_model(const http::fields& fields, gateway::call& call)
+{
+    const auto text = field(fields, wire::model);
+    const auto slash = text.find('/');
+    call.model = std::string(text.substr(0, slash));
+    if (slash != std::string_view::npos) {
+        call.adapter = std::string(text.substr(slash + 1));
+    }
+    const auto prompt = field(fields, wire::prompt_parts);
+    call.session = prompt.empty() ? 0 : stable_hash(prompt);
+}
+
+void append_line(std::string& text, std::string_view name, std::string_view value)
+{
+    text.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string forwarded_request_lines(const http::fields& fields)
+{
+    const auto named = named_by_connection(fields);
+    std::string text;
+    for (const auto& item : fields) {
+        const auto name = to_view(item.name_string());
+        const bool is_dropped = contains(connection_names, name) || contains(own_names, name) ||
+                                (is_named(named, name) && !contains(end_to_end_names, name));
+        if (!is_dropped) {
+            append_line(text, name, to_view(item.value()));
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+absl::StatusOr<gateway::call> decode_call(http::request<http::string_body> message)
+{
+    gateway::call call;
+    call.method = to_view(message.method_string());
+    call.target = to_view(message.target());
+    call.keep_alive = message.keep_alive();
+    if (message.count(http::field::host) != 1) {
+        return bad_line("Host", "must be given once");
+    }
+    call.host = to_view(message[http::field::host]);
+    const auto port = call.host.rfind(':');
+    if (port != std::string::npos) {
+        call.host.resize(port);
+    }
+    call.request_id = field(message, wire::request_id);
+    if (message.count(boost::beast::string_view(wire::request_id.data(),
+                                                wire::request_id.size())) != 1) {
+        return bad_line(wire::request_id, "must be given once");
+    }
+    const auto authorization = field(message, wire::authorization);
+    if (absl::StartsWithIgnoreCase(to_absl(authorization), to_absl(wire::key_scheme))) {
+        call.key = authorization.substr(wire::key_scheme.size());
+    }
+    for (const auto& status : {read_wait(message, call), read_token_count(message, call),
+                               read_last_event(message, call)}) {
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    read_model(message, call);
+    call.forwarded_header = forwarded_request_lines(message);
+    call.body = std::move(message.body());
+    return call;
+}
+
+std::string encode_attempt(const gateway::call& call, const gateway::attempt_header& attempt)
+{
+    std::string text;
+    text.reserve(512);
+    text.append(call.method).append(" ").append(call.target).append(" HTTP/1.1\r\n");
+    append_line(text, "Host", call.host);
+    append_line(text, wire::request_id, call.request_id);
+    text += call.forwarded_header;
+    const auto time_left = std::chrono::duration_cast<std::chrono::milliseconds>(attempt.time_left);
+    append_line(text, wire::time_left, fmt::format("{}", std::max<std::int64_t>(time_left.count(), 1)));
+    append_line(text, wire::expected_upstream, attempt.upstream.str());
+    if (!attempt.team.empty()) {
+        append_line(text, wire::team, attempt.team.str());
+    }
+    if (attempt.last_event) {
+        append_line(text, wire::last_event, fmt::format("{}", *attempt.last_event));
+    }
+    if (attempt.urgency) {
+        append_line(text, wire::urgency, fmt::format("{}", *attempt.urgency));
+    }
+    if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
+        append_line(text, "Content-Length", fmt::format("{}", call.body.size()));
+    }
+    text += "\r\n";
+    return text;
+}
+
+gateway::answer_header decode_answer(const http::response_header<>& header)
+{
+    gateway::answer_header answer;
+    answer.status = header.result_int();
+    answer.reason = to_view(header.reason());
+    answer.request_id = field(header, wire::request_id);
+    // Status 421 comes from another upstream than the one that was meant, which never runs the call.
+    answer.is_not_run = !field(header, wire::not_run).empty() || answer.status == 421;
+    answer.upstream = field(header, wire::upstream_id);
+    answer.is_encoded = header.count(http::field::content_encoding) != 0;
+    answer.is_event_stream = absl::StartsWithIgnoreCase(
+        to_absl(to_view(header[http::field::content_type])), "text/event-stream");
+    answer.is_sealed = !field(header, wire::seal).empty();
+    const auto keep_alive = to_view(header[http::field::keep_alive]);
+    const auto timeout = keep_alive.find("timeout=");
+    if (timeout != std::string_view::npos) {
+        const auto digits = keep_alive.substr(timeout + 8);
+        const auto end = digits.find_first_not_of("0123456789");
+        // An unreadable time-out counts as none stated.
+        answer.keep_alive_s = 0;
+        static_cast<void>(absl::SimpleAtoi(to_absl(digits.substr(0, end)), &answer.keep_alive_s));
+    }
+    const auto named = named_by_connection(header);
+    for (const auto& item : header) {
+        const auto name = to_view(item.name_string());
+        const bool is_dropped = contains(connection_names, name) || is_named(named, name);
+        if (!is_dropped || absl::EqualsIgnoreCase(to_absl(name), to_absl(wire::seal))) {
+            append_line(answer.forwarded_header, name, to_view(item.value()));
+        }
+    }
+    return answer;
+}
+
+} // namespace snipespar::platform
--- /dev/null
+++ b/src/platform/config_codec.cpp
@@ -0,0 +1,144 @@
+#include "platform/config_codec.h"
+
+#include "base/json_reader.h"
+
+#include <limits>
+#include <utility>
+
+namespace snipespar::platform {
+
+namespace {
+
+duration milliseconds(const json_reader& fields, const char* name)
+{
+    return std::chrono::milliseconds(fields.integer<std::uint32_t>(name));
+}
+
+int small(const json_reader& fields, const char* name, int absent)
+{
+    return fields.has(name) ? static_cast<int>(fields.integer<std::uint16_t>(name)) : absent;
+}
+
+double real_or(const json_reader& fields, const char* name, double absent)
+{
+    return fields.has(name) ? fields.real(name) : absent;
+}
+
+bool flag_or(const json_reader& fields, const char* name, bool absent)
+{
+    return fields.has(name) ? fields.flag(name) : absent;
+}
+
+gateway::call_kind read_kind(const json_reader& fields)
+{
+    const auto text = fields.text("route_type");
+    if (text == "safe") {
+        return gateway::call_kind::safe;
+    }
+    if (text == "streaming") {
+        return gateway::call_kind::stream;
+    }
+    // Anything else is handled with the least freedom.
+    return gateway::call_kind::unsafe;
+}
+
+gateway::route_rule read_route(const json_reader& fields)
+{
+    gateway::route_rule route;
+    route.id = route_id(fields.text("name"));
+    route.host = fields.text("host");
+    route.path_prefix = fields.text("path_prefix");
+    route.kind = read_kind(fields);
+    route.time_limit = milliseconds(fields, "timeout_ms");
+    route.target_latency =
+        fields.has("target_latency_ms") ? milliseconds(fields, "target_latency_ms") : duration{};
+    route.priority = small(fields, "priority", 0);
+    route.max_attempts = small(fields, "max_attempts", 1);
+    route.is_public = flag_or(fields, "public", false);
+    route.is_resumable = flag_or(fields, "resumable", false);
+    route.target_gap =
+        fields.has("gap_aim_ms") ? milliseconds(fields, "gap_aim_ms") : duration{};
+    // "upstream" is the platform's word for a service.
+    fields.each("weighted_upstreams", [&](const json_reader& item) {
+        route.services.push_back({item.text("upstream"), item.real("weight")});
+    });
+    if (route.services.empty()) {
+        route.services.push_back({fields.text("upstream"), 1});
+    }
+    return route;
+}
+
+gateway::service_rule read_service(const json_reader& fields, const nlohmann::json& content,
+                                   absl::Status& status)
+{
+    gateway::service_rule service;
+    service.name = fields.text("name");
+    service.max_connections = small(fields, "max_connections", 0);
+    const auto found = content.find("engine");
+    if (found != content.end() && found->is_object()) {
+        const json_reader engine(*found, fields.path() + ".engine", status);
+        gateway::engine_rule rule;
+        rule.slots = small(engine, "slots", 1);
+        rule.memory_tokens = static_cast<std::uint64_t>(real_or(engine, "kv_capacity", 0));
+        rule.adapter_slots = small(engine, "adapter_slots", 0);
+        engine.each("models", [&](const json_reader& item) {
+            rule.models.push_back(item.text("name"));
+        });
+        service.engine = std::move(rule);
+    }
+    return service;
+}
+
+gateway::team_rule read_team(const json_reader& fields)
+{
+    gateway::team_rule team;
+    team.id = team_id(fields.text("name"));
+    team.keys = fields.texts("api_keys");
+    team.priority = small(fields, "priority", 0);
+    team.default_tokens = static_cast<std::uint64_t>(real_or(fields, "plain_tokens", 1));
+    team.rate_per_s = real_or(fields, "rate_per_s", 0);
+    team.burst = real_or(fields, "burst", 0);
+    return team;
+}
+
+gateway::caller_limits read_limits(const json_reader& fields)
+{
+    return {
+        .max_header_bytes = fields.integer<std::uint32_t>("max_header_bytes"),
+        .max_body_bytes = fields.integer<std::uint64_t>("max_body_bytes"),
+        .header_timeout = milliseconds(fields, "header_timeout_ms"),
+        .idle_timeout = milliseconds(fields, "idle_timeout_ms"),
+    };
+}
+
+} // namespace
+
+absl::StatusOr<std::shared_ptr<const gateway::fleet_config>>
+decode_config(const nlohmann::json& content)
+{
+    absl::Status status;
+    const json_reader fields(content, "config", status);
+    gateway::fleet_config::parts parts;
+    parts.version = fields.integer<std::uint64_t>("version");
+    fields.each("routes",
+                [&](const json_reader& item) { parts.routes.push_back(read_route(item)); });
+    // "upstreams" is the platform's word for services.
+    std::size_t position = 0;
+    fields.each("upstreams", [&](const json_reader& item) {
+        const auto& service = content["upstreams"][position];
+        parts.services.push_back(read_service(item, service, status));
+        ++position;
+    });
+    fields.each("tenants",
+                [&](const json_reader& item) { parts.teams.push_back(read_team(item)); });
+    if (const auto limits = content.is_object() ? content.find("limits") : content.end();
+        limits != content.end() && limits->is_object()) {
+        parts.limits = read_limits(json_reader(*limits, "config.limits", status));
+    }
+    if (!status.ok()) {
+        return status;
+    }
+    return std::make_shared<const gateway::fleet_config>(std::move(parts));
+}
+
+} // namespace snipespar::platform
--- /dev/null
+++ b/src/platform/upstream_entry_codec.cpp
@@ -0,0 +1,36 @@
+#include "platform/upstream_entry_codec.h"
+
+#include "base/json_reader.h"
+#include "base/text_view.h"
+#include "cli/value_parsers.h"
+
+namespace snipespar::platform {
+
+absl::StatusOr<gateway::upstream_entry> decode_upstream_entry(const std::string& id,
+                                                              const nlohmann::json& content)
+{
+    absl::Status status;
+    const json_reader fields(content, "servers/" + id, status);
+    gateway::upstream_entry entry;
+    entry.id = upstream_id(id);
+    // "upstream" is the platform's word for a service.
+    entry.service = fields.text("upstream");
+    entry.failure_domain = failure_domain_id(fields.text("zone"));
+    entry.slots = static_cast<int>(fields.integer<std::uint16_t>("slots"));
+    const auto state = fields.text("state");
+    entry.is_draining = state == "draining";
+    if (!entry.is_draining && state != "ready") {
+        fields.fail(fields.path() + ".state", "is unknown");
+    }
+    const auto address = cli::parse_endpoint(fields.text("address"));
+    if (!address.ok()) {
+        fields.fail(fields.path() + ".address", to_std(address.status().message()));
+    }
+    if (!status.ok()) {
+        return status;
+    }
+    entry.address = *address;
+    return entry;
+}
+
+} // namespace snipespar::platform
--- /dev/null
+++ b/src/platform/wire_names.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string_view>
+
+/// Names that the users' platform uses in its protocols.
+namespace snipespar::platform::wire {
+
+/// Variable that holds the path of the platform's own settings file, which is not read: the deploy
+/// file passes the settings as flags.
+inline constexpr std::string_view settings_file_variable = "SNIPESPAR_NODE_FILE";
+
+inline constexpr std::string_view request_id = "Request-Id";
+/// Milliseconds for which the sender waits.
+inline constexpr std::string_view time_left = "Deadline-Ms";
+inline constexpr std::string_view authorization = "Authorization";
+inline constexpr std::string_view key_scheme = "Token ";
+inline constexpr std::string_view model = "Model";
+/// Prompt tokens and the most output tokens, separated by a comma.
+inline constexpr std::string_view token_count = "Token-Count";
+/// Parts of the prompt as ID:TOKENS pairs; the last one belongs to the request or its session.
+inline constexpr std::string_view prompt_parts = "Prompt-Prefix";
+inline constexpr std::string_view last_event = "Last-Event-Id";
+/// Id of the only upstream that may run the request.
+inline constexpr std::string_view expected_upstream = "Expect-Instance";
+/// The team for which the request runs.
+inline constexpr std::string_view team = "Tenant";
+inline constexpr std::string_view urgency = "Request-Priority";
+inline constexpr std::string_view not_run = "Not-Executed";
+inline constexpr std::string_view seal = "Response-Seal";
+inline constexpr std::string_view upstream_id = "Instance-Id";
+
+} // namespace snipespar::platform::wire
--- a/src/route/retry_budget.cpp
+++ b/src/route/retry_budget.cpp
@@ -9,6 +9,12 @@
 {
 }
 
+void retry_budget::set_limits(retry_budget_limits limits)
+{
+    limits_ = limits;
+    available_ = std::min(available_, limits_.capacity);
+}
+
 void retry_budget::on_request()
 {
     available_ = std::min(limits_.capacity, available_ + limits_.retries_per_request);
--- a/src/route/retry_budget.h
+++ b/src/route/retry_budget.h
@@ -21,6 +21,9 @@
 public:
     explicit retry_budget(retry_budget_limits limits = {});
 
+    /// Changes the bounds; what is saved up beyond a lower capacity is lost.
+    void set_limits(retry_budget_limits limits);
+
     /// Earns the part of a retry that one new request brings.
     void on_request();
 
--- /dev/null
+++ b/src/sidecar/adapter_planner.cpp
@@ -0,0 +1,336 @@
+#include "sidecar/adapter_planner.h"
+
+#include "base/stable_hash.h"
+#include "gateway/engine_status.h"
+
+#include <algorithm>
+
+namespace snipespar::sidecar {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Adapters that an engine takes at the same time.
+constexpr int max_loads_at_once = 4;
+// Places kept free, so that a load does not have to wait until another adapter has made way.
+constexpr int free_places = 2;
+// Between the last word to gateways that an adapter is there and its removal: a datagram and a
+// request on their way, and a busy processor at either end.
+constexpr auto withdrawal_time = milliseconds(60);
+// An adapter used this recently is likely to be used again at once.
+constexpr auto recent_use = milliseconds(300);
+// A gateway tells its use every half a second; older words no longer count.
+constexpr auto use_lifetime = milliseconds(1300);
+// An accepted load that the engine's report does not show after this time has come to nothing.
+constexpr auto order_visible_time = milliseconds(400);
+// After a conflict the engine is asked for its report first.
+constexpr auto conflict_pause = milliseconds(20);
+constexpr auto refusal_pause = milliseconds(250);
+// Loads of a base model take seconds and draw on a limit of the whole fleet.
+constexpr auto model_order_pause = milliseconds(3000);
+// Engines replace an outdated adapter at different moments of this span, so that some engine holds
+// the adapter all the time. All have to be done within five seconds.
+constexpr auto replacement_spread = milliseconds(1500);
+
+std::string name_of(const std::string& model, const std::string& adapter)
+{
+    return model + "/" + adapter;
+}
+
+} // namespace
+
+adapter_planner::adapter_state& adapter_planner::state_of(const std::string& model,
+                                                          const std::string& adapter)
+{
+    auto& state = adapters_[name_of(model, adapter)];
+    state.model = model;
+    state.adapter = adapter;
+    return state;
+}
+
+void adapter_planner::on_demand(const control::adapter_demand& demand, time_point now)
+{
+    adapter_slots_ = demand.adapter_slots;
+    models_ = demand.models;
+    for (auto& [name, state] : adapters_) {
+        state.uses.erase(demand.gateway);
+    }
+    for (const auto& use : demand.uses) {
+        auto& state = state_of(use.model, use.adapter);
+        state.uses[demand.gateway] = {use.waiting, use.running, now};
+        state.last_used = now;
+        if (use.waiting > 0 && !state.wanted_since) {
+            state.wanted_since = now;
+        }
+    }
+}
+
+void adapter_planner::on_report(const engine_report& report, time_point now)
+{
+    if (report_ && report_->born_ms != report.born_ms) {
+        ordered_.clear();
+        model_ordered_at_.reset();
+    }
+    report_ = report;
+    std::erase_if(ordered_, [&](const auto& item) {
+        return is_held(item.first) || is_loading(item.first) ||
+               now - item.second > order_visible_time;
+    });
+    for (const auto& [name, version] : report.adapters) {
+        const auto slash = name.find('/');
+        auto& state = state_of(name.substr(0, slash), name.substr(slash + 1));
+        if (state.last_used == time_point{}) {
+            state.last_used = now;
+        }
+    }
+    for (auto& [name, state] : adapters_) {
+        std::erase_if(state.uses,
+                      [&](const auto& use) { return now - use.second.told > use_lifetime; });
+        const bool is_wanted =
+            std::any_of(state.uses.begin(), state.uses.end(),
+                        [](const auto& use) { return use.second.waiting > 0; });
+        if (!is_wanted) {
+            state.wanted_since.reset();
+        }
+        if (!is_held(name) || (state.withdrawn_at && !is_outdated(name, state) &&
+                               now - *state.withdrawn_at > order_visible_time)) {
+            state.withdrawn_at.reset();
+        }
+    }
+}
+
+void adapter_planner::on_version(const std::string& model, const std::string& adapter,
+                                 std::uint64_t version, time_point now)
+{
+    auto& state = state_of(model, adapter);
+    if (version > state.newest_version) {
+        state.newest_version = version;
+        state.newest_since = now;
+    }
+}
+
+void adapter_planner::on_order_result(const engine_order& order, order_result result,
+                                      time_point now)
+{
+    if (result == order_result::accepted && report_) {
+        report_->orders_accepted = order.orders_before + 1;
+        const auto name = name_of(order.model, order.adapter);
+        if (order.adapter.empty()) {
+            report_->is_busy = true;
+        }
+        else if (order.what == engine_order::operation::load) {
+            ordered_[name] = now;
+        }
+        else {
+            report_->adapters.erase(name);
+        }
+        return;
+    }
+    // What the engine holds, and its count of orders, are not known until its next report.
+    report_.reset();
+    paused_until_ = now + (result == order_result::refused ? duration(refusal_pause)
+                                                           : duration(conflict_pause));
+}
+
+bool adapter_planner::is_held(const std::string& name) const
+{
+    return report_ && report_->adapters.contains(name);
+}
+
+bool adapter_planner::is_loading(const std::string& name) const
+{
+    return report_ && std::find(report_->loading.begin(), report_->loading.end(), name) !=
+                          report_->loading.end();
+}
+
+bool adapter_planner::is_outdated(const std::string& name, const adapter_state& state) const
+{
+    const auto held = report_->adapters.find(name);
+    return held != report_->adapters.end() && held->second < state.newest_version;
+}
+
+int adapter_planner::places_taken() const
+{
+    int taken = static_cast<int>(report_->adapters.size());
+    for (const auto& name : report_->loading) {
+        taken += is_held(name) ? 0 : 1;
+    }
+    for (const auto& [name, when] : ordered_) {
+        taken += is_held(name) || is_loading(name) ? 0 : 1;
+    }
+    return taken;
+}
+
+engine_order adapter_planner::make_order(engine_order::operation what,
+                                         const adapter_state& state) const
+{
+    return {what, state.model, state.adapter, std::nullopt, report_->orders_accepted};
+}
+
+std::optional<engine_order> adapter_planner::next_order(time_point now)
+{
+    if (!report_ || (paused_until_ && now < *paused_until_) || report_->is_busy) {
+        return std::nullopt;
+    }
+    if (auto order = model_order(now)) {
+        return order;
+    }
+    if (adapter_slots_ == 0) {
+        return std::nullopt;
+    }
+    withdraw_victims(now);
+    if (auto order = replacement_order(now)) {
+        return order;
+    }
+    if (auto order = load_order(now)) {
+        return order;
+    }
+    return unload_order(now);
+}
+
+std::optional<engine_order> adapter_planner::model_order(time_point now)
+{
+    if (model_ordered_at_ && now - *model_ordered_at_ < model_order_pause) {
+        return std::nullopt;
+    }
+    // One base model fills an engine; a second one is not loaded beside it.
+    if (models_.empty() || !report_->models.empty()) {
+        return std::nullopt;
+    }
+    model_ordered_at_ = now;
+    return engine_order{engine_order::operation::load, models_.front(), {}, std::nullopt,
+                        report_->orders_accepted};
+}
+
+std::optional<engine_order> adapter_planner::replacement_order(time_point now)
+{
+    for (auto& [name, state] : adapters_) {
+        if (!report_->adapters.contains(name) || !is_outdated(name, state) ||
+            is_loading(name) || ordered_.contains(name)) {
+            continue;
+        }
+        const auto spread = duration(replacement_spread).count();
+        const auto delay = static_cast<duration::rep>(
+            combine_hash(stable_hash(name), report_->born_ms) % static_cast<std::uint64_t>(spread));
+        if (now - state.newest_since < duration(delay)) {
+            continue;
+        }
+        if (!state.withdrawn_at) {
+            state.withdrawn_at = now;
+        }
+        if (now - *state.withdrawn_at >= withdrawal_time) {
+            auto order = make_order(engine_order::operation::load, state);
+            order.version = state.newest_version;
+            return order;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<engine_order> adapter_planner::load_order(time_point now)
+{
+    static_cast<void>(now);
+    const auto on_the_way = static_cast<int>(report_->loading.size() + ordered_.size());
+    if (on_the_way >= max_loads_at_once || places_taken() >= adapter_slots_) {
+        return std::nullopt;
+    }
+    const adapter_state* longest = nullptr;
+    for (const auto& [name, state] : adapters_) {
+        const auto& models = report_->models;
+        const bool is_possible =
+            state.wanted_since && !is_held(name) && !is_loading(name) && !ordered_.contains(name) &&
+            std::find(models.begin(), models.end(), state.model) != models.end();
+        if (is_possible && (longest == nullptr || *state.wanted_since < *longest->wanted_since)) {
+            longest = &state;
+        }
+    }
+    if (longest == nullptr) {
+        return std::nullopt;
+    }
+    return make_order(engine_order::operation::load, *longest);
+}
+
+// Withdraws the adapters that were used least recently while too few places are free.
+void adapter_planner::withdraw_victims(time_point now)
+{
+    int free = adapter_slots_ - places_taken();
+    for (const auto& [name, state] : adapters_) {
+        if (state.withdrawn_at && is_held(name) && !is_outdated(name, state)) {
+            ++free;
+        }
+    }
+    while (free < free_places) {
+        adapter_state* oldest = nullptr;
+        for (auto& [name, state] : adapters_) {
+            if (!is_held(name) || state.withdrawn_at || !state.uses.empty() ||
+                now - state.last_used < recent_use) {
+                continue;
+            }
+            if (oldest == nullptr || state.last_used < oldest->last_used) {
+                oldest = &state;
+            }
+        }
+        if (oldest == nullptr) {
+            return;
+        }
+        oldest->withdrawn_at = now;
+        ++free;
+    }
+}
+
+std::optional<engine_order> adapter_planner::unload_order(time_point now)
+{
+    for (auto& [name, state] : adapters_) {
+        const bool is_due = state.withdrawn_at && is_held(name) && !is_outdated(name, state) &&
+                            now - *state.withdrawn_at >= withdrawal_time;
+        if (!is_due) {
+            continue;
+        }
+        if (!state.uses.empty()) {
+            // A request was on its way after all, so the adapter is in use again.
+            state.withdrawn_at.reset();
+            continue;
+        }
+        return make_order(engine_order::operation::unload, state);
+    }
+    return std::nullopt;
+}
+
+gateway::engine_status adapter_planner::status() const
+{
+    gateway::engine_status status;
+    if (!report_) {
+        return status;
+    }
+    status.models = report_->models;
+    for (const auto& [name, version] : report_->adapters) {
+        const auto state = adapters_.find(name);
+        if (state == adapters_.end() || !state->second.withdrawn_at) {
+            status.adapters[name] = version;
+        }
+    }
+    status.loading = report_->loading;
+    for (const auto& [name, when] : ordered_) {
+        if (!is_held(name) && !is_loading(name)) {
+            status.loading.push_back(name);
+        }
+    }
+    status.running = report_->running;
+    status.waiting = report_->waiting;
+    status.memory_used = report_->memory_used;
+    status.is_full = static_cast<int>(status.loading.size()) >= max_loads_at_once;
+    return status;
+}
+
+bool adapter_planner::is_waiting() const
+{
+    if (!report_ || report_->is_busy || !report_->loading.empty() || !ordered_.empty()) {
+        return true;
+    }
+    return std::any_of(adapters_.begin(), adapters_.end(), [&](const auto& item) {
+        return item.second.wanted_since || item.second.withdrawn_at;
+    });
+}
+
+} // namespace snipespar::sidecar
--- /dev/null
+++ b/src/sidecar/adapter_planner.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "control/adapter_demand.h"
+#include "sidecar/engine_order.h"
+#include "sidecar/engine_report.h"
+#include "sidecar/order_result.h"
+#include "snipespar/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snipespar::gateway {
+struct engine_status;
+}
+
+namespace snipespar::sidecar {
+
+/// Decides which adapters one engine holds: those that gateways wait for are loaded, the least
+/// recently used ones make way, and outdated versions are replaced.
+///
+/// An adapter that is to be dropped or replaced is first withdrawn from what gateways are told, so
+/// that requests on their way to it still find it.
+class adapter_planner {
+public:
+    void on_demand(const control::adapter_demand& demand, time_point now);
+    void on_report(const engine_report& report, time_point now);
+    void on_version(const std::string& model, const std::string& adapter, std::uint64_t version,
+                    time_point now);
+    void on_order_result(const engine_order& order, order_result result, time_point now);
+
+    /// The next order to give, or nothing for the moment. One order is given at a time: its result
+    /// has to be told before the next is asked for.
+    std::optional<engine_order> next_order(time_point now);
+
+    /// What gateways may rely on; address, start and sequence are left to the caller.
+    gateway::engine_status status() const;
+
+    /// Whether something is on its way, so that the engine should be asked soon.
+    bool is_waiting() const;
+
+private:
+    struct gateway_use {
+        int waiting = 0;
+        int running = 0;
+        time_point told;
+    };
+    struct adapter_state {
+        std::string model;
+        std::string adapter;
+        /// By gateway.
+        std::map<std::string, gateway_use> uses;
+        time_point last_used;
+        /// Since when gateways wait for it without a break.
+        std::optional<time_point> wanted_since;
+        /// Gateways are no longer told of it; it may be dropped or replaced after a moment.
+        std::optional<time_point> withdrawn_at;
+        std::uint64_t newest_version = 0;
+        time_point newest_since;
+    };
+
+    adapter_state& state_of(const std::string& model, const std::string& adapter);
+    bool is_held(const std::string& name) const;
+    bool is_loading(const std::string& name) const;
+    bool is_outdated(const std::string& name, const adapter_state& state) const;
+    int places_taken() const;
+    std::optional<engine_order> model_order(time_point now);
+    std::optional<engine_order> replacement_order(time_point now);
+    std::optional<engine_order> load_order(time_point now);
+    std::optional<engine_order> unload_order(time_point now);
+    void withdraw_victims(time_point now);
+    engine_order make_order(engine_order::operation what, const adapter_state& state) const;
+
+    std::optional<engine_report> report_;
+    int adapter_slots_ = 0;
+    std::vector<std::string> models_;
+    std::map<std::string, adapter_state> adapters_;
+    /// Ordered and not seen in a report yet, with the time of the order.
+    std::map<std::string, time_point> ordered_;
+    std::optional<time_point> model_ordered_at_;
+    std::optional<time_point> paused_until_;
+};
+
+} // namespace snipespar::sidecar
--- /dev/null
+++ b/src/sidecar/run_sidecar.cpp
@@ -0,0 +1,47 @@
+#include "sidecar/run_sidecar.h"
+
+#include "cli/exit_code.h"
+#include "cli/sidecar_settings.h"
+#include "net/process_signals.h"
+#include "sidecar/sidecar_server.h"
+#include "telemetry/bounded_output.h"
+#include "telemetry/logger.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdlib>
+#include <unistd.h>
+
+namespace snipespar::sidecar {
+
+namespace {
+
+// Lines a second that a busy process may log, and how many may come at once.
+constexpr double log_lines_per_s = 50;
+constexpr double log_burst = 200;
+
+} // namespace
+
+int run_sidecar(const cli::sidecar_settings& settings)
+{
+    telemetry::bounded_output output(STDOUT_FILENO, log_lines_per_s, log_burst);
+    telemetry::logger log([&](std::string_view line) { output.write(line); });
+    boost::asio::io_context io(1);
+    sidecar_server server(io, settings, log);
+    if (const auto status = server.start(); !status.ok()) {
+        log.error("start_failed", {{"reason", std::string(status.message())}});
+        return static_cast<int>(cli::exit_code::failed);
+    }
+    const auto stop = [&] {
+        log.info("stopped", {{"role", "sidecar"}, {"forced", false}});
+        io.stop();
+    };
+    net::process_signals signals(
+        io, {.stop = stop,
+             .stop_again = stop,
+             .reload = [&] { log.info("reloaded", {{"changes", 0}}); }});
+    io.run();
+    // The coroutines still refer to the server, so nothing of it may be destroyed.
+    std::_Exit(static_cast<int>(cli::exit_code::ok));
+}
+
+} // namespace snipespar::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_metrics.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "telemetry/counter.h"
+#include "telemetry/metrics_registry.h"
+
+namespace snipespar::sidecar {
+
+/// The metrics of a sidecar.
+class sidecar_metrics {
+public:
+    telemetry::metrics_registry registry;
+
+    telemetry::counter& orders =
+        registry.make_counter("snipespar_sidecar_orders_total", "Orders given to the engine.");
+    telemetry::counter& orders_failed = registry.make_counter(
+        "snipespar_sidecar_orders_failed_total", "Orders that were refused or not answered.");
+    telemetry::counter& reports_failed = registry.make_counter(
+        "snipespar_sidecar_reports_failed_total", "Engine reports that could not be read.");
+    telemetry::counter& demands = registry.make_counter("snipespar_sidecar_demands_total",
+                                                        "Messages received from gateways.");
+};
+
+} // namespace snipespar::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_server.cpp
@@ -0,0 +1,274 @@
+#include "sidecar/sidecar_server.h"
+
+#include "control/message.h"
+#include "net/start_number.h"
+#include "net/steady_time.h"
+#include "platform/adapter_version_codec.h"
+#include "platform/engine_codec.h"
+#include "telemetry/admin_handlers.h"
+#include "telemetry/admin_server.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+
+namespace snipespar::sidecar {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+namespace {
+
+// The engine is asked at this interval while something is on its way, and else at the longer one.
+// Its report costs nothing on its own host.
+constexpr auto busy_interval = milliseconds(15);
+constexpr auto idle_interval = milliseconds(150);
+// The state is told again after this time without a change, so that gateways know it still holds.
+constexpr auto publish_interval = milliseconds(450);
+// Load figures alone are told less often than changes of what the engine holds.
+constexpr auto load_publish_interval = milliseconds(150);
+constexpr auto engine_timeout = milliseconds(400);
+// A gateway reports twice a second.
+constexpr auto forget_gateway_after = milliseconds(3000);
+constexpr std::size_t max_report_bytes = 1024 * 1024;
+
+bool holds_the_same(const gateway::engine_status& left, const gateway::engine_status& right)
+{
+    return left.models == right.models && left.adapters == right.adapters &&
+           left.loading == right.loading && left.is_full == right.is_full;
+}
+
+} // namespace
+
+sidecar_server::sidecar_server(asio::io_context& io, const cli::sidecar_settings& settings,
+                               telemetry::logger& log)
+    : io_(io), settings_(settings), log_(log), start_(net::start_number()),
+      datagrams_(io.get_executor()),
+      engine_(settings.engine.ip, settings.engine.port, max_report_bytes),
+      version_watch_(io.get_executor(), settings.platform, "versions",
+                     settings.seed != 0 ? settings.seed : std::random_device{}(),
+                     {[this](const auto& objects) {
+                          for (const auto& object : objects) {
+                              on_version(object);
+                          }
+                      },
+                      [this](const auto& object) { on_version(object); },
+                      [this](bool is_reached, const std::string& reason) {
+                          if (is_reached) {
+                              log_.info("platform_reached", {{"kind", "versions"}});
+                          }
+                          else {
+                              log_.warning("platform_lost",
+                                           {{"kind", "versions"}, {"reason", reason}});
+                          }
+                      }}),
+      pause_(io)
+{
+}
+
+sidecar_server::~sidecar_server() = default;
+
+absl::Status sidecar_server::start()
+{
+    auto status = datagrams_.open(settings_.control_listen,
+                                  [this](const auto& content, const auto& from) {
+                                      on_message(content, from);
+                                  });
+    if (!status.ok()) {
+        return status;
+    }
+    telemetry::admin_handlers handlers{
+        [this] { return metrics_.registry.exposition(); },
+        [this] {
+            return telemetry::readiness{is_engine_reached_,
+                                        is_engine_reached_ ? "" : "the engine does not answer"};
+        },
+        [this] {
+            return nlohmann::json{{"gateways", gateways_.size()}, {"sequence", sequence_}}.dump();
+        },
+    };
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(settings_.admin_listen.ip, error);
+    auto admin = telemetry::admin_server::make(
+        io_.get_executor(), asio::ip::tcp::endpoint(address, settings_.admin_listen.port),
+        std::move(handlers));
+    if (!admin.ok()) {
+        return admin.status();
+    }
+    admin_ = *std::move(admin);
+    version_watch_.start();
+    asio::co_spawn(io_, run(), asio::detached);
+    log_.info("started", {{"role", "sidecar"},
+                          {"host", settings_.host.str()},
+                          {"engine", settings_.engine.str()},
+                          {"platform", settings_.platform.str()},
+                          {"start", start_}});
+    return absl::OkStatus();
+}
+
+asio::awaitable<void> sidecar_server::run()
+{
+    while (true) {
+        is_urgent_ = false;
+        co_await read_report();
+        co_await give_orders();
+        publish();
+        if (!is_urgent_) {
+            pause_.expires_after(planner_.is_waiting() ? busy_interval : idle_interval);
+            co_await pause_.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+    }
+}
+
+asio::awaitable<void> sidecar_server::read_report()
+{
+    http::request<http::string_body> message{http::verb::get,
+                                             std::string(platform::engine_report_path), 11};
+    const auto answer = co_await engine_.call(std::move(message), engine_timeout);
+    absl::Status status = answer.status();
+    if (answer.ok() && answer->result() != http::status::ok) {
+        status = absl::UnavailableError("status " + std::to_string(answer->result_int()));
+    }
+    if (status.ok()) {
+        const auto report = platform::decode_engine_report(answer->body());
+        status = report.status();
+        if (report.ok()) {
+            planner_.on_report(*report, steady_now());
+            reported_at_ = steady_now();
+        }
+    }
+    if (!status.ok()) {
+        metrics_.reports_failed.add();
+    }
+    if (status.ok() != is_engine_reached_) {
+        is_engine_reached_ = status.ok();
+        log_.info(is_engine_reached_ ? "engine_reached" : "engine_lost",
+                  {{"reason", std::string(status.message())}});
+    }
+}
+
+asio::awaitable<void> sidecar_server::give_orders()
+{
+    while (is_engine_reached_) {
+        const auto order = planner_.next_order(steady_now());
+        if (!order) {
+            co_return;
+        }
+        http::request<http::string_body> message{http::verb::post,
+                                                 std::string(platform::engine_order_path), 11};
+        message.set(http::field::content_type, "application/json");
+        message.body() = platform::encode_order(*order, settings_.host.str());
+        metrics_.orders.add();
+        const auto answer = co_await engine_.call(std::move(message), engine_timeout);
+        auto result = order_result::unknown;
+        if (answer.ok()) {
+            switch (answer->result_int()) {
+            case 200:
+            case 202:
+                result = order_result::accepted;
+                break;
+            case 409:
+                result = order_result::conflict;
+                break;
+            default:
+                result = order_result::refused;
+                break;
+            }
+        }
+        if (result != order_result::accepted) {
+            metrics_.orders_failed.add();
+        }
+        log_.info("order_given",
+                  {{"operation",
+                    order->what == engine_order::operation::load ? "load" : "unload"},
+                   {"model", order->model},
+                   {"adapter", order->adapter},
+                   {"version", order->version.value_or(0)},
+                   {"orders_before", order->orders_before},
+                   {"status", answer.ok() ? std::to_string(answer->result_int())
+                                          : std::string(answer.status().message())}});
+        planner_.on_order_result(*order, result, steady_now());
+        publish();
+    }
+}
+
+void sidecar_server::on_message(const control::message& content, const cli::endpoint& from)
+{
+    const auto* demand = std::get_if<control::adapter_demand>(&content);
+    if (demand == nullptr) {
+        return;
+    }
+    const auto now = steady_now();
+    metrics_.demands.add();
+    const bool is_new = gateways_.find(from) == gateways_.end();
+    gateways_[from] = now;
+    planner_.on_demand(*demand, now);
+    if (is_new) {
+        published_at_ = {};
+        log_.info("gateway_heard", {{"gateway", demand->gateway}, {"address", from.str()}});
+    }
+    if (planner_.is_waiting() || is_new) {
+        is_urgent_ = true;
+        pause_.cancel();
+    }
+}
+
+void sidecar_server::on_version(const platform::watched_object& object)
+{
+    if (object.is_removed) {
+        return;
+    }
+    const auto announced = platform::decode_adapter_version(object.content);
+    if (!announced.ok()) {
+        log_.warning("version_rejected", {{"cause", std::string(announced.status().message())}});
+        return;
+    }
+    if (!announced->adapter.empty()) {
+        planner_.on_version(announced->model, announced->adapter, announced->version,
+                            steady_now());
+        log_.info("version_announced", {{"model", announced->model},
+                                        {"adapter", announced->adapter},
+                                        {"version", announced->version}});
+    }
+}
+
+// Tells the gateways what the engine holds, if that is news to them.
+void sidecar_server::publish()
+{
+    const auto now = steady_now();
+    std::erase_if(gateways_, [&](const auto& item) {
+        return now - item.second > forget_gateway_after;
+    });
+    auto status = planner_.status();
+    const bool has_changed = !holds_the_same(status, published_);
+    const bool has_other_load =
+        status.running != published_.running || status.waiting != published_.waiting;
+    const bool is_due = has_changed || now - published_at_ >= publish_interval ||
+                        (has_other_load && now - published_at_ >= load_publish_interval);
+    // Without a recent report there is nothing to rely on; gateways notice the silence.
+    const bool is_known = is_engine_reached_ && now - reported_at_ < milliseconds(1000);
+    if (!is_due || gateways_.empty() || (!is_known && !has_changed)) {
+        return;
+    }
+    published_ = status;
+    published_at_ = now;
+    status.engine = settings_.engine.str();
+    status.sidecar_start = start_;
+    status.sequence = ++sequence_;
+    control::sidecar_report report{std::move(status), {}};
+    for (const auto& [gateway, heard] : gateways_) {
+        report.gateways.push_back(gateway.str());
+    }
+    const auto bytes = control::encode(report);
+    for (const auto& [gateway, heard] : gateways_) {
+        datagrams_.send(gateway, bytes);
+    }
+}
+
+} // namespace snipespar::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_server.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "cli/sidecar_settings.h"
+#include "control/datagram_socket.h"
+#include "gateway/engine_status.h"
+#include "net/http_client.h"
+#include "platform/object_watch.h"
+#include "sidecar/adapter_planner.h"
+#include "sidecar/sidecar_metrics.h"
+#include "telemetry/logger.h"
+
+#include <absl/status/status.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+
+namespace snipespar::telemetry {
+class admin_server;
+}
+
+namespace snipespar::sidecar {
+
+/// One sidecar process: reads its engine's report, gives it orders, and tells the gateways that use
+/// the engine what it holds. Runs on one thread.
+class sidecar_server {
+public:
+    sidecar_server(boost::asio::io_context& io, const cli::sidecar_settings& settings,
+                   telemetry::logger& log);
+    ~sidecar_server();
+    sidecar_server(const sidecar_server&) = delete;
+    sidecar_server& operator=(const sidecar_server&) = delete;
+
+    /// Binds the addresses and starts. Fails when one cannot be bound.
+    absl::Status start();
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> read_report();
+    boost::asio::awaitable<void> give_orders();
+    void on_message(const control::message& content, const cli::endpoint& from);
+    void on_version(const platform::watched_object& object);
+    void publish();
+
+    boost::asio::io_context& io_;
+    cli::sidecar_settings settings_;
+    telemetry::logger& log_;
+    std::uint64_t start_;
+    sidecar_metrics metrics_;
+    adapter_planner planner_;
+    control::datagram_socket datagrams_;
+    net::http_client engine_;
+    platform::object_watch version_watch_;
+    std::unique_ptr<telemetry::admin_server> admin_;
+    boost::asio::steady_timer pause_;
+    /// When each gateway was heard last.
+    std::map<cli::endpoint, time_point> gateways_;
+    gateway::engine_status published_;
+    time_point published_at_;
+    time_point reported_at_;
+    std::uint64_t sequence_ = 0;
+    bool is_engine_reached_ = false;
+    bool is_urgent_ = false;
+};
+
+} // namespace snipespar::sidecar
--- a/src/telemetry/admin_server.cpp
+++ b/src/telemetry/admin_server.cpp
@@ -60,7 +60,7 @@
     if (path == "/livez") {
         return plain(http::status::ok, "live");
     }
-    if (path == "/readyz") {
+    if (path == "/readyz" || path == "/ready") {
         return answer_readiness(handlers.ready());
     }
     if (path == "/metrics") {
--- a/src/telemetry/admin_server.h
+++ b/src/telemetry/admin_server.h
@@ -9,7 +9,7 @@
 
 namespace snipespar::telemetry {
 
-/// Serves `/metrics`, `/livez`, `/readyz` and `/status` by HTTP on a port of its own. Liveness
+/// Serves `/metrics`, `/livez`, `/readyz` (also `/ready`) and `/status` by HTTP on a port of its own. Liveness
 /// holds as long as the executor runs at all.
 class admin_server {
 public:
