--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -35,6 +35,10 @@
 // Use of team limits is told at this interval while it changes, and else at the longer one.
 constexpr auto usage_interval = milliseconds(250);
 constexpr auto idle_usage_interval = milliseconds(1000);
+// Entries of upstreams change several times a second; an upstream that leaves must get no work two
+// seconds later.
+constexpr auto upstream_poll_pause = milliseconds(600);
+constexpr auto version_poll_pause = milliseconds(200);
 // Pause between two readings of the configuration that other gateways have a newer version of.
 constexpr auto config_refresh_pause = milliseconds(1000);
 // After it, the balancer has noticed that this gateway is not ready and sends no new connections.
@@ -59,11 +63,11 @@
       context_(io.get_executor(), settings.failure_domain, start_, seed_of(settings.seed), log),
       peers_(settings.control_listen), acceptor_(io), tick_timer_(io),
       datagrams_(io.get_executor()),
-      config_watch_(make_watch("config", &gateway_server::on_config_listed,
+      config_watch_(make_watch("config", duration{}, &gateway_server::on_config_listed,
                                &gateway_server::on_config_changed)),
-      upstream_watch_(make_watch("servers", &gateway_server::on_upstreams_listed,
+      upstream_watch_(make_watch("servers", upstream_poll_pause, &gateway_server::on_upstreams_listed,
                                  &gateway_server::on_upstream_changed)),
-      version_watch_(make_watch("versions", &gateway_server::on_versions_listed,
+      version_watch_(make_watch("versions", version_poll_pause, &gateway_server::on_versions_listed,
                                 &gateway_server::on_version_changed))
 {
     context_.send_demand = [this](const upstream_id& upstream) { queue_demand(upstream); };
@@ -72,12 +76,12 @@
 gateway_server::~gateway_server() = default;
 
 platform::object_watch gateway_server::make_watch(
-    const std::string& kind,
+    const std::string& kind, duration poll_pause,
     void (gateway_server::*listed)(const std::vector<platform::watched_object>&),
     void (gateway_server::*changed)(const platform::watched_object&))
 {
     return platform::object_watch(
-        io_.get_executor(), settings_.platform, kind, context_.random(),
+        io_.get_executor(), settings_.platform, kind, poll_pause, context_.random(),
         {[this, listed](const auto& objects) { (this->*listed)(objects); },
          [this, changed](const auto& object) { (this->*changed)(object); },
          [this, kind](bool is_reached, const std::string& reason) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -45,7 +45,7 @@
     void drain(std::function<void()> done);
 
 private:
-    platform::object_watch make_watch(const std::string& kind,
+    platform::object_watch make_watch(const std::string& kind, duration poll_pause,
                                       void (gateway_server::*listed)(
                                           const std::vector<platform::watched_object>&),
                                       void (gateway_server::*changed)(
--- a/src/gateway/team_meter.cpp
+++ b/src/gateway/team_meter.cpp
@@ -14,8 +14,9 @@
 constexpr auto gone_after = std::chrono::milliseconds(4000);
 // Share of a new measurement in the smoothed use of a peer.
 constexpr double use_smoothing = 0.3;
-// A new process does not know what its predecessor had just granted.
-constexpr double level_at_start = 0.5;
+// Part of the burst that has to be there for a large call. The rest of its size becomes a debt, so
+// that a busy team's large calls are not starved by its small ones.
+constexpr double least_level_share = 0.25;
 
 double seconds(duration span)
 {
@@ -48,7 +49,7 @@
         }
         const double capacity = std::max(team.burst, team.rate_per_s);
         const auto known = buckets_.find(team.id.str());
-        bucket item{team.rate_per_s, capacity, level_at_start * capacity, now};
+        bucket item{team.rate_per_s, capacity, capacity, now};
         if (known != buckets_.end()) {
             refill(known->second, now);
             item.level = std::clamp(known->second.level, -capacity, capacity);
@@ -65,8 +66,7 @@
     if (found != buckets_.end()) {
         auto& item = found->second;
         refill(item, now);
-        // A call larger than the burst passes when the bucket is full, and leaves a debt.
-        const double needed = std::min(amount, item.capacity);
+        const double needed = std::min(amount, least_level_share * item.capacity);
         if (item.level < needed) {
             const double wait_s = (needed - item.level) / item.rate_per_s;
             return duration(static_cast<duration::rep>(wait_s * 1e6) + 1);
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -52,9 +52,9 @@
 class object_watch::follower : public std::enable_shared_from_this<follower> {
 public:
     follower(asio::any_io_executor executor, const cli::endpoint& store, std::string kind,
-             std::uint64_t seed, object_watch_handler handler)
+             duration poll_pause, std::uint64_t seed, object_watch_handler handler)
         : executor_(std::move(executor)), client_(store.ip, store.port, max_answer_bytes),
-          kind_(std::move(kind)), handler_(std::move(handler)),
+          kind_(std::move(kind)), poll_pause_(poll_pause), handler_(std::move(handler)),
           pace_(first_retry, longest_retry, seed), pause_(executor_)
     {
     }
@@ -94,6 +94,10 @@
             if (status.ok()) {
                 report_contact(true, {});
                 pace_.reset();
+                if (poll_pause_ > duration{}) {
+                    pause_.expires_after(poll_pause_);
+                    co_await pause_.async_wait(asio::as_tuple(asio::use_awaitable));
+                }
                 continue;
             }
             must_list_ = must_list_ || absl::IsOutOfRange(status);
@@ -204,6 +208,7 @@
     asio::any_io_executor executor_;
     net::http_client client_;
     std::string kind_;
+    duration poll_pause_;
     object_watch_handler handler_;
     backoff pace_;
     asio::steady_timer pause_;
@@ -215,9 +220,10 @@
 };
 
 object_watch::object_watch(asio::any_io_executor executor, const cli::endpoint& store,
-                           std::string kind, std::uint64_t seed, object_watch_handler handler)
-    : follower_(std::make_shared<follower>(std::move(executor), store, std::move(kind), seed,
-                                           std::move(handler)))
+                           std::string kind, duration poll_pause, std::uint64_t seed,
+                           object_watch_handler handler)
+    : follower_(std::make_shared<follower>(std::move(executor), store, std::move(kind), poll_pause,
+                                           seed, std::move(handler)))
 {
 }
 
--- a/src/platform/object_watch.h
+++ b/src/platform/object_watch.h
@@ -32,11 +32,13 @@
 };
 
 /// Follows all objects of one kind: a paged list, then one long poll after the other. A dropped
-/// history or a lost answer leads to a new list, with backoff.
+/// history or a lost answer leads to a new list, with backoff. After news it pauses for
+/// `poll_pause`, so that changes that follow closely come in one answer.
 class object_watch {
 public:
     object_watch(boost::asio::any_io_executor executor, const cli::endpoint& store,
-                 std::string kind, std::uint64_t seed, object_watch_handler handler);
+                 std::string kind, duration poll_pause, std::uint64_t seed,
+                 object_watch_handler handler);
     ~object_watch();
     object_watch(const object_watch&) = delete;
     object_watch& operator=(const object_watch&) = delete;
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -51,7 +51,7 @@
     : io_(io), settings_(settings), log_(log), start_(net::start_number()),
       datagrams_(io.get_executor()),
       engine_(settings.engine.ip, settings.engine.port, max_report_bytes),
-      version_watch_(io.get_executor(), settings.platform, "versions",
+      version_watch_(io.get_executor(), settings.platform, "versions", duration{},
                      settings.seed != 0 ? settings.seed : std::random_device{}(),
                      {[this](const auto& objects) {
                           for (const auto& object : objects) {
