--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -433,6 +433,9 @@
     const auto known = context_.config == nullptr ? 0 : context_.config->version();
     if (usage.config_version > known && now - config_refreshed_at_ > config_refresh_pause) {
         config_refreshed_at_ = now;
+        context_.log.warning("config_behind", {{"version", known},
+                                               {"peer", usage.gateway},
+                                               {"peer_version", usage.config_version}});
         config_watch_.refresh();
     }
 }
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -6,9 +6,9 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <exception>
 #include <fmt/core.h>
 #include <optional>
 #include <utility>
@@ -62,10 +62,13 @@
     void start()
     {
         asio::co_spawn(
-            executor_, [self = shared_from_this()]() -> asio::awaitable<void> {
-                co_await self->run();
+            executor_,
+            [self = shared_from_this(), own = generation_]() -> asio::awaitable<void> {
+                co_await self->run(own);
             },
-            asio::detached);
+            [self = shared_from_this(), own = generation_](const std::exception_ptr& error) {
+                self->on_end(own, error);
+            });
     }
 
     void refresh()
@@ -83,9 +86,29 @@
     }
 
 private:
-    asio::awaitable<void> run()
+    // An object that no code foresaw must not end the following of its kind.
+    void on_end(std::uint64_t own, const std::exception_ptr& error)
+    {
+        if (error == nullptr || own != generation_) {
+            return;
+        }
+        try {
+            std::rethrow_exception(error);
+        }
+        catch (const std::exception& cause) {
+            report_contact(false, cause.what());
+        }
+        must_list_ = true;
+        pause_.expires_after(longest_retry);
+        pause_.async_wait([self = shared_from_this(), own](const auto& wait_error) {
+            if (!wait_error && own == self->generation_) {
+                self->start();
+            }
+        });
+    }
+
+    asio::awaitable<void> run(std::uint64_t own)
     {
-        const auto own = generation_;
         while (own == generation_) {
             const auto status = must_list_ ? co_await list(own) : co_await poll(own);
             if (own != generation_) {
