--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -79,7 +79,7 @@
 bool call_exchange::plan()
 {
     if (config_ == nullptr) {
-        refuse({503, "no_configuration", longest_return, false});
+        refuse({503, "no_configuration", return_time(), false});
         return false;
     }
     route_ = config_->find_route(call_.host, call_.path());
@@ -108,7 +108,7 @@
         }
     }
     if (service_ == nullptr) {
-        refuse({503, "unknown_service", longest_return, false});
+        refuse({503, "unknown_service", return_time(), false});
         return false;
     }
     context_.retries[service_->name].on_request();
@@ -116,7 +116,8 @@
         tokens_ = call_.has_token_count ? call_.prompt_tokens + call_.max_output_tokens
                                         : team_->default_tokens;
         if (const auto wait_for_tokens = context_.teams.take(team_->id, tokens_, steady_now())) {
-            refuse({429, "over_team_limit", *wait_for_tokens, false});
+            // Callers that were refused together must not come back together.
+            refuse({429, "over_team_limit", *wait_for_tokens + return_time(), false});
             return false;
         }
     }
@@ -204,8 +205,6 @@
     }
 }
 
-void call_exchange::on_config() {}
-
 // Whether a request may leave now; refuses the call otherwise.
 bool call_exchange::may_send(time_point now)
 {
@@ -503,9 +502,15 @@
     if (runs_ > 0) {
         return refuse({502, std::string(cause), std::nullopt, false});
     }
+    refuse({503, std::string(cause), return_time(), false});
+}
+
+// When a refused caller may come back.
+duration call_exchange::return_time()
+{
     std::uniform_int_distribution<duration::rep> spread(duration(shortest_return).count(),
                                                         duration(longest_return).count());
-    refuse({503, std::string(cause), duration(spread(context_.random)), false});
+    return duration(spread(context_.random));
 }
 
 void call_exchange::refuse(const refusal& refused)
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -44,9 +44,6 @@
     /// Something changed that the exchange may be waiting for.
     void on_engine_status(const upstream_id& upstream);
 
-    /// The configuration has changed: a key or a route may be gone.
-    void on_config();
-
 private:
     /// An answer that is kept until it is known whether another upstream does better.
     struct whole_answer {
@@ -74,6 +71,7 @@
     void release_upstream(call_result result, bool keeps_channel);
     bool can_try_again(time_point now) const;
     void give_up(std::string_view cause);
+    duration return_time();
     void refuse(const refusal& refused);
     void abort_answer(std::string_view cause);
     void finish();
--- a/src/gateway/team_meter.cpp
+++ b/src/gateway/team_meter.cpp
@@ -14,9 +14,6 @@
 constexpr auto gone_after = std::chrono::milliseconds(4000);
 // Share of a new measurement in the smoothed use of a peer.
 constexpr double use_smoothing = 0.3;
-// Part of the burst that has to be there for a large call. The rest of its size becomes a debt, so
-// that a busy team's large calls are not starved by its small ones.
-constexpr double least_level_share = 0.25;
 
 double seconds(duration span)
 {
@@ -66,9 +63,10 @@
     if (found != buckets_.end()) {
         auto& item = found->second;
         refill(item, now);
-        const double needed = std::min(amount, least_level_share * item.capacity);
-        if (item.level < needed) {
-            const double wait_s = (needed - item.level) / item.rate_per_s;
+        // A call passes while anything is left and may leave a debt. Otherwise the small calls of a
+        // busy team would always come before its large ones.
+        if (item.level <= 0) {
+            const double wait_s = -item.level / item.rate_per_s;
             return duration(static_cast<duration::rep>(wait_s * 1e6) + 1);
         }
         item.level -= amount;
--- a/src/gateway/team_meter.h
+++ b/src/gateway/team_meter.h
@@ -17,7 +17,8 @@
 
 /// Keeps every team within its rate and burst over all gateways together. Each gateway has a token
 /// bucket a team that holds the whole rate; what the other gateways admit is taken out of it as
-/// they report it. The sum can exceed the limit by what is admitted during one report interval.
+/// they report it. The sum can exceed the limit by what is admitted during one report interval and
+/// by one call for each gateway.
 ///
 /// While some gateway that was heard of lately is silent, its last known use is assumed to go on.
 class team_meter {
--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -281,6 +281,7 @@
 
 std::optional<engine_order> adapter_planner::unload_order(time_point now)
 {
+    const adapter_state* oldest = nullptr;
     for (auto& [name, state] : adapters_) {
         const bool is_due = state.withdrawn_at && is_held(name) && !is_outdated(name, state) &&
                             now - *state.withdrawn_at >= withdrawal_time;
@@ -290,11 +291,15 @@
         if (!state.uses.empty()) {
             // A request was on its way after all, so the adapter is in use again.
             state.withdrawn_at.reset();
-            continue;
         }
-        return make_order(engine_order::operation::unload, state);
+        else if (oldest == nullptr || state.last_used < oldest->last_used) {
+            oldest = &state;
+        }
     }
-    return std::nullopt;
+    if (oldest == nullptr) {
+        return std::nullopt;
+    }
+    return make_order(engine_order::operation::unload, *oldest);
 }
 
 gateway::engine_status adapter_planner::status() const
--- /dev/null
+++ b/tests/control_message_test.cpp
@@ -0,0 +1,73 @@
+#include "control/message.h"
+
+#include "base/cbor.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace snipespar::control {
+
+class control_message_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(control_message_test);
+    CPPUNIT_TEST(every_message_survives_the_wire);
+    CPPUNIT_TEST(rubbish_is_refused);
+    CPPUNIT_TEST(report_of_a_full_engine_fits_one_packet);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void every_message_survives_the_wire()
+    {
+        const adapter_demand demand{"g", 7, 3, 16, {"base"}, {{"base", "a1", 2, 3}}};
+        const gateway_usage usage{"g", 7, 9, 3, true, {{"shops", 1234}}};
+        sidecar_report report;
+        report.status.engine = "10.0.0.1:80";
+        report.status.sidecar_start = 4;
+        report.status.sequence = 5;
+        report.status.models = {"base"};
+        report.status.adapters = {{"base/a1", 2}};
+        report.status.loading = {"base/a2"};
+        report.status.running = 11;
+        report.status.waiting = 2;
+        report.status.memory_used = 41'000;
+        report.status.is_full = true;
+        report.gateways = {"10.0.0.9:7600"};
+        for (const auto& content : {message(demand), message(usage), message(report)}) {
+            const auto decoded = decode(encode(content));
+            CPPUNIT_ASSERT(decoded.ok());
+            CPPUNIT_ASSERT(*decoded == content);
+        }
+    }
+
+    void rubbish_is_refused()
+    {
+        CPPUNIT_ASSERT(!decode("").ok());
+        CPPUNIT_ASSERT(!decode("hello").ok());
+        const auto usage = encode(gateway_usage{"g", 1, 1, 1, false, {}});
+        CPPUNIT_ASSERT(!decode(usage.substr(0, usage.size() / 2)).ok());
+        CPPUNIT_ASSERT(!decode(to_cbor({{"protocol", 2}, {"type", "usage"}})).ok());
+        CPPUNIT_ASSERT(!decode(to_cbor({{"protocol", 1}, {"type", "other"}})).ok());
+        CPPUNIT_ASSERT(!decode(to_cbor({{"protocol", 1}, {"type", "usage"}})).ok());
+    }
+
+    // A report larger than a packet would be cut up, and lost with any of its parts.
+    void report_of_a_full_engine_fits_one_packet()
+    {
+        sidecar_report report;
+        report.status.engine = "10.128.0.100:65535";
+        report.status.models = {"model123456"};
+        for (int i = 0; i < 16; ++i) {
+            report.status.adapters["model123456/a" + std::to_string(9000 + i)] = 100;
+        }
+        for (int i = 0; i < 8; ++i) {
+            report.gateways.push_back("10.128.0.100:65535");
+        }
+        constexpr std::size_t packet_payload = 1452;
+        CPPUNIT_ASSERT(encode(report).size() <= packet_payload);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(control_message_test);
+
+} // namespace snipespar::control
--- /dev/null
+++ b/tests/gateway_team_meter_test.cpp
@@ -0,0 +1,238 @@
+#include "gateway/team_meter.h"
+
+#include "control/gateway_usage.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace snipespar::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point start{seconds(50)};
+const team_id shops("shops");
+
+fleet_config::parts limits(double rate, double burst)
+{
+    return {1, {}, {}, {{shops, {"k"}, 0, 1, rate, burst}}, {}};
+}
+
+std::unique_ptr<team_meter> make_meter(std::uint64_t start_number, double rate, double burst)
+{
+    auto meter = std::make_unique<team_meter>(start_number);
+    meter->set_limits(fleet_config(limits(rate, burst)), start);
+    return meter;
+}
+
+control::gateway_usage usage(const std::string& gateway, std::uint64_t start_number,
+                             std::uint64_t sequence, std::uint64_t tokens)
+{
+    return {gateway, start_number, sequence, 1, false, {{shops.str(), tokens}}};
+}
+
+// Several gateways that tell each other their use each 250 ms, over a network that loses messages.
+class meter_fleet {
+public:
+    meter_fleet(int count, double rate, double burst, double loss)
+        : loss_(loss), totals_sent_(static_cast<std::size_t>(count))
+    {
+        for (int i = 0; i < count; ++i) {
+            meters_.push_back(make_meter(static_cast<std::uint64_t>(100 + i), rate, burst));
+        }
+    }
+
+    // Every gateway asks for `tokens` each 10 ms; returns what was granted, by step.
+    std::vector<double> run(seconds length, std::uint64_t tokens)
+    {
+        std::vector<double> granted;
+        for (duration passed{}; passed < length; passed += milliseconds(10)) {
+            const auto now = start + passed;
+            double sum = 0;
+            for (auto& meter : meters_) {
+                if (!meter->take(shops, tokens, now)) {
+                    sum += static_cast<double>(tokens);
+                }
+            }
+            granted.push_back(sum);
+            if (passed.count() % duration(milliseconds(250)).count() == 0) {
+                exchange(now);
+            }
+        }
+        return granted;
+    }
+
+private:
+    void exchange(time_point now)
+    {
+        ++sequence_;
+        std::bernoulli_distribution is_lost(loss_);
+        for (std::size_t from = 0; from < meters_.size(); ++from) {
+            meters_[from]->on_tick(now);
+            const auto& admitted = meters_[from]->admitted();
+            const auto total = admitted.empty() ? 0 : admitted.at(shops.str());
+            for (std::size_t to = 0; to < meters_.size(); ++to) {
+                if (to != from && !is_lost(random_)) {
+                    meters_[to]->on_usage(
+                        usage("g" + std::to_string(from), 100 + from, sequence_, total), now);
+                }
+            }
+        }
+    }
+
+    double loss_;
+    std::vector<std::unique_ptr<team_meter>> meters_;
+    std::vector<std::uint64_t> totals_sent_;
+    std::uint64_t sequence_ = 0;
+    std::mt19937_64 random_{7};
+};
+
+double largest_window(const std::vector<double>& granted, std::size_t steps)
+{
+    double sum = 0;
+    double largest = 0;
+    for (std::size_t i = 0; i < granted.size(); ++i) {
+        sum += granted[i] - (i >= steps ? granted[i - steps] : 0);
+        largest = std::max(largest, sum);
+    }
+    return largest;
+}
+
+} // namespace
+
+class gateway_team_meter_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(gateway_team_meter_test);
+    CPPUNIT_TEST(refusal_tells_when_the_tokens_are_there);
+    CPPUNIT_TEST(hot_team_stays_within_its_rate_over_all_gateways);
+    CPPUNIT_TEST(hot_team_gets_its_whole_rate);
+    CPPUNIT_TEST(doubled_and_late_reports_are_charged_once);
+    CPPUNIT_TEST(totals_from_before_the_start_are_not_charged);
+    CPPUNIT_TEST(restarted_peer_is_charged_from_zero);
+    CPPUNIT_TEST(silent_peer_is_charged_with_its_last_rate);
+    CPPUNIT_TEST(large_call_of_a_busy_team_is_not_starved);
+    CPPUNIT_TEST(lowered_limit_applies_at_once);
+    CPPUNIT_TEST(team_without_limit_is_never_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void refusal_tells_when_the_tokens_are_there()
+    {
+        const auto meter = make_meter(1, 1000, 1000);
+        CPPUNIT_ASSERT(!meter->take(shops, 1500, start));
+        const auto wait = meter->take(shops, 100, start);
+        CPPUNIT_ASSERT(wait.has_value());
+        CPPUNIT_ASSERT(meter->take(shops, 100, start + *wait - milliseconds(5)).has_value());
+        CPPUNIT_ASSERT(!meter->take(shops, 100, start + *wait + milliseconds(1)));
+    }
+
+    // One team sends many times its rate through five gateways; a fifth of the reports is lost.
+    // The stated bound is a tenth over the limit and 110,000 tokens in a window of 8 s.
+    void hot_team_stays_within_its_rate_over_all_gateways()
+    {
+        constexpr double rate = 100'000;
+        meter_fleet fleet(5, rate, rate, 0.2);
+        const auto granted = fleet.run(seconds(30), 700);
+        const double bound = (rate * 8 + rate) * 1.1 + 110'000;
+        CPPUNIT_ASSERT(largest_window(granted, 800) <= bound);
+    }
+
+    void hot_team_gets_its_whole_rate()
+    {
+        constexpr double rate = 100'000;
+        meter_fleet fleet(5, rate, rate, 0);
+        double sum = 0;
+        for (const auto step : fleet.run(seconds(30), 700)) {
+            sum += step;
+        }
+        CPPUNIT_ASSERT(sum >= 0.95 * rate * 30);
+    }
+
+    void doubled_and_late_reports_are_charged_once()
+    {
+        const auto meter = make_meter(1, 1000, 1000);
+        meter->on_usage(usage("peer", 2, 2, 600), start);
+        meter->on_usage(usage("peer", 2, 2, 600), start);
+        meter->on_usage(usage("peer", 2, 1, 300), start);
+        CPPUNIT_ASSERT(!meter->take(shops, 400, start));
+        const auto wait = meter->take(shops, 1, start);
+        CPPUNIT_ASSERT(wait && *wait < milliseconds(1));
+    }
+
+    void totals_from_before_the_start_are_not_charged()
+    {
+        const auto meter = make_meter(5, 1000, 1000);
+        meter->on_usage(usage("peer", 2, 9, 900'000), start);
+        CPPUNIT_ASSERT(!meter->take(shops, 1000, start));
+    }
+
+    void restarted_peer_is_charged_from_zero()
+    {
+        const auto meter = make_meter(1, 1000, 1000);
+        meter->on_usage(usage("peer", 2, 9, 500), start);
+        meter->on_usage(usage("peer", 3, 1, 500), start);
+        CPPUNIT_ASSERT(meter->take(shops, 1, start).has_value());
+    }
+
+    void silent_peer_is_charged_with_its_last_rate()
+    {
+        const auto meter = make_meter(1, 1000, 1000);
+        auto now = start;
+        for (std::uint64_t i = 1; i <= 40; ++i) {
+            now += milliseconds(250);
+            meter->on_usage(usage("peer", 2, i, i * 225), now);
+        }
+        const auto end = now + seconds(3);
+        double granted = 0;
+        for (; now < end; now += milliseconds(50)) {
+            meter->on_tick(now);
+            granted += meter->take(shops, 50, now) ? 0 : 50;
+        }
+        // The peer used 900 of 1,000 a second, so that here 100 a second and the rest of the burst
+        // are left, and the report interval's worth before the silence is noticed.
+        CPPUNIT_ASSERT(granted <= 3 * 100 + 1000 + 800);
+    }
+
+    void large_call_of_a_busy_team_is_not_starved()
+    {
+        const auto meter = make_meter(1, 10'000, 10'000);
+        int large = 0;
+        // A small call each 10 ms, half as many again as the rate allows, and a large one between
+        // two of them each 1.005 s.
+        for (int step = 0; step < 4000; ++step) {
+            const auto now = start + step * milliseconds(5);
+            if (step % 2 == 0) {
+                static_cast<void>(meter->take(shops, 150, now));
+            }
+            if (step % 201 == 0) {
+                large += meter->take(shops, 9000, now) ? 0 : 1;
+            }
+        }
+        CPPUNIT_ASSERT(large >= 3);
+    }
+
+    void lowered_limit_applies_at_once()
+    {
+        const auto meter = make_meter(1, 100'000, 100'000);
+        meter->set_limits(fleet_config(limits(100, 100)), start);
+        CPPUNIT_ASSERT(!meter->take(shops, 100, start));
+        CPPUNIT_ASSERT(meter->take(shops, 1, start).has_value());
+    }
+
+    void team_without_limit_is_never_refused()
+    {
+        const auto meter = make_meter(1, 0, 0);
+        CPPUNIT_ASSERT(!meter->take(shops, 1'000'000'000, start));
+        CPPUNIT_ASSERT(!meter->take(team_id("unknown"), 1, start));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_team_meter_test);
+
+} // namespace snipespar::gateway
--- /dev/null
+++ b/tests/gateway_upstream_selector_test.cpp
@@ -0,0 +1,223 @@
+#include "gateway/upstream_selector.h"
+
+#include "gateway/service_rule.h"
+#include "gateway/upstream_table.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <string>
+
+namespace snipespar::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr time_point start{std::chrono::seconds(50)};
+const failure_domain_id near("near");
+const failure_domain_id far("far");
+
+// Nine engines with one base model each, or some plain services.
+class placement_fleet {
+public:
+    explicit placement_fleet(int engines)
+    {
+        for (int i = 0; i < engines; ++i) {
+            add(i, near);
+            tell(i, {}, 0);
+        }
+    }
+
+    void add(int number, const failure_domain_id& domain)
+    {
+        table_.update({id(number), "llm", address(number), domain, 64, false}, start);
+    }
+
+    void tell(int number, const std::map<std::string, std::uint64_t, std::less<>>& adapters,
+              int running, const std::vector<std::string>& loading = {})
+    {
+        engine_status status;
+        status.engine = address(number).str();
+        status.sidecar_start = 1;
+        status.sequence = ++sequence_;
+        status.models = {"base"};
+        status.adapters = adapters;
+        status.loading = loading;
+        status.running = running;
+        table_.on_engine_status(status, start);
+    }
+
+    placement choose(const std::string& adapter, std::uint64_t least_version = 0,
+                     std::set<upstream_id> excluded = {}, time_point now = start)
+    {
+        const placement_query query{"llm", adapter, "base", least_version, std::move(excluded)};
+        return selector_.choose(query, service_, table_, 1, now);
+    }
+
+    // The engine that is first in the adapter's ranking.
+    upstream_id home(const std::string& adapter)
+    {
+        return std::get<wait_for_adapter>(choose(adapter)).upstream;
+    }
+
+    static upstream_id id(int number) { return upstream_id("i-" + std::to_string(number)); }
+    static int number_of(const upstream_id& id) { return std::stoi(id.str().substr(2)); }
+
+    upstream_table& table() { return table_; }
+
+private:
+    static cli::endpoint address(int number)
+    {
+        return {"10.0.0." + std::to_string(number + 1), 80};
+    }
+
+    upstream_table table_;
+    upstream_selector selector_{near, 1};
+    service_rule service_{"llm", 300, engine_rule{64, 100'000, 16, {"base"}}};
+    std::uint64_t sequence_ = 0;
+};
+
+} // namespace
+
+class gateway_upstream_selector_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(gateway_upstream_selector_test);
+    CPPUNIT_TEST(unknown_adapter_is_loaded_at_its_home);
+    CPPUNIT_TEST(resident_adapter_is_used_where_it_is);
+    CPPUNIT_TEST(popular_adapter_spreads_over_more_engines);
+    CPPUNIT_TEST(adapter_on_its_way_is_awaited);
+    CPPUNIT_TEST(outdated_version_is_not_used);
+    CPPUNIT_TEST(full_engines_are_not_overloaded);
+    CPPUNIT_TEST(silent_sidecar_gets_no_loads);
+    CPPUNIT_TEST(base_model_call_goes_to_the_least_busy);
+    CPPUNIT_TEST(plain_call_stays_in_its_failure_domain);
+    CPPUNIT_TEST(grey_upstream_gets_less_work);
+    CPPUNIT_TEST(ejected_upstream_serves_when_it_is_the_only_one);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void unknown_adapter_is_loaded_at_its_home()
+    {
+        placement_fleet fleet(9);
+        const auto home = fleet.home("base/a1");
+        CPPUNIT_ASSERT(home == fleet.home("base/a1"));
+        const auto second = std::get<wait_for_adapter>(fleet.choose("base/a1", 0, {home})).upstream;
+        CPPUNIT_ASSERT(second != home);
+    }
+
+    void resident_adapter_is_used_where_it_is()
+    {
+        placement_fleet fleet(9);
+        const int other = (placement_fleet::number_of(fleet.home("base/a1")) + 1) % 9;
+        fleet.tell(other, {{"base/a1", 1}}, 3);
+        CPPUNIT_ASSERT(fleet.choose("base/a1") == placement(send_to{placement_fleet::id(other)}));
+    }
+
+    // Load: one adapter draws a fifth of all calls, more than one engine's share.
+    void popular_adapter_spreads_over_more_engines()
+    {
+        placement_fleet fleet(9);
+        const auto home = fleet.home("base/a1");
+        fleet.tell(placement_fleet::number_of(home), {{"base/a1", 1}}, 40);
+        const auto next = fleet.choose("base/a1");
+        CPPUNIT_ASSERT(std::holds_alternative<wait_for_adapter>(next));
+        CPPUNIT_ASSERT(std::get<wait_for_adapter>(next).upstream != home);
+    }
+
+    void adapter_on_its_way_is_awaited()
+    {
+        placement_fleet fleet(9);
+        const int other = (placement_fleet::number_of(fleet.home("base/a1")) + 1) % 9;
+        fleet.tell(other, {}, 0, {"base/a1"});
+        CPPUNIT_ASSERT(fleet.choose("base/a1") ==
+                       placement(wait_for_adapter{placement_fleet::id(other)}));
+    }
+
+    void outdated_version_is_not_used()
+    {
+        placement_fleet fleet(9);
+        const auto home = fleet.home("base/a1");
+        fleet.tell(placement_fleet::number_of(home), {{"base/a1", 1}}, 0);
+        CPPUNIT_ASSERT(fleet.choose("base/a1", 1) == placement(send_to{home}));
+        CPPUNIT_ASSERT(std::holds_alternative<wait_for_adapter>(fleet.choose("base/a1", 2)));
+    }
+
+    // Load: a burst beyond what all engines can run; the rest is refused at once.
+    void full_engines_are_not_overloaded()
+    {
+        placement_fleet fleet(3);
+        for (int i = 0; i < 3; ++i) {
+            fleet.tell(i, {{"base/a1", 1}}, 97);
+        }
+        CPPUNIT_ASSERT(fleet.choose("base/a1") == placement(no_upstream{true}));
+    }
+
+    void silent_sidecar_gets_no_loads()
+    {
+        placement_fleet fleet(1);
+        const auto later = start + milliseconds(2000);
+        CPPUNIT_ASSERT(std::holds_alternative<wait_for_adapter>(fleet.choose("base/a1")));
+        CPPUNIT_ASSERT(std::holds_alternative<no_upstream>(fleet.choose("base/a1", 0, {}, later)));
+    }
+
+    void base_model_call_goes_to_the_least_busy()
+    {
+        placement_fleet fleet(3);
+        fleet.tell(0, {}, 9);
+        fleet.tell(1, {}, 4);
+        fleet.tell(2, {}, 7);
+        CPPUNIT_ASSERT(fleet.choose("") == placement(send_to{placement_fleet::id(1)}));
+    }
+
+    void plain_call_stays_in_its_failure_domain()
+    {
+        const service_rule service{"desk", 100, std::nullopt};
+        upstream_table table;
+        table.update({upstream_id("f"), "desk", {"10.0.0.1", 80}, far, 6, false}, start);
+        table.update({upstream_id("n"), "desk", {"10.0.0.2", 80}, near, 6, false}, start);
+        upstream_selector selector(near, 1);
+        const placement_query query{"desk", "", "", 0, {}};
+        CPPUNIT_ASSERT(selector.choose(query, service, table, 1, start) ==
+                       placement(send_to{upstream_id("n")}));
+        table.on_call_sent(upstream_id("n"), "", 0);
+        CPPUNIT_ASSERT(selector.choose(query, service, table, 1, start) ==
+                       placement(send_to{upstream_id("f")}));
+    }
+
+    // An upstream that fails part of its calls while its health check passes.
+    void grey_upstream_gets_less_work()
+    {
+        const service_rule service{"desk", 100, std::nullopt};
+        upstream_table table;
+        const upstream_id grey("grey");
+        table.update({grey, "desk", {"10.0.0.1", 80}, near, 6, false}, start);
+        table.update({upstream_id("sound"), "desk", {"10.0.0.2", 80}, far, 6, false}, start);
+        for (int i = 0; i < 30; ++i) {
+            table.on_call_sent(grey, "", 0);
+            table.on_call_ended(grey, "", 0,
+                                i % 2 == 0 ? call_result::failure : call_result::success, start);
+        }
+        upstream_selector selector(near, 1);
+        CPPUNIT_ASSERT(selector.choose({"desk", "", "", 0, {}}, service, table, 1, start) ==
+                       placement(send_to{upstream_id("sound")}));
+    }
+
+    void ejected_upstream_serves_when_it_is_the_only_one()
+    {
+        const service_rule service{"desk", 100, std::nullopt};
+        upstream_table table;
+        const upstream_id only("only");
+        table.update({only, "desk", {"10.0.0.1", 80}, near, 6, false}, start);
+        for (int i = 0; i < 10; ++i) {
+            table.on_call_sent(only, "", 0);
+            table.on_call_ended(only, "", 0, call_result::failure, start);
+        }
+        upstream_selector selector(near, 1);
+        CPPUNIT_ASSERT(selector.choose({"desk", "", "", 0, {}}, service, table, 1, start) ==
+                       placement(send_to{only}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_upstream_selector_test);
+
+} // namespace snipespar::gateway
--- /dev/null
+++ b/tests/gateway_upstream_table_test.cpp
@@ -0,0 +1,185 @@
+#include "gateway/upstream_table.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <string>
+
+namespace snipespar::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr time_point start{std::chrono::seconds(50)};
+
+upstream_entry entry(const std::string& id, const std::string& ip = "10.0.0.1")
+{
+    return {upstream_id(id), "llm", {ip, 80}, failure_domain_id("a"), 64, false};
+}
+
+bool is_open(const upstream_table& table, const std::string& id, time_point now)
+{
+    const auto* state = table.find(upstream_id(id));
+    return state != nullptr && upstream_table::is_open(*state, now);
+}
+
+} // namespace
+
+class gateway_upstream_table_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(gateway_upstream_table_test);
+    CPPUNIT_TEST(draining_upstream_is_closed_at_once);
+    CPPUNIT_TEST(removed_upstream_is_closed_within_two_seconds);
+    CPPUNIT_TEST(lapsed_entry_survives_the_return_of_the_registry);
+    CPPUNIT_TEST(entry_missing_long_after_the_return_is_gone);
+    CPPUNIT_TEST(new_owner_of_an_address_closes_the_old_one);
+    CPPUNIT_TEST(failures_in_a_row_eject_for_a_while);
+    CPPUNIT_TEST(refusals_say_nothing_about_health);
+    CPPUNIT_TEST(older_status_does_not_replace_a_newer_one);
+    CPPUNIT_TEST(upstream_is_kept_while_calls_run_there);
+    CPPUNIT_TEST(host_that_stands_still_is_silent);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void draining_upstream_is_closed_at_once()
+    {
+        upstream_table table;
+        auto item = entry("i-1");
+        table.update(item, start);
+        CPPUNIT_ASSERT(is_open(table, "i-1", start));
+        item.is_draining = true;
+        table.update(item, start);
+        CPPUNIT_ASSERT(!is_open(table, "i-1", start));
+    }
+
+    void removed_upstream_is_closed_within_two_seconds()
+    {
+        upstream_table table;
+        table.update(entry("i-1"), start);
+        table.remove(upstream_id("i-1"), start);
+        CPPUNIT_ASSERT(is_open(table, "i-1", start));
+        CPPUNIT_ASSERT(!is_open(table, "i-1", start + milliseconds(1900)));
+    }
+
+    void lapsed_entry_survives_the_return_of_the_registry()
+    {
+        upstream_table table;
+        table.update(entry("i-1"), start);
+        table.on_registry_return(start);
+        table.replace({}, start);
+        CPPUNIT_ASSERT(is_open(table, "i-1", start + milliseconds(2000)));
+        table.update(entry("i-1"), start + milliseconds(2000));
+        table.on_tick(start + milliseconds(3000));
+        CPPUNIT_ASSERT(is_open(table, "i-1", start + milliseconds(9000)));
+    }
+
+    void entry_missing_long_after_the_return_is_gone()
+    {
+        upstream_table table;
+        table.update(entry("i-1"), start);
+        table.on_registry_return(start);
+        table.replace({}, start);
+        CPPUNIT_ASSERT(!is_open(table, "i-1", start + milliseconds(2500)));
+        table.on_tick(start + milliseconds(2500));
+        CPPUNIT_ASSERT(table.find(upstream_id("i-1")) == nullptr);
+    }
+
+    void new_owner_of_an_address_closes_the_old_one()
+    {
+        upstream_table table;
+        table.update(entry("i-1"), start);
+        table.update(entry("i-2"), start);
+        CPPUNIT_ASSERT(!is_open(table, "i-1", start));
+        CPPUNIT_ASSERT(is_open(table, "i-2", start));
+    }
+
+    void failures_in_a_row_eject_for_a_while()
+    {
+        upstream_table table;
+        const upstream_id id("i-1");
+        table.update(entry("i-1"), start);
+        for (int i = 0; i < 4; ++i) {
+            table.on_call_sent(id, "", 0);
+            table.on_call_ended(id, "", 0, call_result::failure, start);
+        }
+        const auto first = table.find(id)->ejected_until;
+        CPPUNIT_ASSERT(first > start);
+        table.on_call_sent(id, "", 0);
+        table.on_call_ended(id, "", 0, call_result::failure, first);
+        CPPUNIT_ASSERT(table.find(id)->ejected_until - first > first - start);
+        table.on_call_sent(id, "", 0);
+        table.on_call_ended(id, "", 0, call_result::success, first);
+        CPPUNIT_ASSERT_EQUAL(0, table.find(id)->failures_in_a_row);
+    }
+
+    void refusals_say_nothing_about_health()
+    {
+        upstream_table table;
+        const upstream_id id("i-1");
+        table.update(entry("i-1"), start);
+        for (int i = 0; i < 50; ++i) {
+            table.on_call_sent(id, "", 0);
+            table.on_call_ended(id, "", 0, call_result::refused, start);
+        }
+        CPPUNIT_ASSERT(table.find(id)->ejected_until <= start);
+        CPPUNIT_ASSERT_EQUAL(0.0, table.find(id)->failure_rate);
+        CPPUNIT_ASSERT_EQUAL(0, table.find(id)->in_flight);
+    }
+
+    void older_status_does_not_replace_a_newer_one()
+    {
+        upstream_table table;
+        table.update(entry("i-1"), start);
+        engine_status status;
+        status.engine = "10.0.0.1:80";
+        status.sidecar_start = 5;
+        status.sequence = 2;
+        status.running = 7;
+        table.on_engine_status(status, start);
+        status.sequence = 1;
+        status.running = 3;
+        table.on_engine_status(status, start);
+        CPPUNIT_ASSERT_EQUAL(7, table.find(upstream_id("i-1"))->status->running);
+        status.sidecar_start = 6;
+        table.on_engine_status(status, start);
+        CPPUNIT_ASSERT_EQUAL(3, table.find(upstream_id("i-1"))->status->running);
+    }
+
+    void upstream_is_kept_while_calls_run_there()
+    {
+        upstream_table table;
+        const upstream_id id("i-1");
+        table.update(entry("i-1"), start);
+        table.on_call_sent(id, "m/a1", 100);
+        table.remove(id, start);
+        const auto later = start + std::chrono::seconds(5);
+        table.on_tick(later);
+        CPPUNIT_ASSERT(table.find(id) != nullptr);
+        table.on_call_ended(id, "m/a1", 100, call_result::success, later);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, table.find(id)->prompt_tokens);
+        table.on_tick(later);
+        CPPUNIT_ASSERT(table.find(id) == nullptr);
+    }
+
+    // Requests to a host that stands still would run when it wakes, long after their callers left.
+    void host_that_stands_still_is_silent()
+    {
+        upstream_table table;
+        const upstream_id id("i-1");
+        table.update(entry("i-1"), start);
+        CPPUNIT_ASSERT(!upstream_table::is_silent(*table.find(id), start + milliseconds(5000)));
+        engine_status status;
+        status.engine = "10.0.0.1:80";
+        status.sidecar_start = 1;
+        status.sequence = 1;
+        table.on_engine_status(status, start);
+        CPPUNIT_ASSERT(!upstream_table::is_silent(*table.find(id), start + milliseconds(900)));
+        CPPUNIT_ASSERT(upstream_table::is_silent(*table.find(id), start + milliseconds(1100)));
+        // A sidecar may be gone while its engine answers.
+        table.on_progress(id, start + milliseconds(1000));
+        CPPUNIT_ASSERT(!upstream_table::is_silent(*table.find(id), start + milliseconds(1100)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_upstream_table_test);
+
+} // namespace snipespar::gateway
--- /dev/null
+++ b/tests/platform_call_codec_test.cpp
@@ -0,0 +1,165 @@
+#include "platform/call_codec.h"
+
+#include <boost/beast/http/fields.hpp>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <string>
+
+namespace snipespar::platform {
+
+namespace {
+
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+using message = http::request<http::string_body>;
+
+message sample()
+{
+    message request{http::verb::post, "/p/x?y=1", 11};
+    request.set(http::field::host, "a.example:8080");
+    request.set("Request-Id", "r1");
+    request.set("Model", "base/a3");
+    request.set("Token-Count", "1460,80");
+    request.set("Prompt-Prefix", "5c1e07a2:800,91bd3f06:410");
+    request.set("Deadline-Ms", "5000");
+    request.set("Authorization", "Token key-1");
+    request.set("X-Trace", "t");
+    request.body() = "hello";
+    return request;
+}
+
+bool has(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+class platform_call_codec_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(platform_call_codec_test);
+    CPPUNIT_TEST(call_is_decoded);
+    CPPUNIT_TEST(faulty_lines_are_named);
+    CPPUNIT_TEST(caller_cannot_set_what_the_system_sets);
+    CPPUNIT_TEST(lines_of_one_connection_are_not_passed_on);
+    CPPUNIT_TEST(upstream_sees_team_and_not_key);
+    CPPUNIT_TEST(answer_is_decoded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void call_is_decoded()
+    {
+        const auto call = decode_call(sample());
+        CPPUNIT_ASSERT(call.ok());
+        CPPUNIT_ASSERT_EQUAL(std::string("a.example"), call->host);
+        CPPUNIT_ASSERT(call->path() == "/p/x");
+        CPPUNIT_ASSERT_EQUAL(std::string("key-1"), call->key);
+        CPPUNIT_ASSERT(call->wait == milliseconds(5000));
+        CPPUNIT_ASSERT_EQUAL(std::string("base"), call->model);
+        CPPUNIT_ASSERT_EQUAL(std::string("a3"), call->adapter);
+        CPPUNIT_ASSERT(call->has_token_count);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1460}, call->prompt_tokens);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{80}, call->max_output_tokens);
+        CPPUNIT_ASSERT(call->session != 0);
+    }
+
+    void faulty_lines_are_named()
+    {
+        const std::map<std::string, std::string> faulty{{"Deadline-Ms", "soon"},
+                                                        {"Deadline-Ms ", "-5"},
+                                                        {"Token-Count", "12"},
+                                                        {"Token-Count ", "a,b"},
+                                                        {"Last-Event-Id", "x"}};
+        for (const auto& [name, value] : faulty) {
+            auto request = sample();
+            const auto field = name.substr(0, name.find(' '));
+            request.set(field, value);
+            const auto call = decode_call(std::move(request));
+            CPPUNIT_ASSERT_MESSAGE(field, !call.ok());
+            CPPUNIT_ASSERT(has(std::string(call.status().message()), field));
+        }
+        auto twice = sample();
+        twice.insert("Request-Id", "r2");
+        CPPUNIT_ASSERT(!decode_call(std::move(twice)).ok());
+        auto without_host = sample();
+        without_host.erase(http::field::host);
+        CPPUNIT_ASSERT(!decode_call(std::move(without_host)).ok());
+    }
+
+    void caller_cannot_set_what_the_system_sets()
+    {
+        auto request = sample();
+        for (const auto* name : {"Expect-Instance", "Tenant", "Hold", "Pin-Ms", "Kv-Backup",
+                                 "Kv-From", "Kv-Fetch", "Request-Priority", "Expect-Version"}) {
+            request.set(name, "forged");
+        }
+        const auto call = decode_call(std::move(request));
+        CPPUNIT_ASSERT(!has(call->forwarded_header, "forged"));
+        CPPUNIT_ASSERT(has(call->forwarded_header, "X-Trace: t\r\n"));
+        CPPUNIT_ASSERT(has(call->forwarded_header, "Model: base/a3\r\n"));
+        CPPUNIT_ASSERT(has(call->forwarded_header, "Token-Count: 1460,80\r\n"));
+    }
+
+    void lines_of_one_connection_are_not_passed_on()
+    {
+        auto request = sample();
+        request.set(http::field::connection, "keep-alive, X-Trace, Model");
+        request.set("X-Trace", "t");
+        request.set(http::field::te, "trailers");
+        request.set(http::field::transfer_encoding, "chunked");
+        const auto call = decode_call(std::move(request));
+        CPPUNIT_ASSERT(!has(call->forwarded_header, "X-Trace"));
+        CPPUNIT_ASSERT(!has(call->forwarded_header, "TE"));
+        CPPUNIT_ASSERT(!has(call->forwarded_header, "Connection"));
+        CPPUNIT_ASSERT(!has(call->forwarded_header, "Transfer-Encoding"));
+        // The upstream has to know the model whatever a Connection line says.
+        CPPUNIT_ASSERT(has(call->forwarded_header, "Model: base/a3\r\n"));
+    }
+
+    void upstream_sees_team_and_not_key()
+    {
+        const auto call = decode_call(sample());
+        gateway::attempt_header attempt;
+        attempt.upstream = upstream_id("i-1");
+        attempt.team = team_id("shops");
+        attempt.time_left = milliseconds(1234);
+        attempt.last_event = 12;
+        attempt.urgency = 3;
+        const auto head = encode_attempt(*call, attempt);
+        CPPUNIT_ASSERT(head.starts_with("POST /p/x?y=1 HTTP/1.1\r\nHost: a.example\r\n"));
+        CPPUNIT_ASSERT(head.ends_with("Content-Length: 5\r\n\r\n"));
+        CPPUNIT_ASSERT(!has(head, "key-1"));
+        CPPUNIT_ASSERT(has(head, "Tenant: shops\r\n"));
+        CPPUNIT_ASSERT(has(head, "Expect-Instance: i-1\r\n"));
+        CPPUNIT_ASSERT(has(head, "Deadline-Ms: 1234\r\n"));
+        CPPUNIT_ASSERT(has(head, "Last-Event-Id: 12\r\n"));
+        CPPUNIT_ASSERT(has(head, "Request-Priority: 3\r\n"));
+    }
+
+    void answer_is_decoded()
+    {
+        http::response_header<> header;
+        header.result(200);
+        header.reason("OK");
+        header.set("Request-Id", "r1");
+        header.set("Response-Seal", "s");
+        header.set(http::field::keep_alive, "timeout=12, max=5");
+        header.set(http::field::content_length, "3");
+        auto answer = decode_answer(header);
+        CPPUNIT_ASSERT(answer.is_success() && answer.is_sealed && !answer.is_not_run);
+        CPPUNIT_ASSERT_EQUAL(12U, answer.keep_alive_s);
+        CPPUNIT_ASSERT_EQUAL(std::string("Request-Id: r1\r\nResponse-Seal: s\r\n"),
+                             answer.forwarded_header);
+        header.result(503);
+        header.set("Not-Executed", "1");
+        CPPUNIT_ASSERT(decode_answer(header).is_not_run);
+        header.erase("Not-Executed");
+        CPPUNIT_ASSERT(!decode_answer(header).is_not_run);
+        header.result(421);
+        CPPUNIT_ASSERT(decode_answer(header).is_not_run);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_call_codec_test);
+
+} // namespace snipespar::platform
--- /dev/null
+++ b/tests/platform_engine_codec_test.cpp
@@ -0,0 +1,56 @@
+#include "platform/engine_codec.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace snipespar::platform {
+
+class platform_engine_codec_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(platform_engine_codec_test);
+    CPPUNIT_TEST(report_is_decoded);
+    CPPUNIT_TEST(faulty_report_is_refused);
+    CPPUNIT_TEST(order_carries_count_and_holder);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void report_is_decoded()
+    {
+        const auto report = decode_engine_report(
+            R"({"stage":"both","models":[{"name":"base","version":1,"adapters":["a3@2","a4@1"]}],
+                "busy":false,"seq":2,"waiting":1,"running":12,"kv_used":41000,"kv_total":90000,
+                "handles":0,"born":1796335486457,"coming":["base/a9@1"]})");
+        CPPUNIT_ASSERT_MESSAGE(std::string(report.status().message()), report.ok());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, report->orders_accepted);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, report->adapters.at("base/a3"));
+        CPPUNIT_ASSERT_EQUAL(std::string("base/a9"), report->loading.front());
+        CPPUNIT_ASSERT_EQUAL(12, report->running);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1796335486457}, report->born_ms);
+    }
+
+    void faulty_report_is_refused()
+    {
+        CPPUNIT_ASSERT(!decode_engine_report("").ok());
+        CPPUNIT_ASSERT(!decode_engine_report("[]").ok());
+        CPPUNIT_ASSERT(!decode_engine_report(R"({"models":[],"busy":1,"seq":2})").ok());
+    }
+
+    void order_carries_count_and_holder()
+    {
+        using sidecar::engine_order;
+        const auto load = nlohmann::json::parse(encode_order(
+            {engine_order::operation::load, "base", "a3", 4, 17}, "side-1"));
+        CPPUNIT_ASSERT(load == nlohmann::json::parse(
+                                   R"({"operation":"load","model":"base","adapter":"a3",
+                                       "version":4,"expect":17,"holder":"side-1","fence":1})"));
+        const auto unload = nlohmann::json::parse(encode_order(
+            {engine_order::operation::unload, "base", "", std::nullopt, 0}, "side-1"));
+        CPPUNIT_ASSERT(unload["operation"] == "unload" && !unload.contains("adapter") &&
+                       !unload.contains("version"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_engine_codec_test);
+
+} // namespace snipespar::platform
--- /dev/null
+++ b/tests/platform_upstream_entry_codec_test.cpp
@@ -0,0 +1,68 @@
+#include "platform/upstream_entry_codec.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+namespace snipespar::platform {
+
+namespace {
+
+using nlohmann::json;
+
+json sample()
+{
+    return {{"upstream", "llm"}, {"address", "10.1.0.9:8080"}, {"zone", "a"},
+            {"version", "v1"},   {"slots", 64U},               {"state", "ready"},
+            {"seq", 4}};
+}
+
+} // namespace
+
+class platform_upstream_entry_codec_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(platform_upstream_entry_codec_test);
+    CPPUNIT_TEST(entry_is_decoded);
+    CPPUNIT_TEST(rubbish_names_no_upstream);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void entry_is_decoded()
+    {
+        auto content = sample();
+        const auto ready = decode_upstream_entry("i-1", content);
+        CPPUNIT_ASSERT(ready.ok());
+        CPPUNIT_ASSERT(*ready == (gateway::upstream_entry{upstream_id("i-1"),
+                                                          "llm",
+                                                          {"10.1.0.9", 8080},
+                                                          failure_domain_id("a"),
+                                                          64,
+                                                          false}));
+        content["state"] = "draining";
+        CPPUNIT_ASSERT(decode_upstream_entry("i-1", content)->is_draining);
+    }
+
+    // Anyone may write entries; only whole and known ones may be used.
+    void rubbish_names_no_upstream()
+    {
+        for (const auto* field : {"upstream", "address", "zone", "slots", "state"}) {
+            auto missing = sample();
+            missing.erase(field);
+            CPPUNIT_ASSERT(!decode_upstream_entry("i-1", missing).ok());
+            auto mistyped = sample();
+            mistyped[field] = json::array({1});
+            CPPUNIT_ASSERT(!decode_upstream_entry("i-1", mistyped).ok());
+        }
+        auto unknown = sample();
+        unknown["state"] = "asleep";
+        CPPUNIT_ASSERT(!decode_upstream_entry("i-1", unknown).ok());
+        auto address = sample();
+        address["address"] = "somewhere";
+        CPPUNIT_ASSERT(!decode_upstream_entry("i-1", address).ok());
+        CPPUNIT_ASSERT(!decode_upstream_entry("i-1", json("text")).ok());
+        CPPUNIT_ASSERT(!decode_upstream_entry("i-1", json()).ok());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_upstream_entry_codec_test);
+
+} // namespace snipespar::platform
--- /dev/null
+++ b/tests/sidecar_adapter_planner_test.cpp
@@ -0,0 +1,293 @@
+#include "sidecar/adapter_planner.h"
+
+#include "gateway/engine_status.h"
+#include "support/seeded_check.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+#include <rapidcheck.h>
+#include <set>
+#include <string>
+
+namespace snipespar::sidecar {
+
+namespace {
+
+using std::chrono::milliseconds;
+using operation = engine_order::operation;
+
+constexpr time_point start{std::chrono::seconds(50)};
+constexpr int slots = 4;
+
+control::adapter_demand demand(const std::vector<control::adapter_use>& uses,
+                               const std::string& gateway = "g1")
+{
+    return {gateway, 1, 1, slots, {"base"}, uses};
+}
+
+control::adapter_use waiting(const std::string& adapter)
+{
+    return {"base", adapter, 1, 0};
+}
+
+engine_report report(const std::set<std::string>& adapters, std::uint64_t orders = 0)
+{
+    engine_report result;
+    result.born_ms = 1;
+    result.orders_accepted = orders;
+    result.models = {"base"};
+    for (const auto& adapter : adapters) {
+        result.adapters["base/" + adapter] = 1;
+    }
+    return result;
+}
+
+// An engine that carries out orders after a while, and as it likes answers none of them.
+class fake_engine {
+public:
+    explicit fake_engine(std::uint64_t seed) : random_(seed) {}
+
+    order_result take(const engine_order& order, time_point now)
+    {
+        const bool is_mute = std::bernoulli_distribution(0.2)(random_);
+        if (is_mute && std::bernoulli_distribution(0.5)(random_)) {
+            late_.emplace_back(now + milliseconds(300), order);
+            return order_result::unknown;
+        }
+        const auto result = carry_out(order, now);
+        return is_mute ? order_result::unknown : result;
+    }
+
+    engine_report step(time_point now)
+    {
+        for (auto item = late_.begin(); item != late_.end();) {
+            if (item->first <= now) {
+                carry_out(item->second, now);
+                item = late_.erase(item);
+            }
+            else {
+                ++item;
+            }
+        }
+        for (auto item = loading_.begin(); item != loading_.end();) {
+            if (item->second <= now) {
+                held_.insert(item->first);
+                item = loading_.erase(item);
+            }
+            else {
+                ++item;
+            }
+        }
+        engine_report result = report({}, accepted_);
+        for (const auto& name : held_) {
+            result.adapters[name] = 1;
+        }
+        for (const auto& [name, when] : loading_) {
+            result.loading.push_back(name);
+        }
+        return result;
+    }
+
+    std::size_t places_taken() const { return held_.size() + loading_.size(); }
+    std::size_t most_loads() const { return most_loads_; }
+
+private:
+    order_result carry_out(const engine_order& order, time_point now)
+    {
+        if (order.orders_before != accepted_) {
+            return order_result::conflict;
+        }
+        ++accepted_;
+        const auto name = order.model + "/" + order.adapter;
+        if (order.what == operation::load) {
+            loading_[name] = now + milliseconds(100);
+            most_loads_ = std::max(most_loads_, loading_.size());
+        }
+        else {
+            held_.erase(name);
+        }
+        return order_result::accepted;
+    }
+
+    std::mt19937_64 random_;
+    std::uint64_t accepted_ = 0;
+    std::set<std::string> held_;
+    std::map<std::string, time_point> loading_;
+    std::vector<std::pair<time_point, engine_order>> late_;
+    std::size_t most_loads_ = 0;
+};
+
+} // namespace
+
+class sidecar_adapter_planner_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(sidecar_adapter_planner_test);
+    CPPUNIT_TEST(nothing_is_ordered_before_a_report);
+    CPPUNIT_TEST(awaited_adapter_is_loaded);
+    CPPUNIT_TEST(empty_engine_loads_its_model_first);
+    CPPUNIT_TEST(least_recently_used_makes_way);
+    CPPUNIT_TEST(adapter_in_use_is_never_dropped);
+    CPPUNIT_TEST(adapter_is_withdrawn_before_it_is_dropped);
+    CPPUNIT_TEST(outdated_adapter_is_replaced_within_its_time);
+    CPPUNIT_TEST(unanswered_order_is_settled_by_the_report);
+    CPPUNIT_TEST(restarted_engine_is_filled_anew);
+    CPPUNIT_TEST(places_are_never_exceeded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void nothing_is_ordered_before_a_report()
+    {
+        adapter_planner planner;
+        planner.on_demand(demand({waiting("a1")}), start);
+        CPPUNIT_ASSERT(!planner.next_order(start));
+    }
+
+    void awaited_adapter_is_loaded()
+    {
+        adapter_planner planner;
+        planner.on_report(report({}, 7), start);
+        planner.on_demand(demand({waiting("a1")}), start);
+        const auto order = planner.next_order(start);
+        CPPUNIT_ASSERT(order == (engine_order{operation::load, "base", "a1", std::nullopt, 7}));
+        planner.on_order_result(*order, order_result::accepted, start);
+        CPPUNIT_ASSERT(!planner.next_order(start));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, planner.status().loading.size());
+        planner.on_report(report({"a1"}, 8), start);
+        CPPUNIT_ASSERT(planner.status().adapters.contains("base/a1"));
+    }
+
+    void empty_engine_loads_its_model_first()
+    {
+        adapter_planner planner;
+        engine_report empty;
+        planner.on_report(empty, start);
+        planner.on_demand(demand({waiting("a1")}), start);
+        const auto order = planner.next_order(start);
+        CPPUNIT_ASSERT(order == (engine_order{operation::load, "base", "", std::nullopt, 0}));
+        planner.on_order_result(*order, order_result::accepted, start);
+        planner.on_report(empty, start + milliseconds(100));
+        // Further loads would only draw on the fleet's limit.
+        CPPUNIT_ASSERT(!planner.next_order(start + milliseconds(100)));
+    }
+
+    void least_recently_used_makes_way()
+    {
+        adapter_planner planner;
+        planner.on_report(report({"old", "new", "newer", "newest"}), start);
+        planner.on_demand(demand({{"base", "old", 0, 1}}), start);
+        planner.on_demand(demand({{"base", "new", 0, 1}, {"base", "newer", 0, 1},
+                                  {"base", "newest", 0, 1}}),
+                          start + milliseconds(500));
+        planner.on_demand(demand({waiting("a1")}), start + milliseconds(1000));
+        planner.on_report(report({"old", "new", "newer", "newest"}), start + milliseconds(1000));
+        CPPUNIT_ASSERT(!planner.next_order(start + milliseconds(1000)));
+        const auto order = planner.next_order(start + milliseconds(1100));
+        CPPUNIT_ASSERT(order && order->what == operation::unload && order->adapter == "old");
+    }
+
+    void adapter_in_use_is_never_dropped()
+    {
+        adapter_planner planner;
+        planner.on_report(report({"a", "b", "c", "d"}), start);
+        auto now = start;
+        for (int i = 0; i < 20; ++i) {
+            now += milliseconds(500);
+            planner.on_demand(demand({{"base", "a", 0, 1}, {"base", "b", 0, 2}}, "g1"), now);
+            planner.on_demand(demand({{"base", "c", 0, 1}, {"base", "d", 0, 1}, waiting("e")}, "g2"),
+                              now);
+            planner.on_report(report({"a", "b", "c", "d"}), now);
+            CPPUNIT_ASSERT(!planner.next_order(now));
+            CPPUNIT_ASSERT(!planner.next_order(now + milliseconds(400)));
+        }
+    }
+
+    void adapter_is_withdrawn_before_it_is_dropped()
+    {
+        adapter_planner planner;
+        planner.on_report(report({"a", "b", "c", "d"}), start);
+        const auto now = start + milliseconds(1000);
+        planner.on_demand(demand({waiting("e")}), now);
+        CPPUNIT_ASSERT(!planner.next_order(now));
+        const auto told = planner.status().adapters;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, told.size());
+        const auto order = planner.next_order(now + milliseconds(100));
+        CPPUNIT_ASSERT(order && order->what == operation::unload);
+        CPPUNIT_ASSERT(!told.contains("base/" + order->adapter));
+    }
+
+    void outdated_adapter_is_replaced_within_its_time()
+    {
+        adapter_planner planner;
+        planner.on_report(report({"a"}), start);
+        planner.on_demand(demand({}), start);
+        planner.on_version("base", "a", 2, start);
+        std::optional<engine_order> order;
+        auto now = start;
+        while (!order && now < start + std::chrono::seconds(5)) {
+            now += milliseconds(20);
+            order = planner.next_order(now);
+        }
+        CPPUNIT_ASSERT(order == (engine_order{operation::load, "base", "a", 2, 0}));
+        CPPUNIT_ASSERT(now - start < std::chrono::seconds(2));
+        CPPUNIT_ASSERT(planner.status().adapters.empty());
+    }
+
+    void unanswered_order_is_settled_by_the_report()
+    {
+        adapter_planner planner;
+        planner.on_report(report({}, 3), start);
+        planner.on_demand(demand({waiting("a1")}), start);
+        const auto order = planner.next_order(start);
+        planner.on_order_result(*order, order_result::unknown, start);
+        CPPUNIT_ASSERT(!planner.next_order(start + milliseconds(100)));
+        // It was not taken: the same again, with the same count, so that only one can be.
+        planner.on_report(report({}, 3), start + milliseconds(100));
+        CPPUNIT_ASSERT(planner.next_order(start + milliseconds(100)) == order);
+    }
+
+    void restarted_engine_is_filled_anew()
+    {
+        adapter_planner planner;
+        planner.on_report(report({"a"}, 9), start);
+        planner.on_demand(demand({waiting("a")}), start);
+        CPPUNIT_ASSERT(!planner.next_order(start));
+        auto reborn = report({}, 0);
+        reborn.born_ms = 2;
+        planner.on_report(reborn, start + milliseconds(10));
+        const auto order = planner.next_order(start + milliseconds(10));
+        CPPUNIT_ASSERT(order == (engine_order{operation::load, "base", "a", std::nullopt, 0}));
+    }
+
+    // Random demand at an engine that leaves orders unanswered and carries some out late.
+    void places_are_never_exceeded()
+    {
+        const auto property = [] {
+            const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+            std::mt19937_64 random(seed);
+            fake_engine engine(seed + 1);
+            adapter_planner planner;
+            auto now = start;
+            for (int step = 0; step < 600; ++step) {
+                now += milliseconds(15);
+                if (step % 5 == 0) {
+                    std::vector<control::adapter_use> uses;
+                    for (int i = 0; i < 3; ++i) {
+                        uses.push_back(waiting("a" + std::to_string(random() % 12)));
+                    }
+                    planner.on_demand(demand(uses), now);
+                }
+                planner.on_report(engine.step(now), now);
+                while (const auto order = planner.next_order(now)) {
+                    planner.on_order_result(*order, engine.take(*order, now), now);
+                }
+                RC_ASSERT(engine.places_taken() <= static_cast<std::size_t>(slots));
+            }
+            RC_ASSERT(engine.most_loads() <= 4U);
+        };
+        CPPUNIT_ASSERT(seeded_check("places_are_never_exceeded", 5, 60, property));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(sidecar_adapter_planner_test);
+
+} // namespace snipespar::sidecar
