--- a/tests/gateway_team_meter_test.cpp
+++ b/tests/gateway_team_meter_test.cpp
@@ -202,19 +202,22 @@
     void large_call_of_a_busy_team_is_not_starved()
     {
         const auto meter = make_meter(1, 10'000, 10'000);
-        int large = 0;
-        // A small call each 10 ms, half as many again as the rate allows, and a large one between
-        // two of them each 1.005 s.
-        for (int step = 0; step < 4000; ++step) {
-            const auto now = start + step * milliseconds(5);
-            if (step % 2 == 0) {
-                static_cast<void>(meter->take(shops, 150, now));
-            }
-            if (step % 201 == 0) {
-                large += meter->take(shops, 9000, now) ? 0 : 1;
-            }
+        // Twice as many tokens as the rate allows, a third of them in calls sixty times as large.
+        std::mt19937_64 random(3);
+        std::exponential_distribution<double> pause(100);
+        std::bernoulli_distribution is_large(1.0 / 120);
+        int asked[2] = {};
+        int granted[2] = {};
+        auto now = start;
+        for (int i = 0; i < 40'000; ++i) {
+            now += duration(static_cast<duration::rep>(pause(random) * 1e6));
+            const bool large = is_large(random);
+            ++asked[large];
+            granted[large] += meter->take(shops, large ? 9000 : 150, now) ? 0 : 1;
         }
-        CPPUNIT_ASSERT(large >= 3);
+        const double small_share = static_cast<double>(granted[0]) / asked[0];
+        const double large_share = static_cast<double>(granted[1]) / asked[1];
+        CPPUNIT_ASSERT(large_share >= small_share / 2);
     }
 
     void lowered_limit_applies_at_once()
