--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -24,9 +24,8 @@
 };
 
 /// What the command line asks for.
-using parsed_command =
-    std::variant<entry_settings, agent_settings, gateway_settings, sidecar_settings,
-                 operator_settings, printed_text>;
+using parsed_command = std::variant<entry_settings, agent_settings, gateway_settings,
+                                    sidecar_settings, operator_settings, printed_text>;
 
 /// Parses the arguments after the program's name together with the environment. All faults of the
 /// settings are reported in one `printed_text`; no text of a secret appears in it.
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -92,8 +92,8 @@
         .uses = {},
     };
     fields.each("uses", [&](const json_reader& use) {
-        content.uses.push_back({use.text("model"), use.text("adapter"), count(use, "waiting"),
-                                count(use, "running")});
+        content.uses.push_back(
+            {use.text("model"), use.text("adapter"), count(use, "waiting"), count(use, "running")});
     });
     return content;
 }
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -37,10 +37,7 @@
     bool keep_alive = true;
 
     /// The part of the target before the query.
-    std::string_view path() const
-    {
-        return std::string_view(target).substr(0, target.find('?'));
-    }
+    std::string_view path() const { return std::string_view(target).substr(0, target.find('?')); }
 
     friend bool operator==(const call&, const call&) = default;
 };
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -45,7 +45,7 @@
 constexpr int urgency_levels_of_route = 3;
 constexpr int lowest_urgency = 9;
 // Bytes that a caller may leave unread before its stream is broken off.
-constexpr std::size_t max_unsent_bytes = 1024 * 1024;
+constexpr std::size_t max_unsent_bytes = 1024UL * 1024;
 // How long an older version of an adapter may be used after a newer one was announced. Upstreams
 // have to use the newer one five seconds after it.
 constexpr auto version_grace = milliseconds(3500);
@@ -526,8 +526,7 @@
          {"team", team_ == nullptr ? std::string() : team_->id.str()},
          {"sends", sends_},
          {"runs", runs_},
-         {"after_ms",
-          std::chrono::duration_cast<milliseconds>(steady_now() - arrived_).count()},
+         {"after_ms", std::chrono::duration_cast<milliseconds>(steady_now() - arrived_).count()},
          {"config", config_ == nullptr ? std::uint64_t{0} : config_->version()}});
     auto answer = refused;
     answer.closes = context_.is_draining || !call_.keep_alive;
@@ -575,10 +574,9 @@
 duration call_exchange::stall_limit() const
 {
     if (route_->kind == call_kind::stream) {
-        return is_stream_open_
-                   ? std::max<duration>(2 * route_->target_gap, least_gap_stall)
-                   : std::max<duration>(stall_factor * route_->target_latency,
-                                        least_first_event_stall);
+        return is_stream_open_ ? std::max<duration>(2 * route_->target_gap, least_gap_stall)
+                               : std::max<duration>(stall_factor * route_->target_latency,
+                                                    least_first_event_stall);
     }
     return std::min<duration>(stall_factor * route_->target_latency,
                               route_->time_limit / stall_share_of_limit);
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -23,7 +23,7 @@
 namespace {
 
 // Bytes of further requests that are kept while one is in progress.
-constexpr std::size_t max_pipelined_bytes = 64 * 1024;
+constexpr std::size_t max_pipelined_bytes = 64UL * 1024;
 
 } // namespace
 
@@ -95,8 +95,8 @@
             continue;
         }
         if (parser_->is_header_done() && !is_continue_sent_ &&
-            absl::EqualsIgnoreCase(
-                std::string(parser_->get()[http::field::expect]), "100-continue")) {
+            absl::EqualsIgnoreCase(std::string(parser_->get()[http::field::expect]),
+                                   "100-continue")) {
             is_continue_sent_ = true;
             send("HTTP/1.1 100 Continue\r\n\r\n");
         }
@@ -114,14 +114,14 @@
     const std::string id(message["Request-Id"]);
     auto call = platform::decode_call(std::move(message));
     if (!call.ok()) {
-        context_.log.info("call_refused", {{"request", id},
-                                           {"status", 400},
-                                           {"cause", std::string(call.status().message())}});
+        context_.log.info(
+            "call_refused",
+            {{"request", id}, {"status", 400}, {"cause", std::string(call.status().message())}});
         context_.metrics.refusals.add();
         return answer({400, std::string(call.status().message()), std::nullopt, false}, id);
     }
-    exchange_ = std::make_shared<call_exchange>(context_, shared_from_this(), *std::move(call),
-                                                arrived);
+    exchange_ =
+        std::make_shared<call_exchange>(context_, shared_from_this(), *std::move(call), arrived);
     const auto started = exchange_;
     context_.exchanges.insert(started);
     started->start();
--- a/src/gateway/caller_limits.h
+++ b/src/gateway/caller_limits.h
@@ -9,7 +9,7 @@
 /// What callers may send and how long they may take.
 struct caller_limits {
     std::uint32_t max_header_bytes = 16 * 1024;
-    std::uint64_t max_body_bytes = 4 * 1024 * 1024;
+    std::uint64_t max_body_bytes = 4ULL * 1024 * 1024;
     /// From the first byte of a request to the end of its header.
     duration header_timeout = std::chrono::seconds(3);
     /// Between two requests of one connection.
--- a/src/gateway/fleet_config.cpp
+++ b/src/gateway/fleet_config.cpp
@@ -11,10 +11,9 @@
         routes_[route.host].push_back(&route);
     }
     for (auto& [host, list] : routes_) {
-        std::sort(list.begin(), list.end(),
-                         [](const route_rule* left, const route_rule* right) {
-                             return left->path_prefix.size() > right->path_prefix.size();
-                         });
+        std::sort(list.begin(), list.end(), [](const route_rule* left, const route_rule* right) {
+            return left->path_prefix.size() > right->path_prefix.size();
+        });
     }
     for (const auto& service : parts_.services) {
         services_[service.name] = &service;
--- a/src/gateway/fleet_config.h
+++ b/src/gateway/fleet_config.h
@@ -29,6 +29,7 @@
     };
 
     explicit fleet_config(parts content);
+    ~fleet_config() = default;
     fleet_config(const fleet_config&) = delete;
     fleet_config& operator=(const fleet_config&) = delete;
 
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -36,12 +36,13 @@
 
 /// What all connections and exchanges of one gateway share. Used on one thread.
 struct gateway_context {
-    gateway_context(boost::asio::any_io_executor runs_on, failure_domain_id domain,
+    gateway_context(const boost::asio::any_io_executor& runs_on, failure_domain_id domain,
                     std::uint64_t start, std::uint64_t seed, telemetry::logger& output)
         : executor(runs_on), log(output), selector(std::move(domain), seed), teams(start),
           channels(runs_on), random(seed)
     {
     }
+    ~gateway_context() = default;
     gateway_context(const gateway_context&) = delete;
     gateway_context& operator=(const gateway_context&) = delete;
 
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -16,8 +16,8 @@
         registry.make_counter("snipespar_gateway_calls_total", "Requests read from callers.");
     telemetry::counter& answers = registry.make_counter(
         "snipespar_gateway_answers_total", "Answers of upstreams passed on to their end.");
-    telemetry::counter& refusals = registry.make_counter("snipespar_gateway_refusals_total",
-                                                         "Requests answered by the gateway itself.");
+    telemetry::counter& refusals = registry.make_counter(
+        "snipespar_gateway_refusals_total", "Requests answered by the gateway itself.");
     telemetry::counter& retries =
         registry.make_counter("snipespar_gateway_retries_total", "Requests sent once more.");
     telemetry::counter& retries_denied = registry.make_counter(
@@ -27,9 +27,8 @@
                               "Requests whose caller left before their answer was complete.");
     telemetry::counter& broken_streams = registry.make_counter(
         "snipespar_gateway_broken_streams_total", "Streams that were broken off midway.");
-    telemetry::counter& resumed_streams =
-        registry.make_counter("snipespar_gateway_resumed_streams_total",
-                              "Streams that went on at another upstream.");
+    telemetry::counter& resumed_streams = registry.make_counter(
+        "snipespar_gateway_resumed_streams_total", "Streams that went on at another upstream.");
     telemetry::counter& adapter_waits = registry.make_counter(
         "snipespar_gateway_adapter_waits_total", "Requests that waited for an adapter.");
     telemetry::counter& log_lines_dropped = registry.make_counter(
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -65,7 +65,8 @@
       datagrams_(io.get_executor()),
       config_watch_(make_watch("config", duration{}, &gateway_server::on_config_listed,
                                &gateway_server::on_config_changed)),
-      upstream_watch_(make_watch("servers", upstream_poll_pause, &gateway_server::on_upstreams_listed,
+      upstream_watch_(make_watch("servers", upstream_poll_pause,
+                                 &gateway_server::on_upstreams_listed,
                                  &gateway_server::on_upstream_changed)),
       version_watch_(make_watch("versions", version_poll_pause, &gateway_server::on_versions_listed,
                                 &gateway_server::on_version_changed))
@@ -94,10 +95,10 @@
     if (auto status = listen(); !status.ok()) {
         return status;
     }
-    auto status = datagrams_.open(settings_.control_listen,
-                                  [this](const auto& content, const auto& from) {
-                                      on_message(content, from);
-                                  });
+    auto status =
+        datagrams_.open(settings_.control_listen, [this](const auto& content, const auto& from) {
+            on_message(content, from);
+        });
     if (!status.ok()) {
         return status;
     }
@@ -108,9 +109,9 @@
     };
     boost::system::error_code error;
     const auto address = asio::ip::make_address(settings_.admin_listen.ip, error);
-    auto admin = telemetry::admin_server::make(
-        io_.get_executor(), tcp::endpoint(address, settings_.admin_listen.port),
-        std::move(handlers));
+    auto admin = telemetry::admin_server::make(io_.get_executor(),
+                                               tcp::endpoint(address, settings_.admin_listen.port),
+                                               std::move(handlers));
     if (!admin.ok()) {
         return admin.status();
     }
@@ -222,8 +223,7 @@
         }
     }
     send_usage(now);
-    if (context_.is_draining && now - drain_began_ >= balancer_notice_time &&
-        acceptor_.is_open()) {
+    if (context_.is_draining && now - drain_began_ >= balancer_notice_time && acceptor_.is_open()) {
         boost::system::error_code ignored;
         std::ignore = acceptor_.close(ignored);
     }
@@ -373,8 +373,7 @@
     }
 }
 
-void gateway_server::on_contact(const std::string& kind, bool is_reached,
-                                const std::string& reason)
+void gateway_server::on_contact(const std::string& kind, bool is_reached, const std::string& reason)
 {
     if (is_reached) {
         context_.log.info("platform_reached", {{"kind", kind}});
@@ -433,9 +432,9 @@
     const auto known = context_.config == nullptr ? 0 : context_.config->version();
     if (usage.config_version > known && now - config_refreshed_at_ > config_refresh_pause) {
         config_refreshed_at_ = now;
-        context_.log.warning("config_behind", {{"version", known},
-                                               {"peer", usage.gateway},
-                                               {"peer_version", usage.config_version}});
+        context_.log.warning(
+            "config_behind",
+            {{"version", known}, {"peer", usage.gateway}, {"peer_version", usage.config_version}});
         config_watch_.refresh();
     }
 }
@@ -475,8 +474,8 @@
     for (const auto& [name, calls] : state->adapters) {
         const auto slash = name.find('/');
         if (calls.waiting > 0 || calls.running > 0) {
-            demand.uses.push_back({name.substr(0, slash), name.substr(slash + 1), calls.waiting,
-                                   calls.running});
+            demand.uses.push_back(
+                {name.substr(0, slash), name.substr(slash + 1), calls.waiting, calls.running});
         }
     }
     datagrams_.send({state->entry.address.ip, settings_.control_listen.port},
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -45,11 +45,10 @@
     void drain(std::function<void()> done);
 
 private:
-    platform::object_watch make_watch(const std::string& kind, duration poll_pause,
-                                      void (gateway_server::*listed)(
-                                          const std::vector<platform::watched_object>&),
-                                      void (gateway_server::*changed)(
-                                          const platform::watched_object&));
+    platform::object_watch
+    make_watch(const std::string& kind, duration poll_pause,
+               void (gateway_server::*listed)(const std::vector<platform::watched_object>&),
+               void (gateway_server::*changed)(const platform::watched_object&));
     absl::Status listen();
     void accept();
     void tick();
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -24,6 +24,7 @@
 std::vector<cli::endpoint> peer_directory::all() const
 {
     std::vector<cli::endpoint> list;
+    list.reserve(peers_.size());
     for (const auto& [peer, heard] : peers_) {
         list.push_back(peer);
     }
--- a/src/gateway/refusal.cpp
+++ b/src/gateway/refusal.cpp
@@ -7,8 +7,8 @@
 
 std::string to_http(const refusal& answer, const std::string& request_id)
 {
-    const auto reason = boost::beast::http::obsolete_reason(
-        static_cast<boost::beast::http::status>(answer.status));
+    const auto reason =
+        boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(answer.status));
     const std::string body = answer.cause + "\n";
     std::string text = fmt::format("HTTP/1.1 {} {}\r\n", answer.status,
                                    std::string_view(reason.data(), reason.size()));
@@ -22,8 +22,8 @@
     if (answer.closes) {
         text += "Connection: close\r\n";
     }
-    text += fmt::format("Content-Type: text/plain\r\nContent-Length: {}\r\n\r\n{}", body.size(),
-                        body);
+    text +=
+        fmt::format("Content-Type: text/plain\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
     return text;
 }
 
--- a/src/gateway/run_gateway.cpp
+++ b/src/gateway/run_gateway.cpp
@@ -39,21 +39,19 @@
         // Requests in progress still refer to the server, so nothing of it may be destroyed.
         std::_Exit(static_cast<int>(cli::exit_code::ok));
     };
-    net::process_signals signals(
-        io,
-        {.stop =
-             [&] {
-                 server.drain([&] { io.stop(); });
-                 deadline.expires_after(settings.drain_timeout);
-                 deadline.async_wait([&](const auto& error) {
-                     if (!error) {
-                         force();
-                     }
-                 });
-             },
-         .stop_again = force,
-         // Flags and variables do not change while the process runs.
-         .reload = [&] { log.info("reloaded", {{"changes", 0}}); }});
+    net::process_signals signals(io, {.stop =
+                                          [&] {
+                                              server.drain([&] { io.stop(); });
+                                              deadline.expires_after(settings.drain_timeout);
+                                              deadline.async_wait([&](const auto& error) {
+                                                  if (!error) {
+                                                      force();
+                                                  }
+                                              });
+                                          },
+                                      .stop_again = force,
+                                      // Flags and variables do not change while the process runs.
+                                      .reload = [&] { log.info("reloaded", {{"changes", 0}}); }});
     io.run();
     std::_Exit(static_cast<int>(cli::exit_code::ok));
 }
--- a/src/gateway/team_meter.cpp
+++ b/src/gateway/team_meter.cpp
@@ -84,9 +84,9 @@
         }
         return;
     }
-    if (known != peers_.end() && (known->second.start > usage.gateway_start ||
-                                  (known->second.start == usage.gateway_start &&
-                                   known->second.sequence >= usage.sequence))) {
+    if (known != peers_.end() &&
+        (known->second.start > usage.gateway_start || (known->second.start == usage.gateway_start &&
+                                                       known->second.sequence >= usage.sequence))) {
         return;
     }
     const bool is_same_process =
--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -67,20 +67,20 @@
             self->fail(absl::UnavailableError("connect timed out"));
         }
     });
-    socket_.async_connect(
-        asio::ip::tcp::endpoint(address, upstream_.port),
-        [self = shared_from_this(), timer](const auto& connect_error) {
-            timer->cancel();
-            if (self->is_closed_) {
-                return;
-            }
-            if (connect_error) {
-                return self->fail(absl::UnavailableError(connect_error.message()));
-            }
-            self->is_connected_ = true;
-            net::set_liveness_options(self->socket_);
-            self->write();
-        });
+    socket_.async_connect(asio::ip::tcp::endpoint(address, upstream_.port),
+                          [self = shared_from_this(), timer](const auto& connect_error) {
+                              timer->cancel();
+                              if (self->is_closed_) {
+                                  return;
+                              }
+                              if (connect_error) {
+                                  return self->fail(
+                                      absl::UnavailableError(connect_error.message()));
+                              }
+                              self->is_connected_ = true;
+                              net::set_liveness_options(self->socket_);
+                              self->write();
+                          });
 }
 
 void upstream_channel::write()
@@ -91,21 +91,21 @@
     parser_->eager(true);
     parser_->skip(is_head_request_);
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(head_), asio::buffer(body_)};
-    asio::async_write(socket_, buffers,
-                      [self = shared_from_this(), round = round_](const auto& error,
-                                                                  std::size_t written) {
-                          if (self->is_closed_ || round != self->round_) {
-                              return;
-                          }
-                          if (!error) {
-                              self->is_written_ = true;
-                              return;
-                          }
-                          self->can_reuse_ = false;
-                          if (written == 0 && !self->has_answer_) {
-                              self->fail(absl::UnavailableError(error.message()));
-                          }
-                      });
+    asio::async_write(
+        socket_, buffers,
+        [self = shared_from_this(), round = round_](const auto& error, std::size_t written) {
+            if (self->is_closed_ || round != self->round_) {
+                return;
+            }
+            if (!error) {
+                self->is_written_ = true;
+                return;
+            }
+            self->can_reuse_ = false;
+            if (written == 0 && !self->has_answer_) {
+                self->fail(absl::UnavailableError(error.message()));
+            }
+        });
     if (!is_reading_) {
         read();
     }
@@ -114,26 +114,26 @@
 void upstream_channel::read()
 {
     is_reading_ = true;
-    socket_.async_read_some(asio::buffer(block_), [self = shared_from_this()](const auto& error,
-                                                                              std::size_t count) {
-        self->is_reading_ = false;
-        if (self->is_closed_ || !self->is_busy_) {
-            return;
-        }
-        if (!error) {
-            return self->on_bytes(count);
-        }
-        boost::system::error_code parse_error;
-        if (error == asio::error::eof && self->has_answer_ && self->parser_) {
-            self->can_reuse_ = false;
-            self->parser_->put_eof(parse_error);
-            if (!parse_error && self->parser_->is_done()) {
-                self->pass_body();
-                return self->finish();
+    socket_.async_read_some(
+        asio::buffer(block_), [self = shared_from_this()](const auto& error, std::size_t count) {
+            self->is_reading_ = false;
+            if (self->is_closed_ || !self->is_busy_) {
+                return;
             }
-        }
-        self->fail(absl::UnknownError(error.message()));
-    });
+            if (!error) {
+                return self->on_bytes(count);
+            }
+            boost::system::error_code parse_error;
+            if (error == asio::error::eof && self->has_answer_ && self->parser_) {
+                self->can_reuse_ = false;
+                self->parser_->put_eof(parse_error);
+                if (!parse_error && self->parser_->is_done()) {
+                    self->pass_body();
+                    return self->finish();
+                }
+            }
+            self->fail(absl::UnknownError(error.message()));
+        });
 }
 
 void upstream_channel::on_bytes(std::size_t count)
@@ -201,8 +201,8 @@
 bool upstream_channel::take_header()
 {
     auto answer = platform::decode_answer(parser_->get());
-    const bool is_own = answer.request_id == request_id_ ||
-                        (answer.request_id.empty() && answer.is_not_run);
+    const bool is_own =
+        answer.request_id == request_id_ || (answer.request_id.empty() && answer.is_not_run);
     if (!is_own) {
         is_stray_ = true;
         return true;
@@ -238,7 +238,7 @@
     ended();
 }
 
-void upstream_channel::fail(absl::Status status)
+void upstream_channel::fail(const absl::Status& status)
 {
     const auto self = shared_from_this();
     const bool was_busy = std::exchange(is_busy_, false);
@@ -266,15 +266,14 @@
 
 void upstream_channel::watch_idle(std::function<void()> closed)
 {
-    socket_.async_wait(asio::ip::tcp::socket::wait_read,
-                       [self = shared_from_this(), round = round_,
-                        closed = std::move(closed)](const auto& error) {
-                           if (!error && !self->is_closed_ && !self->is_busy_ &&
-                               round == self->round_) {
-                               self->close();
-                               closed();
-                           }
-                       });
+    socket_.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [self = shared_from_this(), round = round_, closed = std::move(closed)](const auto& error) {
+            if (!error && !self->is_closed_ && !self->is_busy_ && round == self->round_) {
+                self->close();
+                closed();
+            }
+        });
 }
 
 void upstream_channel::close()
--- a/src/gateway/upstream_channel.h
+++ b/src/gateway/upstream_channel.h
@@ -67,7 +67,7 @@
     bool take_header();
     void pass_body();
     void finish();
-    void fail(absl::Status status);
+    void fail(const absl::Status& status);
     void close();
 
     boost::asio::ip::tcp::socket socket_;
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -92,9 +92,8 @@
     if (candidates.empty()) {
         return no_upstream{};
     }
-    return service.engine
-               ? choose_engine(query, service, std::move(candidates), gateways, now)
-               : choose_plain(candidates, gateways);
+    return service.engine ? choose_engine(query, service, std::move(candidates), gateways, now)
+                          : choose_plain(candidates, gateways);
 }
 
 placement upstream_selector::choose_plain(const std::vector<const upstream_state*>& candidates,
@@ -105,8 +104,7 @@
     const upstream_state* best = nullptr;
     double least = 0;
     for (const auto* state : candidates) {
-        const double distance =
-            state->entry.failure_domain == own_domain_ ? 0.0 : distance_weight;
+        const double distance = state->entry.failure_domain == own_domain_ ? 0.0 : distance_weight;
         const double slots = std::max(state->entry.slots, 1);
         const double cost = state->in_flight + distance +
                             failure_weight * slots * std::max(state->failure_rate - 0.2, 0.0) +
@@ -124,7 +122,8 @@
                                            std::vector<const upstream_state*> candidates,
                                            int gateways, time_point now)
 {
-    prefer(candidates, [](const auto* state) { return state->failure_rate < unsound_failure_rate; });
+    prefer(candidates,
+           [](const auto* state) { return state->failure_rate < unsound_failure_rate; });
     std::map<const upstream_state*, double> loads;
     double sum = 0;
     for (const auto* state : candidates) {
@@ -149,6 +148,9 @@
     const upstream_state* loading = nullptr;
     const upstream_state* loadable = nullptr;
     const upstream_state* least_held = nullptr;
+    // Engines at which a load may be possible a little later.
+    const upstream_state* full_now = nullptr;
+    const upstream_state* unheard = nullptr;
     for (const auto& [score, state] : ranking) {
         const double load = loads[state];
         if (holds(*state, query)) {
@@ -162,9 +164,12 @@
         else if (is_loading(*state, query) && load < busy && loading == nullptr) {
             loading = state;
         }
-        else if (can_load(*state, query, now) && load < busy && loadable == nullptr &&
-                 !state->status->is_full) {
-            loadable = state;
+        else if (can_load(*state, query, now) && load < busy) {
+            const upstream_state*& place = state->status->is_full ? full_now : loadable;
+            place = place == nullptr ? state : place;
+        }
+        else if (!state->status && unheard == nullptr) {
+            unheard = state;
         }
     }
     if (query.adapter.empty()) {
@@ -183,6 +188,9 @@
     if (least_held != nullptr && loads[least_held] < full) {
         return send_to{least_held->entry.id};
     }
+    if (full_now != nullptr || unheard != nullptr) {
+        return wait_for_adapter{(full_now != nullptr ? full_now : unheard)->entry.id};
+    }
     return no_upstream{true};
 }
 
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -85,8 +85,7 @@
         if (state.entry.address.str() != status.engine || state.gone_at) {
             continue;
         }
-        const bool is_older = state.status &&
-                              state.status->sidecar_start == status.sidecar_start &&
+        const bool is_older = state.status && state.status->sidecar_start == status.sidecar_start &&
                               state.status->sequence >= status.sequence;
         if (!is_older) {
             state.status = status;
@@ -153,8 +152,7 @@
         return;
     }
     if (++state.failures_in_a_row >= failures_before_ejection && now >= state.ejected_until) {
-        state.ejection =
-            std::clamp<duration>(2 * state.ejection, first_ejection, longest_ejection);
+        state.ejection = std::clamp<duration>(2 * state.ejection, first_ejection, longest_ejection);
         state.ejected_until = now + state.ejection;
     }
 }
--- a/src/platform/call_codec.cpp
+++ b/src/platform/call_codec.cpp
@@ -30,9 +30,17 @@
 }
 
 // Header lines that concern one connection only, in lower case.
-constexpr std::array<std::string_view, 11> connection_names{
-    "connection", "keep-alive", "proxy-connection", "te",     "trailer",        "upgrade",
-    "expect",     "host",       "transfer-encoding", "content-length", "proxy-authorization"};
+constexpr std::array<std::string_view, 11> connection_names{"connection",
+                                                            "keep-alive",
+                                                            "proxy-connection",
+                                                            "te",
+                                                            "trailer",
+                                                            "upgrade",
+                                                            "expect",
+                                                            "host",
+                                                            "transfer-encoding",
+                                                            "content-length",
+                                                            "proxy-authorization"};
 
 // Header lines that the system sets itself; a caller's own are dropped.
 constexpr std::array<std::string_view, 13> own_names{
@@ -177,8 +185,8 @@
         call.host.resize(port);
     }
     call.request_id = field(message, wire::request_id);
-    if (message.count(boost::beast::string_view(wire::request_id.data(),
-                                                wire::request_id.size())) != 1) {
+    if (message.count(
+            boost::beast::string_view(wire::request_id.data(), wire::request_id.size())) != 1) {
         return bad_line(wire::request_id, "must be given once");
     }
     const auto authorization = field(message, wire::authorization);
@@ -206,7 +214,8 @@
     append_line(text, wire::request_id, call.request_id);
     text += call.forwarded_header;
     const auto time_left = std::chrono::duration_cast<std::chrono::milliseconds>(attempt.time_left);
-    append_line(text, wire::time_left, fmt::format("{}", std::max<std::int64_t>(time_left.count(), 1)));
+    append_line(text, wire::time_left,
+                fmt::format("{}", std::max<std::int64_t>(time_left.count(), 1)));
     append_line(text, wire::expected_upstream, attempt.upstream.str());
     if (!attempt.team.empty()) {
         append_line(text, wire::team, attempt.team.str());
@@ -230,7 +239,8 @@
     answer.status = header.result_int();
     answer.reason = to_view(header.reason());
     answer.request_id = field(header, wire::request_id);
-    // Status 421 comes from another upstream than the one that was meant, which never runs the call.
+    // Status 421 comes from another upstream than the one that was meant, which never runs the
+    // call.
     answer.is_not_run = !field(header, wire::not_run).empty() || answer.status == 421;
     answer.upstream = field(header, wire::upstream_id);
     answer.is_encoded = header.count(http::field::content_encoding) != 0;
--- a/src/platform/config_codec.cpp
+++ b/src/platform/config_codec.cpp
@@ -56,8 +56,7 @@
     route.max_attempts = small(fields, "max_attempts", 1);
     route.is_public = flag_or(fields, "public", false);
     route.is_resumable = flag_or(fields, "resumable", false);
-    route.target_gap =
-        fields.has("gap_aim_ms") ? milliseconds(fields, "gap_aim_ms") : duration{};
+    route.target_gap = fields.has("gap_aim_ms") ? milliseconds(fields, "gap_aim_ms") : duration{};
     // "upstream" is the platform's word for a service.
     fields.each("weighted_upstreams", [&](const json_reader& item) {
         route.services.push_back({item.text("upstream"), item.real("weight")});
@@ -81,9 +80,8 @@
         rule.slots = small(engine, "slots", 1);
         rule.memory_tokens = static_cast<std::uint64_t>(real_or(engine, "kv_capacity", 0));
         rule.adapter_slots = small(engine, "adapter_slots", 0);
-        engine.each("models", [&](const json_reader& item) {
-            rule.models.push_back(item.text("name"));
-        });
+        engine.each("models",
+                    [&](const json_reader& item) { rule.models.push_back(item.text("name")); });
         service.engine = std::move(rule);
     }
     return service;
--- a/src/platform/engine_codec.cpp
+++ b/src/platform/engine_codec.cpp
@@ -3,6 +3,7 @@
 #include "base/json_reader.h"
 
 #include <absl/strings/numbers.h>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace snipespar::platform {
@@ -40,7 +41,7 @@
         report.models.push_back(name);
         for (const auto& item : model.texts("adapters")) {
             const auto [adapter, version] = split_version(item);
-            report.adapters[name + "/" + adapter] = version;
+            report.adapters[fmt::format("{}/{}", name, adapter)] = version;
         }
     });
     for (const auto& item : fields.texts("coming")) {
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -28,7 +28,7 @@
 constexpr auto first_retry = std::chrono::milliseconds(100);
 constexpr auto longest_retry = std::chrono::milliseconds(800);
 // A list holds about one megabyte at most.
-constexpr std::size_t max_answer_bytes = 8 * 1024 * 1024;
+constexpr std::size_t max_answer_bytes = 8UL * 1024 * 1024;
 
 watched_object read_object(const nlohmann::json& item, bool is_removed)
 {
@@ -159,9 +159,8 @@
         std::string after;
         bool has_more = true;
         while (has_more) {
-            const auto target = after.empty()
-                                    ? fmt::format("/objects/{}", kind_)
-                                    : fmt::format("/objects/{}?after={}", kind_, after);
+            const auto target = after.empty() ? fmt::format("/objects/{}", kind_)
+                                              : fmt::format("/objects/{}?after={}", kind_, after);
             auto page = co_await get(target, answer_timeout);
             if (!page.ok()) {
                 co_return page.status();
@@ -192,9 +191,9 @@
 
     asio::awaitable<absl::Status> poll(std::uint64_t own)
     {
-        auto answer = co_await get(fmt::format("/objects/{}?watch={}&wait_ms={}", kind_, revision_,
-                                               watch_wait.count()),
-                                   watch_wait + answer_timeout);
+        auto answer = co_await get(
+            fmt::format("/objects/{}?watch={}&wait_ms={}", kind_, revision_, watch_wait.count()),
+            watch_wait + answer_timeout);
         if (!answer.ok()) {
             co_return answer.status();
         }
--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -87,9 +87,8 @@
     for (auto& [name, state] : adapters_) {
         std::erase_if(state.uses,
                       [&](const auto& use) { return now - use.second.told > use_lifetime; });
-        const bool is_wanted =
-            std::any_of(state.uses.begin(), state.uses.end(),
-                        [](const auto& use) { return use.second.waiting > 0; });
+        const bool is_wanted = std::any_of(state.uses.begin(), state.uses.end(),
+                                           [](const auto& use) { return use.second.waiting > 0; });
         if (!is_wanted) {
             state.wanted_since.reset();
         }
@@ -199,15 +198,15 @@
         return std::nullopt;
     }
     model_ordered_at_ = now;
-    return engine_order{engine_order::operation::load, models_.front(), {}, std::nullopt,
-                        report_->orders_accepted};
+    return engine_order{
+        engine_order::operation::load, models_.front(), {}, std::nullopt, report_->orders_accepted};
 }
 
 std::optional<engine_order> adapter_planner::replacement_order(time_point now)
 {
     for (auto& [name, state] : adapters_) {
-        if (!report_->adapters.contains(name) || !is_outdated(name, state) ||
-            is_loading(name) || ordered_.contains(name)) {
+        if (!report_->adapters.contains(name) || !is_outdated(name, state) || is_loading(name) ||
+            ordered_.contains(name)) {
             continue;
         }
         const auto spread = duration(replacement_spread).count();
--- a/src/sidecar/run_sidecar.cpp
+++ b/src/sidecar/run_sidecar.cpp
@@ -35,10 +35,9 @@
         log.info("stopped", {{"role", "sidecar"}, {"forced", false}});
         io.stop();
     };
-    net::process_signals signals(
-        io, {.stop = stop,
-             .stop_again = stop,
-             .reload = [&] { log.info("reloaded", {{"changes", 0}}); }});
+    net::process_signals signals(io, {.stop = stop, .stop_again = stop, .reload = [&] {
+                                          log.info("reloaded", {{"changes", 0}});
+                                      }});
     io.run();
     // The coroutines still refer to the server, so nothing of it may be destroyed.
     std::_Exit(static_cast<int>(cli::exit_code::ok));
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -36,7 +36,7 @@
 constexpr auto engine_timeout = milliseconds(400);
 // A gateway reports twice a second.
 constexpr auto forget_gateway_after = milliseconds(3000);
-constexpr std::size_t max_report_bytes = 1024 * 1024;
+constexpr std::size_t max_report_bytes = 1024UL * 1024;
 
 bool holds_the_same(const gateway::engine_status& left, const gateway::engine_status& right)
 {
@@ -76,10 +76,10 @@
 
 absl::Status sidecar_server::start()
 {
-    auto status = datagrams_.open(settings_.control_listen,
-                                  [this](const auto& content, const auto& from) {
-                                      on_message(content, from);
-                                  });
+    auto status =
+        datagrams_.open(settings_.control_listen, [this](const auto& content, const auto& from) {
+            on_message(content, from);
+        });
     if (!status.ok()) {
         return status;
     }
@@ -185,8 +185,7 @@
             metrics_.orders_failed.add();
         }
         log_.info("order_given",
-                  {{"operation",
-                    order->what == engine_order::operation::load ? "load" : "unload"},
+                  {{"operation", order->what == engine_order::operation::load ? "load" : "unload"},
                    {"model", order->model},
                    {"adapter", order->adapter},
                    {"version", order->version.value_or(0)},
@@ -230,8 +229,7 @@
         return;
     }
     if (!announced->adapter.empty()) {
-        planner_.on_version(announced->model, announced->adapter, announced->version,
-                            steady_now());
+        planner_.on_version(announced->model, announced->adapter, announced->version, steady_now());
         log_.info("version_announced", {{"model", announced->model},
                                         {"adapter", announced->adapter},
                                         {"version", announced->version}});
@@ -242,9 +240,8 @@
 void sidecar_server::publish()
 {
     const auto now = steady_now();
-    std::erase_if(gateways_, [&](const auto& item) {
-        return now - item.second > forget_gateway_after;
-    });
+    std::erase_if(gateways_,
+                  [&](const auto& item) { return now - item.second > forget_gateway_after; });
     auto status = planner_.status();
     const bool has_changed = !holds_the_same(status, published_);
     const bool has_other_load =
--- a/src/telemetry/admin_server.h
+++ b/src/telemetry/admin_server.h
@@ -9,8 +9,8 @@
 
 namespace snipespar::telemetry {
 
-/// Serves `/metrics`, `/livez`, `/readyz` (also `/ready`) and `/status` by HTTP on a port of its own. Liveness
-/// holds as long as the executor runs at all.
+/// Serves `/metrics`, `/livez`, `/readyz` (also `/ready`) and `/status` by HTTP on a port of its
+/// own. Liveness holds as long as the executor runs at all.
 class admin_server {
 public:
     /// Binds and starts to serve. Fails when the address cannot be bound. Must be called, and the
--- a/tests/gateway_event_splitter_test.cpp
+++ b/tests/gateway_event_splitter_test.cpp
@@ -44,8 +44,8 @@
     {
         const std::string text = "id: 1\ndata: a\n\nweight: 2\nid: 2\ndata: bc\n\nid: 3\n\n";
         const auto property = [&] {
-            const auto cuts = *rc::gen::container<std::vector<std::size_t>>(
-                rc::gen::inRange<std::size_t>(1, 9));
+            const auto cuts =
+                *rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(1, 9));
             event_splitter splitter;
             std::string joined;
             std::vector<std::uint64_t> numbers;
--- a/tests/gateway_fleet_config_test.cpp
+++ b/tests/gateway_fleet_config_test.cpp
@@ -36,13 +36,13 @@
 public:
     void longest_prefix_of_the_host_wins()
     {
-        const fleet_config config({1,
-                                   {make_route("short", "a.example", "/x/"),
-                                    make_route("long", "a.example", "/x/y/"),
-                                    make_route("other", "b.example", "/x/")},
-                                   {},
-                                   {},
-                                   {}});
+        const fleet_config config(
+            {1,
+             {make_route("short", "a.example", "/x/"), make_route("long", "a.example", "/x/y/"),
+              make_route("other", "b.example", "/x/")},
+             {},
+             {},
+             {}});
         CPPUNIT_ASSERT_EQUAL(std::string("long"), found(config, "a.example", "/x/y/z"));
         CPPUNIT_ASSERT_EQUAL(std::string("short"), found(config, "a.example", "/x/yy"));
         CPPUNIT_ASSERT_EQUAL(std::string("other"), found(config, "b.example", "/x/y/z"));
--- a/tests/gateway_upstream_selector_test.cpp
+++ b/tests/gateway_upstream_selector_test.cpp
@@ -89,6 +89,7 @@
     CPPUNIT_TEST(outdated_version_is_not_used);
     CPPUNIT_TEST(full_engines_are_not_overloaded);
     CPPUNIT_TEST(silent_sidecar_gets_no_loads);
+    CPPUNIT_TEST(call_waits_for_the_first_word_of_a_sidecar);
     CPPUNIT_TEST(base_model_call_goes_to_the_least_busy);
     CPPUNIT_TEST(plain_call_stays_in_its_failure_domain);
     CPPUNIT_TEST(grey_upstream_gets_less_work);
@@ -160,6 +161,15 @@
         CPPUNIT_ASSERT(std::holds_alternative<no_upstream>(fleet.choose("base/a1", 0, {}, later)));
     }
 
+    // A gateway that has just started has heard of no sidecar yet.
+    void call_waits_for_the_first_word_of_a_sidecar()
+    {
+        placement_fleet fleet(0);
+        fleet.add(0, near);
+        CPPUNIT_ASSERT(fleet.choose("base/a1") ==
+                       placement(wait_for_adapter{placement_fleet::id(0)}));
+    }
+
     void base_model_call_goes_to_the_least_busy()
     {
         placement_fleet fleet(3);
--- a/tests/platform_engine_codec_test.cpp
+++ b/tests/platform_engine_codec_test.cpp
@@ -39,13 +39,13 @@
     void order_carries_count_and_holder()
     {
         using sidecar::engine_order;
-        const auto load = nlohmann::json::parse(encode_order(
-            {engine_order::operation::load, "base", "a3", 4, 17}, "side-1"));
+        const auto load = nlohmann::json::parse(
+            encode_order({engine_order::operation::load, "base", "a3", 4, 17}, "side-1"));
         CPPUNIT_ASSERT(load == nlohmann::json::parse(
                                    R"({"operation":"load","model":"base","adapter":"a3",
                                        "version":4,"expect":17,"holder":"side-1","fence":1})"));
-        const auto unload = nlohmann::json::parse(encode_order(
-            {engine_order::operation::unload, "base", "", std::nullopt, 0}, "side-1"));
+        const auto unload = nlohmann::json::parse(
+            encode_order({engine_order::operation::unload, "base", "", std::nullopt, 0}, "side-1"));
         CPPUNIT_ASSERT(unload["operation"] == "unload" && !unload.contains("adapter") &&
                        !unload.contains("version"));
     }
--- a/tests/platform_upstream_entry_codec_test.cpp
+++ b/tests/platform_upstream_entry_codec_test.cpp
@@ -12,9 +12,8 @@
 
 json sample()
 {
-    return {{"upstream", "llm"}, {"address", "10.1.0.9:8080"}, {"zone", "a"},
-            {"version", "v1"},   {"slots", 64U},               {"state", "ready"},
-            {"seq", 4}};
+    return {{"upstream", "llm"}, {"address", "10.1.0.9:8080"}, {"zone", "a"}, {"version", "v1"},
+            {"slots", 64U},      {"state", "ready"},           {"seq", 4}};
 }
 
 } // namespace
@@ -31,12 +30,10 @@
         auto content = sample();
         const auto ready = decode_upstream_entry("i-1", content);
         CPPUNIT_ASSERT(ready.ok());
-        CPPUNIT_ASSERT(*ready == (gateway::upstream_entry{upstream_id("i-1"),
-                                                          "llm",
-                                                          {"10.1.0.9", 8080},
-                                                          failure_domain_id("a"),
-                                                          64,
-                                                          false}));
+        CPPUNIT_ASSERT(
+            *ready ==
+            (gateway::upstream_entry{
+                upstream_id("i-1"), "llm", {"10.1.0.9", 8080}, failure_domain_id("a"), 64, false}));
         content["state"] = "draining";
         CPPUNIT_ASSERT(decode_upstream_entry("i-1", content)->is_draining);
     }
--- /dev/null
+++ b/tests/process/gateway_path_test.cpp
@@ -0,0 +1,295 @@
+#include "process/support/gateway_fleet.h"
+#include "process/support/wait_until.h"
+
+#include <chrono>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <fmt/format.h>
+#include <future>
+#include <string>
+
+namespace snipespar::testing {
+
+namespace {
+
+// The body of the stand-in's stream for one request.
+std::string whole_stream(const std::string& id, int events, int first = 1)
+{
+    std::string text;
+    for (int number = first; number <= events; ++number) {
+        text += fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
+    }
+    return text;
+}
+
+constexpr int short_events = 8;
+constexpr int slow_events = 80;
+
+} // namespace
+
+/// The path through real gateways and sidecars before stand-ins of the users' platform.
+class gateway_path_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(gateway_path_test);
+    CPPUNIT_TEST(plain_and_streamed_calls_are_served);
+    CPPUNIT_TEST(what_is_not_allowed_is_refused_with_its_status);
+    CPPUNIT_TEST(withdrawn_key_and_dropped_route_are_refused);
+    CPPUNIT_TEST(configuration_survives_a_lost_history);
+    CPPUNIT_TEST(stream_goes_on_at_another_engine);
+    CPPUNIT_TEST(unsafe_call_is_not_repeated);
+    CPPUNIT_TEST(draining_upstream_gets_no_work);
+    CPPUNIT_TEST(terminated_gateway_cuts_off_nothing);
+    CPPUNIT_TEST(caller_that_leaves_stops_the_work);
+    CPPUNIT_TEST(sidecar_never_overfills_its_engine);
+    CPPUNIT_TEST(gateway_started_without_the_store_says_so);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void plain_and_streamed_calls_are_served()
+    {
+        gateway_fleet fleet;
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        for (const auto& gateway : fleet.gateways) {
+            const auto plain = send(gateway, fleet.make_call("/unsafe/x", "p1"));
+            CPPUNIT_ASSERT_EQUAL(200U, plain.status);
+            CPPUNIT_ASSERT_EQUAL(std::string("p1body of p1"), plain.body);
+            CPPUNIT_ASSERT(!plain.header("response-seal").empty());
+            const auto stream = send(gateway, fleet.make_call("/stream/x", "s1"));
+            CPPUNIT_ASSERT_EQUAL(200U, stream.status);
+            CPPUNIT_ASSERT_EQUAL(whole_stream("s1", short_events), stream.body);
+        }
+        for (const auto& upstream : fleet.services) {
+            for (const auto& run : fleet.runs(upstream)["runs"]) {
+                CPPUNIT_ASSERT(run["headers"]["Tenant"] == "shops");
+                CPPUNIT_ASSERT(!run["headers"].contains("Authorization"));
+                CPPUNIT_ASSERT(run.dump().find("key-1") == std::string::npos);
+            }
+        }
+    }
+
+    void what_is_not_allowed_is_refused_with_its_status()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        CPPUNIT_ASSERT_EQUAL(404U, send(gateway, fleet.make_call("/none/x", "1")).status);
+        auto call = fleet.make_call("/unsafe/x", "2");
+        call.headers["Authorization"] = "Token unknown";
+        CPPUNIT_ASSERT_EQUAL(401U, send(gateway, call).status);
+        call = fleet.make_call("/unsafe/x", "3");
+        call.headers["Deadline-Ms"] = "soon";
+        CPPUNIT_ASSERT_EQUAL(400U, send(gateway, call).status);
+        call = fleet.make_call("/unsafe/x", "4");
+        call.body = std::string(70'000, 'x');
+        CPPUNIT_ASSERT_EQUAL(413U, send(gateway, call).status);
+        call = fleet.make_call("/unsafe/x", "5");
+        call.headers["X-Long"] = std::string(5000, 'x');
+        CPPUNIT_ASSERT_EQUAL(431U, send(gateway, call).status);
+        const auto none = send(gateway, fleet.make_call("/stream/x", "6"));
+        CPPUNIT_ASSERT_EQUAL(503U, none.status);
+        CPPUNIT_ASSERT(!none.header("retry-after").empty());
+        CPPUNIT_ASSERT(send_bytes(gateway.address, "rubbish\r\n\r\n").starts_with("HTTP/1.1 400"));
+        CPPUNIT_ASSERT(fleet.runs(fleet.services.front())["runs"].empty());
+    }
+
+    void withdrawn_key_and_dropped_route_are_refused()
+    {
+        gateway_fleet fleet;
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(fleet.change_config([](nlohmann::json& config) {
+            config["tenants"][0]["api_keys"] = {"key-2"};
+            config["routes"].erase(2);
+        }));
+        for (const auto& gateway : fleet.gateways) {
+            CPPUNIT_ASSERT(wait_until([&] {
+                return send(gateway, fleet.make_call("/unsafe/x", "1")).status == 401;
+            }));
+            auto call = fleet.make_call("/safe/x", "2");
+            call.headers["Authorization"] = "Token key-2";
+            CPPUNIT_ASSERT_EQUAL(404U, send(gateway, call).status);
+        }
+    }
+
+    // The store drops its history while a change is made that no watch has heard of.
+    void configuration_survives_a_lost_history()
+    {
+        gateway_fleet fleet({.has_store_relay = true});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        fleet.store_relay->set_unreachable(true);
+        CPPUNIT_ASSERT(fleet.change_config([](nlohmann::json& config) {
+            config["tenants"][0]["api_keys"] = {"key-2"};
+        }));
+        CPPUNIT_ASSERT(send_call(fleet.store.address, {"DELETE", "/history", {}, {}}).ok());
+        CPPUNIT_ASSERT_EQUAL(200U,
+                             send(fleet.gateways[0], fleet.make_call("/unsafe/x", "1")).status);
+        fleet.store_relay->set_unreachable(false);
+        for (const auto& gateway : fleet.gateways) {
+            CPPUNIT_ASSERT(wait_until([&] {
+                return send(gateway, fleet.make_call("/unsafe/x", "2")).status == 401;
+            }));
+        }
+    }
+
+    void stream_goes_on_at_another_engine()
+    {
+        gateway_fleet fleet;
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT_EQUAL(200U,
+                             send(fleet.gateways[0], fleet.make_call("/stream/x", "w")).status);
+        auto reply = std::async(std::launch::async, [&] {
+            return send(fleet.gateways[0], fleet.make_call("/stream/slow/", "s1"));
+        });
+        const auto runs_it = [&](const fleet_member& engine) {
+            return fleet.runs(engine).dump().find("\"s1\"") != std::string::npos;
+        };
+        CPPUNIT_ASSERT(wait_until([&] {
+            return runs_it(fleet.engines[0]) || runs_it(fleet.engines[1]);
+        }));
+        fleet.engines[runs_it(fleet.engines[0]) ? 0 : 1].process->kill();
+        const auto stream = reply.get();
+        CPPUNIT_ASSERT_EQUAL(200U, stream.status);
+        CPPUNIT_ASSERT_EQUAL(whole_stream("s1", slow_events), stream.body);
+    }
+
+    void unsafe_call_is_not_repeated()
+    {
+        gateway_fleet fleet;
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        auto reply = std::async(std::launch::async, [&] {
+            return send(fleet.gateways[0], fleet.make_call("/unsafe/slow/", "u1"));
+        });
+        const auto runs_it = [&](const fleet_member& service) {
+            return fleet.runs(service).dump().find("\"u1\"") != std::string::npos;
+        };
+        CPPUNIT_ASSERT(wait_until([&] {
+            return runs_it(fleet.services[0]) || runs_it(fleet.services[1]);
+        }));
+        const bool is_first = runs_it(fleet.services[0]);
+        fleet.services[is_first ? 0 : 1].process->kill();
+        // The answer can also have come before the kill.
+        const auto status = reply.get().status;
+        CPPUNIT_ASSERT(status == 502 || status == 200);
+        CPPUNIT_ASSERT(!runs_it(fleet.services[is_first ? 1 : 0]));
+    }
+
+    void draining_upstream_gets_no_work()
+    {
+        gateway_fleet fleet;
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(fleet.announce(fleet.services[0], "desk", true));
+        const auto& gateway = fleet.gateways.front();
+        CPPUNIT_ASSERT(wait_until([&] {
+            const auto status = send_call(gateway.admin, {"GET", "/status", {}, {}});
+            const auto upstreams = nlohmann::json::parse(status->body)["upstreams"];
+            return std::any_of(upstreams.begin(), upstreams.end(),
+                               [](const auto& item) { return item["draining"] == true; });
+        }));
+        const auto before = fleet.runs(fleet.services[0])["runs"].size();
+        for (int i = 0; i < 20; ++i) {
+            const auto id = fmt::format("d{}", i);
+            CPPUNIT_ASSERT_EQUAL(200U, send(gateway, fleet.make_call("/unsafe/x", id)).status);
+        }
+        CPPUNIT_ASSERT_EQUAL(before, fleet.runs(fleet.services[0])["runs"].size());
+    }
+
+    void terminated_gateway_cuts_off_nothing()
+    {
+        gateway_fleet fleet;
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT_EQUAL(200U,
+                             send(fleet.gateways[0], fleet.make_call("/stream/x", "w")).status);
+        auto reply = std::async(std::launch::async, [&] {
+            return send(fleet.gateways[0], fleet.make_call("/stream/slow/", "s1"));
+        });
+        CPPUNIT_ASSERT(wait_until([&] {
+            return fleet.runs(fleet.engines[0]).dump().find("\"s1\"") != std::string::npos ||
+                   fleet.runs(fleet.engines[1]).dump().find("\"s1\"") != std::string::npos;
+        }));
+        fleet.gateways[0].process->signal(SIGTERM);
+        CPPUNIT_ASSERT(wait_until([&] {
+            const auto ready = send_call(fleet.gateways[0].admin, {"GET", "/ready", {}, {}});
+            return ready.ok() && ready->status == 503;
+        }));
+        CPPUNIT_ASSERT_EQUAL(whole_stream("s1", slow_events), reply.get().body);
+        CPPUNIT_ASSERT(fleet.gateways[0].process->wait() == 0);
+    }
+
+    void caller_that_leaves_stops_the_work()
+    {
+        gateway_fleet fleet;
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        CPPUNIT_ASSERT_EQUAL(200U, send(gateway, fleet.make_call("/stream/x", "w")).status);
+        const auto call = fleet.make_call("/stream/slow/", "s1");
+        CPPUNIT_ASSERT(!send_call(gateway.address, call, std::chrono::milliseconds(300)).ok());
+        CPPUNIT_ASSERT(wait_until([&] {
+            const auto metrics = send_call(gateway.admin, {"GET", "/metrics", {}, {}});
+            return metrics.ok() && metrics->body.find("snipespar_gateway_cancellations_total 1") !=
+                                       std::string::npos;
+        }));
+        CPPUNIT_ASSERT(wait_until([&] {
+            for (const auto& engine : fleet.engines) {
+                const auto report = send_call(engine.address, {"GET", "/report", {}, {}});
+                if (nlohmann::json::parse(report->body)["running"] != 0) {
+                    return false;
+                }
+            }
+            return true;
+        }));
+    }
+
+    // More adapters than places, from two gateways at once.
+    void sidecar_never_overfills_its_engine()
+    {
+        gateway_fleet fleet;
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        std::vector<std::future<unsigned>> replies;
+        for (int i = 0; i < 48; ++i) {
+            replies.push_back(std::async(std::launch::async, [&fleet, i] {
+                auto call = fleet.make_call("/stream/x", fmt::format("s{}", i));
+                call.headers["Model"] = fmt::format("base/a{}", i % 20);
+                return send(fleet.gateways[static_cast<std::size_t>(i) % 2], call).status;
+            }));
+        }
+        int served = 0;
+        for (auto& reply : replies) {
+            const auto status = reply.get();
+            CPPUNIT_ASSERT(status == 200 || status == 503);
+            served += status == 200 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(served > 0);
+        for (const auto& engine : fleet.engines) {
+            CPPUNIT_ASSERT_EQUAL(0, fleet.runs(engine)["overfull_orders"].get<int>());
+        }
+    }
+
+    void gateway_started_without_the_store_says_so()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .has_store_relay = true});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        auto& gateway = fleet.gateways.front();
+        fleet.store_relay->set_unreachable(true);
+        gateway.process->kill();
+        gateway.restart();
+        CPPUNIT_ASSERT(gateway.process->wait_for_output("platform_lost"));
+        CPPUNIT_ASSERT_EQUAL(503U, send_call(gateway.admin, {"GET", "/ready", {}, {}})->status);
+        const auto refused = send(gateway, fleet.make_call("/unsafe/x", "1"));
+        CPPUNIT_ASSERT_EQUAL(503U, refused.status);
+        CPPUNIT_ASSERT(!refused.header("retry-after").empty());
+        fleet.store_relay->set_unreachable(false);
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT_EQUAL(200U, send(gateway, fleet.make_call("/unsafe/x", "2")).status);
+    }
+
+private:
+    // An unreachable gateway gives status 0.
+    static http_reply send(const fleet_member& gateway, const http_call& call)
+    {
+        auto reply = send_call(gateway.address, call);
+        return reply.ok() ? *std::move(reply) : http_reply{};
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_path_test);
+
+} // namespace snipespar::testing
--- /dev/null
+++ b/tests/process/support/gateway_fleet.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "cli/endpoint.h"
+#include "process/support/child_process.h"
+#include "process/support/tcp_cutter.h"
+#include "support/http_probe.h"
+
+#include <cstddef>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace snipespar::testing {
+
+/// What a gateway fleet consists of.
+struct gateway_fleet_options {
+    std::size_t gateways = 2;
+    std::size_t engines = 2;
+    std::size_t services = 2;
+    /// A relay stands between the gateways and the platform's store.
+    bool has_store_relay = false;
+};
+
+/// A program of the fleet that can be started again with its arguments.
+struct fleet_member {
+    std::string id;
+    program_start start;
+    cli::endpoint address;
+    cli::endpoint admin;
+    std::unique_ptr<child_process> process;
+
+    void restart() { process = std::make_unique<child_process>(start); }
+};
+
+/// Gateways and sidecars as real processes on loopback, each on an IP address of its own, before
+/// stand-ins of the users' platform. The first configuration has the services `llm` (adapters of
+/// the model `base`) and `desk`, the team `shops` (keys `key-1` and `key-2`), and the routes
+/// `/stream/` (resumable), `/unsafe/` and `/safe/` of the host `a.example`. Nothing outlives the
+/// object.
+class gateway_fleet {
+public:
+    explicit gateway_fleet(const gateway_fleet_options& options = {});
+    gateway_fleet(const gateway_fleet&) = delete;
+    gateway_fleet& operator=(const gateway_fleet&) = delete;
+    ~gateway_fleet();
+
+    /// Waits until every gateway is ready; false when that fails.
+    bool wait_until_ready();
+
+    /// One request of the team, with the header lines that the platform's callers send.
+    http_call make_call(const std::string& path, const std::string& id) const;
+
+    /// Writes a configuration with one more version. `edit` may change it first.
+    template <class Edit>
+    bool change_config(Edit edit)
+    {
+        config_["version"] = config_["version"].get<std::uint64_t>() + 3;
+        edit(config_);
+        return put("config", "main", config_, false);
+    }
+
+    /// Announces an upstream, or that it is draining.
+    bool announce(const fleet_member& upstream, const std::string& service, bool is_draining);
+    bool withdraw(const fleet_member& upstream);
+
+    /// What a stand-in ran: its answer to `GET /runs`.
+    nlohmann::json runs(const fleet_member& upstream) const;
+
+    std::vector<fleet_member> gateways;
+    std::vector<fleet_member> sidecars;
+    std::vector<fleet_member> engines;
+    std::vector<fleet_member> services;
+    fleet_member store;
+    std::unique_ptr<tcp_cutter> store_relay;
+
+private:
+    bool put(const std::string& kind, const std::string& name, const nlohmann::json& content,
+             bool is_new);
+    void start_upstreams(const gateway_fleet_options& options);
+    void start_gateways(const gateway_fleet_options& options);
+
+    cli::endpoint platform_;
+    std::uint16_t control_port_ = 0;
+    nlohmann::json config_;
+};
+
+} // namespace snipespar::testing
--- a/tests/sidecar_adapter_planner_test.cpp
+++ b/tests/sidecar_adapter_planner_test.cpp
@@ -175,9 +175,9 @@
         adapter_planner planner;
         planner.on_report(report({"old", "new", "newer", "newest"}), start);
         planner.on_demand(demand({{"base", "old", 0, 1}}), start);
-        planner.on_demand(demand({{"base", "new", 0, 1}, {"base", "newer", 0, 1},
-                                  {"base", "newest", 0, 1}}),
-                          start + milliseconds(500));
+        planner.on_demand(
+            demand({{"base", "new", 0, 1}, {"base", "newer", 0, 1}, {"base", "newest", 0, 1}}),
+            start + milliseconds(500));
         planner.on_demand(demand({waiting("a1")}), start + milliseconds(1000));
         planner.on_report(report({"old", "new", "newer", "newest"}), start + milliseconds(1000));
         CPPUNIT_ASSERT(!planner.next_order(start + milliseconds(1000)));
@@ -193,8 +193,8 @@
         for (int i = 0; i < 20; ++i) {
             now += milliseconds(500);
             planner.on_demand(demand({{"base", "a", 0, 1}, {"base", "b", 0, 2}}, "g1"), now);
-            planner.on_demand(demand({{"base", "c", 0, 1}, {"base", "d", 0, 1}, waiting("e")}, "g2"),
-                              now);
+            planner.on_demand(
+                demand({{"base", "c", 0, 1}, {"base", "d", 0, 1}, waiting("e")}, "g2"), now);
             planner.on_report(report({"a", "b", "c", "d"}), now);
             CPPUNIT_ASSERT(!planner.next_order(now));
             CPPUNIT_ASSERT(!planner.next_order(now + milliseconds(400)));
--- /dev/null
+++ b/tools/users_platform_stand_in/main.cpp
@@ -0,0 +1,57 @@
+// Stand-in for the users' platform on loopback, for tests and trials.
+//
+// usage: users_platform_stand_in store IP:PORT
+//        users_platform_stand_in engine|service IP:PORT ID
+
+#include "store.h"
+#include "worker.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdlib>
+#include <exception>
+#include <fmt/core.h>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace users_platform_stand_in;
+
+int run(const std::string& role, const std::string& listen, const std::string& id)
+{
+    boost::asio::io_context context(1);
+    store objects(context);
+    worker_options options;
+    options.id = id;
+    options.is_engine = role == "engine";
+    worker runner(context, options);
+    const handler handle = [&](boost::asio::ip::tcp::socket& socket, const request& message) {
+        return role == "store" ? objects.handle(socket, message) : runner.handle(socket, message);
+    };
+    serve(context, listen, handle);
+    fmt::print(stderr, "listening on {}\n", listen);
+    context.run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const bool is_store = arguments.size() == 2 && arguments[0] == "store";
+    const bool is_worker = arguments.size() == 3 && (arguments[0] == "engine" ||
+                                                     arguments[0] == "service");
+    if (!is_store && !is_worker) {
+        fmt::print(stderr, "usage: users_platform_stand_in store IP:PORT\n"
+                           "       users_platform_stand_in engine|service IP:PORT ID\n");
+        return EXIT_FAILURE;
+    }
+    try {
+        return run(arguments[0], arguments[1], arguments.back());
+    }
+    catch (const std::exception& error) {
+        fmt::print(stderr, "cannot listen on {}: {}\n", arguments[1], error.what());
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/tools/users_platform_stand_in/store.cpp
@@ -0,0 +1,174 @@
+#include "store.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <utility>
+
+namespace users_platform_stand_in {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t page_size = 50;
+
+// A target's path parts and query fields.
+struct target_parts {
+    std::vector<std::string> path;
+    std::map<std::string, std::string> query;
+};
+
+target_parts split(const std::string& target)
+{
+    target_parts parts;
+    const auto question = target.find('?');
+    std::string rest = target.substr(1, question - 1);
+    for (std::size_t slash = 0; slash != std::string::npos;) {
+        slash = rest.find('/');
+        parts.path.push_back(rest.substr(0, slash));
+        rest = slash == std::string::npos ? std::string() : rest.substr(slash + 1);
+    }
+    std::string query = question == std::string::npos ? std::string() : target.substr(question + 1);
+    while (!query.empty()) {
+        const auto end = std::min(query.find('&'), query.size());
+        const auto pair = query.substr(0, end);
+        const auto equals = std::min(pair.find('='), pair.size());
+        parts.query[pair.substr(0, equals)] = pair.substr(std::min(equals + 1, pair.size()));
+        query = end == query.size() ? std::string() : query.substr(end + 1);
+    }
+    return parts;
+}
+
+std::uint64_t number(const std::map<std::string, std::string>& query, const std::string& name)
+{
+    const auto found = query.find(name);
+    return found == query.end() ? 0 : std::stoull(found->second);
+}
+
+} // namespace
+
+asio::awaitable<bool> store::handle(asio::ip::tcp::socket& socket, const request& message)
+{
+    const auto parts = split(std::string(message.target()));
+    const auto verb = message.method();
+    if (parts.path.front() == "history" && verb == http::verb::delete_) {
+        history_.clear();
+        history_begins_ = ++revision_;
+        news_.cancel();
+        co_return co_await send(socket, message, json_answer(200, "{}"));
+    }
+    if (parts.path.front() != "objects" || parts.path.size() < 2) {
+        co_return co_await send(socket, message, json_answer(404, "{}"));
+    }
+    const auto& kind = parts.path[1];
+    const auto name = parts.path.size() > 2 ? parts.path[2] : std::string();
+    response answer;
+    if (verb == http::verb::get && parts.query.contains("watch")) {
+        answer =
+            co_await watch(kind, number(parts.query, "watch"), number(parts.query, "wait_ms"));
+    }
+    else if (verb == http::verb::get) {
+        const auto after = parts.query.find("after");
+        answer = list(kind, after == parts.query.end() ? std::string() : after->second);
+    }
+    else if (verb == http::verb::delete_) {
+        answer = remove(kind, name);
+    }
+    else {
+        answer = write(message, kind, name);
+    }
+    co_return co_await send(socket, message, std::move(answer));
+}
+
+response store::list(const std::string& kind, const std::string& after) const
+{
+    json items = json::array();
+    bool has_more = false;
+    if (const auto found = objects_.find(kind); found != objects_.end()) {
+        for (auto item = found->second.upper_bound(after); item != found->second.end(); ++item) {
+            has_more = items.size() == page_size;
+            if (has_more) {
+                break;
+            }
+            items.push_back(item->second);
+        }
+    }
+    return json_answer(
+        200, json{{"items", items}, {"has_more", has_more}, {"current_rev", revision_}}.dump());
+}
+
+asio::awaitable<response> store::watch(std::string kind, std::uint64_t from, std::uint64_t wait_ms)
+{
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms);
+    while (true) {
+        if (from < history_begins_) {
+            co_return json_answer(410, "{}");
+        }
+        json events = json::array();
+        for (const auto& item : history_) {
+            if (item.revision > from && item.kind == kind) {
+                events.push_back(item.event);
+            }
+        }
+        if (!events.empty() || std::chrono::steady_clock::now() >= deadline) {
+            co_return json_answer(200,
+                                  json{{"events", events}, {"current_rev", revision_}}.dump());
+        }
+        news_.expires_at(std::max(news_.expiry(), deadline));
+        co_await news_.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+response store::write(const request& message, const std::string& kind, const std::string& name)
+{
+    const auto body = json::parse(message.body(), nullptr, false);
+    if (!body.is_object() || !body.contains("metadata")) {
+        return json_answer(400, "{}");
+    }
+    const auto key = name.empty() ? body["metadata"].value("name", std::string()) : name;
+    auto& kept = objects_[kind];
+    const auto found = kept.find(key);
+    if (message.method() == http::verb::post && found != kept.end()) {
+        return json_answer(409, found->second.dump());
+    }
+    const auto expected = body["metadata"].value("revision", std::uint64_t{0});
+    if (found != kept.end() && expected != 0 &&
+        expected != found->second["metadata"]["revision"].get<std::uint64_t>()) {
+        return json_answer(409, found->second.dump());
+    }
+    const auto spec = body.contains("spec") ? body["spec"] : json();
+    if (found != kept.end() && found->second["spec"] == spec) {
+        return json_answer(200, found->second.dump());
+    }
+    const auto revision = revision_ + 1;
+    kept[key] = {{"metadata", {{"name", key}, {"revision", revision}}},
+                 {"spec", spec},
+                 {"status", nullptr}};
+    record(kind, kept[key], false);
+    return json_answer(200, kept[key].dump());
+}
+
+response store::remove(const std::string& kind, const std::string& name)
+{
+    auto& kept = objects_[kind];
+    const auto found = kept.find(name);
+    if (found == kept.end()) {
+        return json_answer(404, "{}");
+    }
+    record(kind, found->second, true);
+    kept.erase(found);
+    return json_answer(200, "{}");
+}
+
+void store::record(const std::string& kind, const json& object, bool is_removed)
+{
+    ++revision_;
+    history_.push_back({revision_, kind, {{"object", object}, {"removed", is_removed}}});
+    news_.cancel();
+}
+
+} // namespace users_platform_stand_in
--- /dev/null
+++ b/tools/users_platform_stand_in/store.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "http_session.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace users_platform_stand_in {
+
+/// The users' metadata store: objects by kind and name, lists in pages, conditional writes, watches
+/// as long polls. `DELETE /history` drops the history, so that older watches get 410.
+class store {
+public:
+    explicit store(boost::asio::io_context& context) : news_(context) {}
+
+    boost::asio::awaitable<bool> handle(boost::asio::ip::tcp::socket& socket,
+                                        const request& message);
+
+private:
+    struct change {
+        std::uint64_t revision = 0;
+        std::string kind;
+        nlohmann::json event;
+    };
+
+    response list(const std::string& kind, const std::string& after) const;
+    boost::asio::awaitable<response> watch(std::string kind, std::uint64_t from,
+                                           std::uint64_t wait_ms);
+    response write(const request& message, const std::string& kind, const std::string& name);
+    response remove(const std::string& kind, const std::string& name);
+    void record(const std::string& kind, const nlohmann::json& object, bool is_removed);
+
+    std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
+    std::vector<change> history_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t history_begins_ = 1;
+    /// Cancelled at each change.
+    boost::asio::steady_timer news_;
+};
+
+} // namespace users_platform_stand_in
--- /dev/null
+++ b/tools/users_platform_stand_in/worker.cpp
@@ -0,0 +1,204 @@
+#include "worker.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+#include <utility>
+
+namespace users_platform_stand_in {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+namespace {
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr int slow_factor = 10;
+
+std::string text(const request& message, const char* name)
+{
+    return std::string(message[name]);
+}
+
+std::string seal(const std::string& id, const std::string& request_id)
+{
+    return fmt::format("{}.{}", id, request_id);
+}
+
+bool is_slow(const request& message)
+{
+    return std::string(message.target()).find("/slow/") != std::string::npos;
+}
+
+} // namespace
+
+worker::worker(asio::io_context& context, worker_options options)
+    : context_(context), options_(std::move(options)),
+      born_ms_(static_cast<std::uint64_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              std::chrono::system_clock::now().time_since_epoch())
+              .count()))
+{
+    if (options_.is_engine) {
+        models_.insert("base");
+    }
+}
+
+asio::awaitable<bool> worker::handle(asio::ip::tcp::socket& socket, const request& message)
+{
+    finish_loads();
+    const std::string target(message.target());
+    if (target == "/report") {
+        co_return co_await send(socket, message, report());
+    }
+    if (target == "/runs") {
+        co_return co_await send(
+            socket, message,
+            json_answer(200, json{{"runs", runs_}, {"overfull_orders", overfull_orders_}}.dump()));
+    }
+    if (target == "/order") {
+        co_return co_await send(socket, message, order(message));
+    }
+    const auto expected = text(message, "Expect-Instance");
+    if (!expected.empty() && expected != options_.id) {
+        auto answer = json_answer(421, "");
+        answer.set("Instance-Id", options_.id);
+        co_return co_await send(socket, message, std::move(answer));
+    }
+    const auto model = text(message, "Model");
+    if (!model.empty() && !holds(model)) {
+        auto answer = json_answer(421, "");
+        answer.set("Not-Executed", "1");
+        co_return co_await send(socket, message, std::move(answer));
+    }
+    co_return co_await run(socket, message);
+}
+
+asio::awaitable<bool> worker::run(asio::ip::tcp::socket& socket, const request& message)
+{
+    json headers = json::object();
+    for (const auto& field : message) {
+        headers[std::string(field.name_string())] = std::string(field.value());
+    }
+    runs_.push_back({{"id", text(message, "Request-Id")},
+                     {"target", std::string(message.target())},
+                     {"headers", headers}});
+    ++running_;
+    bool is_open = true;
+    if (options_.is_engine) {
+        is_open = co_await stream(socket, message);
+    }
+    else {
+        asio::steady_timer pause(context_,
+                                 options_.event_pause * (is_slow(message) ? slow_factor : 1));
+        co_await pause.async_wait(as_result);
+        auto answer = json_answer(200, text(message, "Request-Id") + message.body());
+        answer.set("Response-Seal", seal(options_.id, text(message, "Request-Id")));
+        is_open = co_await send(socket, message, std::move(answer));
+    }
+    --running_;
+    co_return is_open;
+}
+
+asio::awaitable<bool> worker::stream(asio::ip::tcp::socket& socket, const request& message)
+{
+    const auto id = text(message, "Request-Id");
+    const auto after = text(message, "Last-Event-Id");
+    int number = after.empty() ? 1 : std::stoi(after) + 1;
+    std::string bytes = fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: {}\r\n"
+                                    "Content-Type: text/event-stream\r\n"
+                                    "Transfer-Encoding: chunked\r\n\r\n",
+                                    id, seal(options_.id, id));
+    const auto events = options_.events * (is_slow(message) ? slow_factor : 1);
+    asio::steady_timer pause(context_);
+    for (; number <= events; ++number) {
+        const auto event = fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
+        bytes += fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+        const auto [error, count] = co_await asio::async_write(socket, asio::buffer(bytes),
+                                                               as_result);
+        if (error) {
+            co_return false;
+        }
+        bytes.clear();
+        pause.expires_after(options_.event_pause);
+        co_await pause.async_wait(as_result);
+    }
+    bytes += "0\r\n\r\n";
+    const auto [error, count] = co_await asio::async_write(socket, asio::buffer(bytes), as_result);
+    co_return !error && message.keep_alive();
+}
+
+bool worker::holds(const std::string& model) const
+{
+    return model.find('/') == std::string::npos ? models_.contains(model)
+                                                : adapters_.contains(model);
+}
+
+void worker::finish_loads()
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(loading_, [&](const auto& item) {
+        if (item.second <= now) {
+            adapters_.insert(item.first);
+        }
+        return item.second <= now;
+    });
+}
+
+response worker::report() const
+{
+    json models = json::array();
+    for (const auto& model : models_) {
+        json adapters = json::array();
+        for (const auto& name : adapters_) {
+            adapters.push_back(name.substr(model.size() + 1) + "@1");
+        }
+        models.push_back({{"name", model}, {"version", 1}, {"adapters", adapters}});
+    }
+    json coming = json::array();
+    for (const auto& [name, when] : loading_) {
+        coming.push_back(name + "@1");
+    }
+    return json_answer(200, json{{"stage", "both"},
+                                 {"models", models},
+                                 {"busy", false},
+                                 {"seq", orders_},
+                                 {"waiting", 0},
+                                 {"running", running_},
+                                 {"kv_used", 0},
+                                 {"kv_total", 100000},
+                                 {"handles", 0},
+                                 {"coming", coming},
+                                 {"born", born_ms_}}
+                                .dump());
+}
+
+response worker::order(const request& message)
+{
+    const auto body = json::parse(message.body(), nullptr, false);
+    if (!body.is_object() || body.value("expect", std::uint64_t{0}) != orders_) {
+        return json_answer(409, "{}");
+    }
+    ++orders_;
+    const auto model = body.value("model", std::string());
+    const auto adapter = body.value("adapter", std::string());
+    const auto name = model + "/" + adapter;
+    if (body.value("operation", std::string()) == "unload") {
+        adapters_.erase(name);
+        return json_answer(200, "{}");
+    }
+    if (adapter.empty()) {
+        models_.insert(model);
+        return json_answer(202, "{}");
+    }
+    loading_[name] = std::chrono::steady_clock::now() + options_.load_time;
+    if (adapters_.size() + loading_.size() > static_cast<std::size_t>(options_.adapter_slots)) {
+        ++overfull_orders_;
+    }
+    return json_answer(202, "{}");
+}
+
+} // namespace users_platform_stand_in
