--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 #include "platform/wire_names.h"
 #include "sidecar/run_sidecar.h"
 
+#include <csignal>
 #include <fmt/core.h>
 #include <string>
 #include <string_view>
@@ -65,6 +66,8 @@
 
 int main(int argc, char** argv)
 {
+    // A reload asked for before the process can handle it must not end the process.
+    std::signal(SIGHUP, SIG_IGN);
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     return std::visit(dispatcher{}, cli::parse_command_line(arguments, read_environment()));
 }
--- /dev/null
+++ b/tests/soak/kept_caller.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "cli/endpoint.h"
+#include "support/http_probe.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <chrono>
+#include <optional>
+
+namespace snipespar::testing {
+
+/// A caller that keeps its connection and uses it until the other side closes it. Used by one
+/// thread.
+class kept_caller {
+public:
+    explicit kept_caller(cli::endpoint peer) : peer_(std::move(peer)) {}
+
+    /// Sends one request and reads the whole answer; nothing when the connection breaks, the answer
+    /// ends early, or `limit` passes.
+    std::optional<http_reply> send(const http_call& call, std::chrono::milliseconds limit);
+
+private:
+    bool connect(std::chrono::milliseconds limit);
+
+    cli::endpoint peer_;
+    boost::asio::io_context context_;
+    std::optional<boost::beast::tcp_stream> stream_;
+    boost::beast::flat_buffer buffer_;
+};
+
+} // namespace snipespar::testing
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,56 @@
+// Runs soaks by hand: real processes, faults from outside, promises checked.
+//
+// usage: soak FIRST_SEED LAST_SEED [SECONDS [GATEWAYS ENGINES SERVICES CALLERS]]
+
+#include "soak/soak.h"
+
+#include <cstdlib>
+#include <fmt/core.h>
+#include <string>
+#include <vector>
+
+int main(int argc, char** argv)
+{
+    using namespace snipespar::testing;
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (arguments.size() < 2) {
+        fmt::print(stderr, "usage: soak FIRST_SEED LAST_SEED [SECONDS [GATEWAYS ENGINES SERVICES "
+                           "CALLERS]]\n");
+        return EXIT_FAILURE;
+    }
+    const auto number = [&](std::size_t index, std::size_t absent) {
+        return index < arguments.size() ? std::stoull(arguments[index]) : absent;
+    };
+    int passed = 0;
+    int failed = 0;
+    for (auto seed = number(0, 1); seed <= number(1, 1); ++seed) {
+        const soak_options defaults;
+        const auto result =
+            run_soak({.seed = seed,
+                      .length = std::chrono::seconds(number(2, 4)),
+                      .gateways = number(3, defaults.gateways),
+                      .engines = number(4, defaults.engines),
+                      .services = number(5, defaults.services),
+                      .callers = number(6, defaults.callers)});
+        std::string totals;
+        for (const auto& [status, count] : result.totals) {
+            totals += fmt::format(" {}: {}", status, count);
+        }
+        fmt::print("seed {}: {} faults, answers{}\n", seed, result.faults.size(), totals);
+        for (const auto& line : result.broken) {
+            fmt::print("  BROKEN {}\n", line);
+        }
+        if (!result.broken.empty()) {
+            for (const auto& fault : result.faults) {
+                fmt::print("  fault {}\n", fault);
+            }
+            for (const auto& [name, log] : result.logs) {
+                fmt::print("  log of {}\n{}\n", name, log);
+            }
+        }
+        std::fflush(stdout);
+        ++(result.broken.empty() ? passed : failed);
+    }
+    fmt::print("{} passed, {} failed\n", passed, failed);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tools/users_platform_stand_in/worker.cpp
+++ b/tools/users_platform_stand_in/worker.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <cstdio>
 #include <fmt/format.h>
 #include <utility>
 
@@ -85,7 +86,11 @@
     }
     runs_.push_back({{"id", text(message, "Request-Id")},
                      {"target", std::string(message.target())},
+                     {"body", message.body()},
                      {"headers", headers}});
+    // Whoever kills this process still has its record.
+    fmt::print("run {}\n", runs_.back().dump());
+    std::fflush(stdout);
     ++running_;
     bool is_open = true;
     if (options_.is_engine) {
@@ -197,6 +202,8 @@
     loading_[name] = std::chrono::steady_clock::now() + options_.load_time;
     if (adapters_.size() + loading_.size() > static_cast<std::size_t>(options_.adapter_slots)) {
         ++overfull_orders_;
+        fmt::print("overfull {}\n", name);
+        std::fflush(stdout);
     }
     return json_answer(202, "{}");
 }
