--- a/src/base/json_reader.h
+++ b/src/base/json_reader.h
@@ -94,6 +94,23 @@
         }
     }
 
+    /// Calls `read(name, value)` for each member of the object `name`; an absent object is empty.
+    template <class Read>
+    void each_member(const char* name, Read read) const
+    {
+        const auto* field = find(name);
+        if (field == nullptr) {
+            return;
+        }
+        if (!field->is_object()) {
+            fail(path_ + "." + name, "must be an object");
+            return;
+        }
+        for (const auto& [member, value] : field->items()) {
+            read(member, value);
+        }
+    }
+
     /// The strings of the array `name`; an absent array is empty.
     std::vector<std::string> texts(const char* name) const
     {
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -27,12 +27,11 @@
     value["config"] = content.config_version;
     value["slots"] = static_cast<unsigned>(content.adapter_slots);
     value["models"] = content.models;
-    auto uses = json::array();
+    // Counts of waiting and running calls, by model/adapter.
+    auto uses = json::object();
     for (const auto& use : content.uses) {
-        uses.push_back({{"model", use.model},
-                        {"adapter", use.adapter},
-                        {"waiting", static_cast<unsigned>(use.waiting)},
-                        {"running", static_cast<unsigned>(use.running)}});
+        uses[use.model + "/" + use.adapter] = {static_cast<unsigned>(use.waiting),
+                                               static_cast<unsigned>(use.running)};
     }
     value["uses"] = std::move(uses);
     return value;
@@ -46,11 +45,7 @@
     value["sequence"] = content.sequence;
     value["config"] = content.config_version;
     value["leaving"] = content.is_leaving;
-    auto teams = json::array();
-    for (const auto& [team, tokens] : content.team_tokens) {
-        teams.push_back({{"team", team}, {"tokens", tokens}});
-    }
-    value["teams"] = std::move(teams);
+    value["teams"] = content.team_tokens;
     return value;
 }
 
@@ -62,9 +57,10 @@
     value["start"] = status.sidecar_start;
     value["sequence"] = status.sequence;
     value["models"] = status.models;
-    auto adapters = json::array();
+    // Versions by model/adapter.
+    auto adapters = json::object();
     for (const auto& [name, version] : status.adapters) {
-        adapters.push_back({{"name", name}, {"version", version}});
+        adapters[name] = version;
     }
     value["adapters"] = std::move(adapters);
     value["loading"] = status.loading;
@@ -91,9 +87,15 @@
         .models = fields.texts("models"),
         .uses = {},
     };
-    fields.each("uses", [&](const json_reader& use) {
+    fields.each_member("uses", [&](const std::string& name, const json& use) {
+        const auto slash = name.find('/');
+        const bool is_valid = slash != std::string::npos && use.is_array() && use.size() == 2 &&
+                              use[0].is_number_unsigned() && use[1].is_number_unsigned();
+        if (!is_valid) {
+            return fields.fail("message.uses." + name, "must be two counts of a model/adapter");
+        }
         content.uses.push_back(
-            {use.text("model"), use.text("adapter"), count(use, "waiting"), count(use, "running")});
+            {name.substr(0, slash), name.substr(slash + 1), use[0].get<int>(), use[1].get<int>()});
     });
     return content;
 }
@@ -108,8 +110,11 @@
         .is_leaving = fields.flag("leaving"),
         .team_tokens = {},
     };
-    fields.each("teams", [&](const json_reader& team) {
-        content.team_tokens[team.text("team")] = team.integer<std::uint64_t>("tokens");
+    fields.each_member("teams", [&](const std::string& team, const json& tokens) {
+        if (!tokens.is_number_unsigned()) {
+            return fields.fail("message.teams." + team, "must be a number of tokens");
+        }
+        content.team_tokens[team] = tokens.get<std::uint64_t>();
     });
     return content;
 }
@@ -122,8 +127,11 @@
     status.sidecar_start = fields.integer<std::uint64_t>("start");
     status.sequence = fields.integer<std::uint64_t>("sequence");
     status.models = fields.texts("models");
-    fields.each("adapters", [&](const json_reader& item) {
-        status.adapters[item.text("name")] = item.integer<std::uint64_t>("version");
+    fields.each_member("adapters", [&](const std::string& name, const json& version) {
+        if (!version.is_number_unsigned()) {
+            return fields.fail("message.adapters." + name, "must be a version");
+        }
+        status.adapters[name] = version.get<std::uint64_t>();
     });
     status.loading = fields.texts("loading");
     status.running = count(fields, "running");
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -32,12 +32,14 @@
 constexpr auto slow_tick_interval = milliseconds(250);
 // Every sidecar hears of the adapters in use at this interval, and at once of a new need.
 constexpr auto demand_interval = milliseconds(500);
+// Engines of which nothing is in use hear only at each second interval, to know this gateway.
+constexpr int idle_demand_rounds = 2;
 // Use of team limits is told at this interval while it changes, and else at the longer one.
 constexpr auto usage_interval = milliseconds(250);
 constexpr auto idle_usage_interval = milliseconds(1000);
-// Entries of upstreams change several times a second; an upstream that leaves must get no work two
-// seconds later.
-constexpr auto upstream_poll_pause = milliseconds(600);
+// Entries of upstreams change several times a second, and each answer to a watch is a call that the
+// platform charges. An upstream that leaves must get no work two seconds later.
+constexpr auto upstream_poll_pause = milliseconds(900);
 constexpr auto version_poll_pause = milliseconds(200);
 // Pause between two readings of the configuration that other gateways have a newer version of.
 constexpr auto config_refresh_pause = milliseconds(1000);
@@ -218,8 +220,15 @@
     }
     if (now - demand_sent_at_ >= demand_interval) {
         demand_sent_at_ = now;
+        ++demand_round_;
         for (const auto& [id, state] : context_.upstreams.all()) {
-            send_demand(id);
+            const bool has_uses =
+                std::any_of(state.adapters.begin(), state.adapters.end(), [](const auto& item) {
+                    return item.second.waiting > 0 || item.second.running > 0;
+                });
+            if (has_uses || !state.status || demand_round_ % idle_demand_rounds == 0) {
+                send_demand(id);
+            }
         }
     }
     send_usage(now);
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -93,6 +93,7 @@
     time_point usage_sent_at_;
     time_point slow_tick_at_;
     time_point demand_sent_at_;
+    std::uint64_t demand_round_ = 0;
     time_point config_refreshed_at_;
     time_point drain_began_;
     std::function<void()> drained_;
--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -4,6 +4,7 @@
 #include "gateway/engine_status.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace snipespar::sidecar {
 
@@ -11,9 +12,14 @@
 
 using std::chrono::milliseconds;
 
-// Loads under way at one engine. All engines of a fleet share what the weight store can send, so
-// that more of them would only make each one longer.
-constexpr int max_loads_at_once = 2;
+// Adapters that an engine takes at the same time.
+constexpr int max_loads_at_once = 4;
+// Those of them that come from the weight store. All engines share what it can send, so that more
+// would only make each one longer.
+constexpr int max_store_loads_at_once = 2;
+// Dropped adapters that an engine is expected to have at hand still; such loads are ten times as
+// fast. Engines keep about a hundred.
+constexpr std::size_t max_at_hand = 80;
 // Places kept free, so that a load does not have to wait until another adapter has made way.
 constexpr int free_places = 2;
 // Callers of a stream wait for its first event about this long at best; adapters that would come
@@ -25,7 +31,7 @@
 constexpr auto withdrawal_time = milliseconds(60);
 // An adapter used this recently is likely to be used again at once.
 constexpr auto recent_use = milliseconds(300);
-// A gateway tells its use every half a second; older words no longer count.
+// A gateway tells its use every half a second while it has some; older words no longer count.
 constexpr auto use_lifetime = milliseconds(1300);
 // An accepted load that the engine's report does not show after this time has come to nothing.
 constexpr auto order_visible_time = milliseconds(400);
@@ -75,17 +81,20 @@
 {
     if (report_ && report_->born_ms != report.born_ms) {
         ordered_.clear();
+        load_began_.clear();
+        at_hand_.clear();
         model_ordered_at_.reset();
     }
     report_ = report;
     std::erase_if(load_began_, [&](const auto& item) {
-        if (is_held(item.first)) {
+        if (is_held(item.first) && !is_at_hand(item.first)) {
             const double took_s = std::chrono::duration<double>(now - item.second).count();
             load_time_s_ += load_time_smoothing * (took_s - load_time_s_);
         }
         return is_held(item.first) ||
                (!is_loading(item.first) && now - item.second > order_visible_time);
     });
+    std::erase_if(at_hand_, [&](const auto& name) { return is_held(name); });
     std::erase_if(ordered_, [&](const auto& item) {
         return is_held(item.first) || is_loading(item.first) ||
                now - item.second > order_visible_time;
@@ -137,6 +146,7 @@
         }
         else {
             report_->adapters.erase(name);
+            note_dropped(name);
         }
         return;
     }
@@ -180,7 +190,7 @@
     return static_cast<int>(
         std::count_if(adapters_.begin(), adapters_.end(), [&](const auto& item) {
             return item.second.wanted_since && !is_held(item.first) && !is_loading(item.first) &&
-                   !ordered_.contains(item.first);
+                   !ordered_.contains(item.first) && !is_at_hand(item.first);
         }));
 }
 
@@ -252,25 +262,75 @@
 
 std::optional<engine_order> adapter_planner::load_order(time_point now)
 {
-    static_cast<void>(now);
-    const auto on_the_way = static_cast<int>(report_->loading.size() + ordered_.size());
-    if (on_the_way >= max_loads_at_once || places_taken() >= adapter_slots_) {
+    std::set<std::string> on_the_way(report_->loading.begin(), report_->loading.end());
+    for (const auto& [name, when] : ordered_) {
+        on_the_way.insert(name);
+    }
+    if (static_cast<int>(on_the_way.size()) >= max_loads_at_once ||
+        places_taken() >= adapter_slots_) {
         return std::nullopt;
     }
-    const adapter_state* longest = nullptr;
+    const auto store_loads =
+        std::count_if(on_the_way.begin(), on_the_way.end(),
+                      [&](const std::string& name) { return !is_at_hand(name); });
+    const adapter_state* best = nullptr;
+    std::tuple<bool, int, duration> best_rank;
     for (const auto& [name, state] : adapters_) {
         const auto& models = report_->models;
         const bool is_possible =
-            state.wanted_since && !is_held(name) && !is_loading(name) && !ordered_.contains(name) &&
+            state.wanted_since && !is_held(name) && !on_the_way.contains(name) &&
             std::find(models.begin(), models.end(), state.model) != models.end();
-        if (is_possible && (longest == nullptr || *state.wanted_since < *longest->wanted_since)) {
-            longest = &state;
+        const bool is_fast = is_at_hand(name);
+        if (!is_possible || (!is_fast && store_loads >= max_store_loads_at_once)) {
+            continue;
+        }
+        // The load that serves most callers comes first, so that a shift of demand is over soonest.
+        const std::tuple rank(is_fast, state.waiting(), now - *state.wanted_since);
+        if (best == nullptr || rank > best_rank) {
+            best = &state;
+            best_rank = rank;
         }
     }
-    if (longest == nullptr) {
+    if (best == nullptr) {
         return std::nullopt;
     }
-    return make_order(engine_order::operation::load, *longest);
+    return make_order(engine_order::operation::load, *best);
+}
+
+int adapter_planner::adapter_state::waiting() const
+{
+    int sum = 0;
+    for (const auto& [gateway, use] : uses) {
+        sum += use.waiting;
+    }
+    return sum;
+}
+
+bool adapter_planner::is_at_hand(const std::string& name) const
+{
+    return std::find(at_hand_.begin(), at_hand_.end(), name) != at_hand_.end();
+}
+
+void adapter_planner::note_dropped(const std::string& name)
+{
+    std::erase(at_hand_, name);
+    at_hand_.push_back(name);
+    if (at_hand_.size() > max_at_hand) {
+        at_hand_.pop_front();
+    }
+}
+
+std::set<std::string> adapter_planner::interested_gateways() const
+{
+    std::set<std::string> gateways;
+    for (const auto& [name, state] : adapters_) {
+        for (const auto& [gateway, use] : state.uses) {
+            if (use.waiting > 0) {
+                gateways.insert(gateway);
+            }
+        }
+    }
+    return gateways;
 }
 
 // Withdraws the adapters that were used least recently while too few places are free.
@@ -346,7 +406,7 @@
     status.running = report_->running;
     status.waiting = report_->waiting;
     status.memory_used = report_->memory_used;
-    status.is_full = backlog() * load_time_s_ / max_loads_at_once > longest_backlog_s;
+    status.is_full = backlog() * load_time_s_ / max_store_loads_at_once > longest_backlog_s;
     return status;
 }
 
--- a/src/sidecar/adapter_planner.h
+++ b/src/sidecar/adapter_planner.h
@@ -7,8 +7,10 @@
 #include "snipespar/time.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +40,9 @@
     /// What gateways may rely on; address, start and sequence are left to the caller.
     gateway::engine_status status() const;
 
+    /// Gateways whose calls wait for an adapter that is there now or on its way.
+    std::set<std::string> interested_gateways() const;
+
     /// Whether something is on its way, so that the engine should be asked soon.
     bool is_waiting() const;
 
@@ -57,6 +62,9 @@
         std::optional<time_point> wanted_since;
         /// Gateways are no longer told of it; it may be dropped or replaced after a moment.
         std::optional<time_point> withdrawn_at;
+
+        /// Calls that wait for it at all gateways.
+        int waiting() const;
         std::uint64_t newest_version = 0;
         time_point newest_since;
     };
@@ -66,8 +74,10 @@
     bool is_loading(const std::string& name) const;
     bool is_outdated(const std::string& name, const adapter_state& state) const;
     int places_taken() const;
-    /// Adapters that gateways wait for and that are not on their way.
+    /// Adapters that gateways wait for, that are not on their way and not at hand.
     int backlog() const;
+    bool is_at_hand(const std::string& name) const;
+    void note_dropped(const std::string& name);
     std::optional<engine_order> model_order(time_point now);
     std::optional<engine_order> replacement_order(time_point now);
     std::optional<engine_order> load_order(time_point now);
@@ -83,8 +93,10 @@
     std::map<std::string, time_point> ordered_;
     /// When each load under way was ordered.
     std::map<std::string, time_point> load_began_;
-    /// Smoothed time of one load, in seconds.
+    /// Smoothed time of one load from the weight store, in seconds.
     double load_time_s_ = 0;
+    /// Adapters that the engine has dropped and most likely still has at hand, oldest first.
+    std::deque<std::string> at_hand_;
     std::optional<time_point> model_ordered_at_;
     std::optional<time_point> paused_until_;
 };
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -8,6 +8,7 @@
 #include "telemetry/admin_handlers.h"
 #include "telemetry/admin_server.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -31,17 +32,23 @@
 constexpr auto idle_interval = milliseconds(150);
 // The state is told again after this time without a change, so that gateways know it still holds.
 constexpr auto publish_interval = milliseconds(450);
-// Load figures alone are told less often than changes of what the engine holds.
-constexpr auto load_publish_interval = milliseconds(150);
 constexpr auto engine_timeout = milliseconds(400);
-// A gateway reports twice a second.
+// An engine that has not reported for this long may hold something else by now.
+constexpr auto report_lifetime = milliseconds(1000);
+// A gateway reports at least once a second.
 constexpr auto forget_gateway_after = milliseconds(3000);
 constexpr std::size_t max_report_bytes = 1024UL * 1024;
 
-bool holds_the_same(const gateway::engine_status& left, const gateway::engine_status& right)
+// Whether gateways must not use something any more that they were told before.
+bool withdraws(const gateway::engine_status& before, const gateway::engine_status& now)
 {
-    return left.models == right.models && left.adapters == right.adapters &&
-           left.loading == right.loading && left.is_full == right.is_full;
+    const bool has_lost_model = before.models != now.models;
+    const bool has_lost_adapter =
+        std::any_of(before.adapters.begin(), before.adapters.end(), [&](const auto& item) {
+            const auto found = now.adapters.find(item.first);
+            return found == now.adapters.end() || found->second != item.second;
+        });
+    return has_lost_model || has_lost_adapter || before.is_full != now.is_full;
 }
 
 } // namespace
@@ -206,7 +213,7 @@
     const auto now = steady_now();
     metrics_.demands.add();
     const bool is_new = gateways_.find(from) == gateways_.end();
-    gateways_[from] = now;
+    gateways_[from] = {demand->gateway, now};
     planner_.on_demand(*demand, now);
     if (is_new) {
         published_at_ = {};
@@ -240,31 +247,37 @@
 void sidecar_server::publish()
 {
     const auto now = steady_now();
-    std::erase_if(gateways_,
-                  [&](const auto& item) { return now - item.second > forget_gateway_after; });
+    std::erase_if(gateways_, [&](const auto& item) {
+        return now - item.second.heard > forget_gateway_after;
+    });
     auto status = planner_.status();
-    const bool has_changed = !holds_the_same(status, published_);
-    const bool has_other_load =
-        status.running != published_.running || status.waiting != published_.waiting;
-    const bool is_due = has_changed || now - published_at_ >= publish_interval ||
-                        (has_other_load && now - published_at_ >= load_publish_interval);
+    const bool for_all = withdraws(published_, status) || now - published_at_ >= publish_interval;
+    const bool is_news =
+        status.adapters != published_.adapters || status.loading != published_.loading;
     // Without a recent report there is nothing to rely on; gateways notice the silence.
-    const bool is_known = is_engine_reached_ && now - reported_at_ < milliseconds(1000);
-    if (!is_due || gateways_.empty() || (!is_known && !has_changed)) {
+    const bool is_known = is_engine_reached_ && now - reported_at_ < report_lifetime;
+    if (gateways_.empty() || !is_known || (!for_all && !is_news)) {
         return;
     }
     published_ = status;
-    published_at_ = now;
+    if (for_all) {
+        published_at_ = now;
+    }
     status.engine = settings_.engine.str();
     status.sidecar_start = start_;
     status.sequence = ++sequence_;
     control::sidecar_report report{std::move(status), {}};
-    for (const auto& [gateway, heard] : gateways_) {
+    for (const auto& [gateway, known] : gateways_) {
         report.gateways.push_back(gateway.str());
     }
     const auto bytes = control::encode(report);
-    for (const auto& [gateway, heard] : gateways_) {
-        datagrams_.send(gateway, bytes);
+    // What has come is told at once to those who wait for it, and to the others with the next
+    // report for all.
+    const auto interested = planner_.interested_gateways();
+    for (const auto& [address, gateway] : gateways_) {
+        if (for_all || interested.contains(gateway.name)) {
+            datagrams_.send(address, bytes);
+        }
     }
 }
 
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -54,8 +54,12 @@
     platform::object_watch version_watch_;
     std::unique_ptr<telemetry::admin_server> admin_;
     boost::asio::steady_timer pause_;
-    /// When each gateway was heard last.
-    std::map<cli::endpoint, time_point> gateways_;
+    struct known_gateway {
+        std::string name;
+        time_point heard;
+    };
+
+    std::map<cli::endpoint, known_gateway> gateways_;
     gateway::engine_status published_;
     time_point published_at_;
     time_point reported_at_;
