--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -528,6 +528,11 @@
          {"team", team_ == nullptr ? std::string() : team_->id.str()},
          {"sends", sends_},
          {"runs", runs_},
+         {"waits", waits_},
+         {"retry_after_ms",
+          refused.retry_after
+              ? std::chrono::duration_cast<milliseconds>(*refused.retry_after).count()
+              : 0},
          {"after_ms", std::chrono::duration_cast<milliseconds>(steady_now() - arrived_).count()},
          {"config", config_ == nullptr ? std::uint64_t{0} : config_->version()}});
     auto answer = refused;
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -187,8 +187,8 @@
     if (loading != nullptr) {
         return wait_for_adapter{loading->entry.id};
     }
-    // An adapter that no engine holds is loaded at its home even when that is busy: elsewhere it would
-    // be one more load from the store, now and whenever it is asked for again.
+    // An adapter that no engine holds is loaded at its home even when that is busy: elsewhere it
+    // would be one more load from the store, now and whenever it is asked for again.
     const auto* target = least_held == nullptr ? home : relief;
     if (target != nullptr) {
         return wait_for_adapter{target->entry.id};
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -247,9 +247,8 @@
 void sidecar_server::publish()
 {
     const auto now = steady_now();
-    std::erase_if(gateways_, [&](const auto& item) {
-        return now - item.second.heard > forget_gateway_after;
-    });
+    std::erase_if(gateways_,
+                  [&](const auto& item) { return now - item.second.heard > forget_gateway_after; });
     auto status = planner_.status();
     const bool for_all = withdraws(published_, status) || now - published_at_ >= publish_interval;
     const bool is_news =
--- a/tests/docs_coverage_test.cpp
+++ b/tests/docs_coverage_test.cpp
@@ -66,14 +66,16 @@
     CPPUNIT_TEST(every_setting_is_documented);
     CPPUNIT_TEST(every_metric_is_documented);
     CPPUNIT_TEST(every_refusal_is_documented);
+    CPPUNIT_TEST(every_cause_and_event_of_the_gateway_is_documented);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void every_setting_is_documented()
     {
         const auto docs = operators_docs();
-        for (const auto table : {cli::entry_table(), cli::agent_table(), cli::operator_table(),
-                                 cli::promote_table(), cli::check_table()}) {
+        for (const auto table :
+             {cli::entry_table(), cli::agent_table(), cli::gateway_table(), cli::sidecar_table(),
+              cli::operator_table(), cli::promote_table(), cli::check_table()}) {
             for (const auto& item : table) {
                 assert_named(docs, cli::variable_of(item));
             }
@@ -82,9 +84,9 @@
 
     void every_metric_is_documented()
     {
-        const auto names =
-            matches(read_folder(root / "src", ".cpp"), "\"(snipespar_[a-z_]+_(?:total|seconds)|"
-                                                       "snipespar_(?:config|agent|peer)_[a-z]+)\"");
+        const auto sources = read_folder(root / "src", ".cpp") + read_folder(root / "src", ".h");
+        const auto names = matches(sources, "\"(snipespar_[a-z_]+_(?:total|seconds)|"
+                                            "snipespar_(?:config|agent|peer|gateway)_[a-z_]+)\"");
         CPPUNIT_ASSERT(names.size() > 5);
         const auto docs = operators_docs();
         for (const auto& name : names) {
@@ -92,6 +94,20 @@
         }
     }
 
+    void every_cause_and_event_of_the_gateway_is_documented()
+    {
+        const auto sources =
+            read_folder(root / "src/gateway", ".cpp") + read_folder(root / "src/sidecar", ".cpp");
+        auto names = matches(sources, "\\{[45][0-9][0-9], \"([a-z_]+)\"");
+        names.merge(matches(sources, "give_up\\(\"([a-z_]+)\"\\)"));
+        names.merge(matches(sources, "log_?\\.(?:info|warning|error)\\(\\s*\"([a-z_]+)\""));
+        CPPUNIT_ASSERT(names.size() > 15);
+        const auto docs = operators_docs();
+        for (const auto& name : names) {
+            assert_named(docs, name);
+        }
+    }
+
     void every_refusal_is_documented()
     {
         auto codes = matches(read_folder(root / "src/entry", ".cpp"),
--- a/tests/gateway_team_meter_test.cpp
+++ b/tests/gateway_team_meter_test.cpp
@@ -45,7 +45,7 @@
         : loss_(loss), totals_sent_(static_cast<std::size_t>(count))
     {
         for (int i = 0; i < count; ++i) {
-            meters_.push_back(make_meter(static_cast<std::uint64_t>(100 + i), rate, burst));
+            meters_.push_back(make_meter(100 + static_cast<std::uint64_t>(i), rate, burst));
         }
     }
 
--- a/tests/process/gateway_path_test.cpp
+++ b/tests/process/gateway_path_test.cpp
@@ -101,9 +101,8 @@
             config["routes"].erase(2);
         }));
         for (const auto& gateway : fleet.gateways) {
-            CPPUNIT_ASSERT(wait_until([&] {
-                return send(gateway, fleet.make_call("/unsafe/x", "1")).status == 401;
-            }));
+            CPPUNIT_ASSERT(wait_until(
+                [&] { return send(gateway, fleet.make_call("/unsafe/x", "1")).status == 401; }));
             auto call = fleet.make_call("/safe/x", "2");
             call.headers["Authorization"] = "Token key-2";
             CPPUNIT_ASSERT_EQUAL(404U, send(gateway, call).status);
@@ -116,17 +115,15 @@
         gateway_fleet fleet({.has_store_relay = true});
         CPPUNIT_ASSERT(fleet.wait_until_ready());
         fleet.store_relay->set_unreachable(true);
-        CPPUNIT_ASSERT(fleet.change_config([](nlohmann::json& config) {
-            config["tenants"][0]["api_keys"] = {"key-2"};
-        }));
+        CPPUNIT_ASSERT(fleet.change_config(
+            [](nlohmann::json& config) { config["tenants"][0]["api_keys"] = {"key-2"}; }));
         CPPUNIT_ASSERT(send_call(fleet.store.address, {"DELETE", "/history", {}, {}}).ok());
         CPPUNIT_ASSERT_EQUAL(200U,
                              send(fleet.gateways[0], fleet.make_call("/unsafe/x", "1")).status);
         fleet.store_relay->set_unreachable(false);
         for (const auto& gateway : fleet.gateways) {
-            CPPUNIT_ASSERT(wait_until([&] {
-                return send(gateway, fleet.make_call("/unsafe/x", "2")).status == 401;
-            }));
+            CPPUNIT_ASSERT(wait_until(
+                [&] { return send(gateway, fleet.make_call("/unsafe/x", "2")).status == 401; }));
         }
     }
 
@@ -142,9 +139,8 @@
         const auto runs_it = [&](const fleet_member& engine) {
             return fleet.runs(engine).dump().find("\"s1\"") != std::string::npos;
         };
-        CPPUNIT_ASSERT(wait_until([&] {
-            return runs_it(fleet.engines[0]) || runs_it(fleet.engines[1]);
-        }));
+        CPPUNIT_ASSERT(
+            wait_until([&] { return runs_it(fleet.engines[0]) || runs_it(fleet.engines[1]); }));
         fleet.engines[runs_it(fleet.engines[0]) ? 0 : 1].process->kill();
         const auto stream = reply.get();
         CPPUNIT_ASSERT_EQUAL(200U, stream.status);
@@ -161,9 +157,8 @@
         const auto runs_it = [&](const fleet_member& service) {
             return fleet.runs(service).dump().find("\"u1\"") != std::string::npos;
         };
-        CPPUNIT_ASSERT(wait_until([&] {
-            return runs_it(fleet.services[0]) || runs_it(fleet.services[1]);
-        }));
+        CPPUNIT_ASSERT(
+            wait_until([&] { return runs_it(fleet.services[0]) || runs_it(fleet.services[1]); }));
         const bool is_first = runs_it(fleet.services[0]);
         fleet.services[is_first ? 0 : 1].process->kill();
         // The answer can also have come before the kill.
@@ -243,8 +238,10 @@
     {
         gateway_fleet fleet;
         CPPUNIT_ASSERT(fleet.wait_until_ready());
+        constexpr int calls = 48;
         std::vector<std::future<unsigned>> replies;
-        for (int i = 0; i < 48; ++i) {
+        replies.reserve(calls);
+        for (int i = 0; i < calls; ++i) {
             replies.push_back(std::async(std::launch::async, [&fleet, i] {
                 auto call = fleet.make_call("/stream/x", fmt::format("s{}", i));
                 call.headers["Model"] = fmt::format("base/a{}", i % 20);
--- a/tests/sidecar_adapter_planner_test.cpp
+++ b/tests/sidecar_adapter_planner_test.cpp
@@ -270,11 +270,8 @@
             for (int step = 0; step < 600; ++step) {
                 now += milliseconds(15);
                 if (step % 5 == 0) {
-                    std::vector<control::adapter_use> uses;
-                    for (int i = 0; i < 3; ++i) {
-                        uses.push_back(waiting("a" + std::to_string(random() % 12)));
-                    }
-                    planner.on_demand(demand(uses), now);
+                    const auto any = [&] { return waiting("a" + std::to_string(random() % 12)); };
+                    planner.on_demand(demand({any(), any(), any()}), now);
                 }
                 planner.on_report(engine.step(now), now);
                 while (const auto order = planner.next_order(now)) {
--- a/tests/soak/kept_caller.cpp
+++ b/tests/soak/kept_caller.cpp
@@ -46,10 +46,9 @@
             result = error;
             return;
         }
-        http::async_read(*stream_, buffer_, parser,
-                         [&](const beast::error_code& read_error, std::size_t) {
-                             result = read_error;
-                         });
+        http::async_read(
+            *stream_, buffer_, parser,
+            [&](const beast::error_code& read_error, std::size_t) { result = read_error; });
     });
     context_.restart();
     context_.run();
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -32,13 +32,12 @@
     int failed = 0;
     for (auto seed = number(0, 1); seed <= number(1, 1); ++seed) {
         const soak_options defaults;
-        const auto result =
-            run_soak({.seed = seed,
-                      .length = std::chrono::seconds(number(2, 4)),
-                      .gateways = number(3, defaults.gateways),
-                      .engines = number(4, defaults.engines),
-                      .services = number(5, defaults.services),
-                      .callers = number(6, defaults.callers)});
+        const auto result = run_soak({.seed = seed,
+                                      .length = std::chrono::seconds(number(2, 4)),
+                                      .gateways = number(3, defaults.gateways),
+                                      .engines = number(4, defaults.engines),
+                                      .services = number(5, defaults.services),
+                                      .callers = number(6, defaults.callers)});
         std::string totals;
         for (const auto& [status, count] : result.totals) {
             totals += fmt::format(" {}: {}", status, count);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -65,8 +65,8 @@
 
     fleet_member& pick_any()
     {
-        const std::array<std::vector<fleet_member>*, 4> groups{
-            &fleet_.gateways, &fleet_.sidecars, &fleet_.engines, &fleet_.services};
+        const std::array<std::vector<fleet_member>*, 4> groups{&fleet_.gateways, &fleet_.sidecars,
+                                                               &fleet_.engines, &fleet_.services};
         return pick(*groups[pick(groups.size())]);
     }
 
@@ -216,8 +216,8 @@
     for (const auto& gateway : fleet.gateways) {
         callers.push_back(std::make_unique<kept_caller>(gateway.address));
     }
-    const std::vector<std::string> targets{"/unsafe/x", "/unsafe/slow/x", "/safe/x", "/stream/x",
-                                           "/stream/x", "/stream/slow/x"};
+    const std::vector<std::string> targets{"/unsafe/x", "/unsafe/slow/x", "/safe/x",
+                                           "/stream/x", "/stream/x",      "/stream/slow/x"};
     for (int number = 0; !is_over; ++number) {
         const auto id = fmt::format("{}-{}", name, number);
         auto call = fleet.make_call(targets[random() % targets.size()], id);
@@ -287,8 +287,8 @@
     if (!serves_again(fleet, record)) {
         result.broken.push_back("the fleet does not serve again after the last fault");
     }
-    result.recovery = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() -
-                                                               healed);
+    result.recovery =
+        std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - healed);
     auto outputs = faults.outputs();
     for (const auto* group : {&fleet.engines, &fleet.services}) {
         for (const auto& member : *group) {
--- a/tests/soak/soak_record.cpp
+++ b/tests/soak/soak_record.cpp
@@ -33,8 +33,7 @@
     return text;
 }
 
-void soak_record::on_sent(const std::string& id, const std::string& target,
-                          const std::string& body)
+void soak_record::on_sent(const std::string& id, const std::string& target, const std::string& body)
 {
     const std::lock_guard lock(mutex_);
     calls_[id] = {target, body, 0, {}};
--- a/tools/users_platform_stand_in/http_session.h
+++ b/tools/users_platform_stand_in/http_session.h
@@ -14,8 +14,8 @@
 using response = boost::beast::http::response<boost::beast::http::string_body>;
 
 /// Answers one request on a connection; false when the connection is to be closed.
-using handler = std::function<boost::asio::awaitable<bool>(boost::asio::ip::tcp::socket&,
-                                                           const request&)>;
+using handler =
+    std::function<boost::asio::awaitable<bool>(boost::asio::ip::tcp::socket&, const request&)>;
 
 /// Accepts connections on an address `ip:port` for ever and answers their requests by `handle`,
 /// which must outlive the context. Throws when the address cannot be bound.
--- a/tools/users_platform_stand_in/main.cpp
+++ b/tools/users_platform_stand_in/main.cpp
@@ -40,8 +40,8 @@
 {
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     const bool is_store = arguments.size() == 2 && arguments[0] == "store";
-    const bool is_worker = arguments.size() == 3 && (arguments[0] == "engine" ||
-                                                     arguments[0] == "service");
+    const bool is_worker =
+        arguments.size() == 3 && (arguments[0] == "engine" || arguments[0] == "service");
     if (!is_store && !is_worker) {
         fmt::print(stderr, "usage: users_platform_stand_in store IP:PORT\n"
                            "       users_platform_stand_in engine|service IP:PORT ID\n");
--- a/tools/users_platform_stand_in/store.cpp
+++ b/tools/users_platform_stand_in/store.cpp
@@ -68,8 +68,7 @@
     const auto name = parts.path.size() > 2 ? parts.path[2] : std::string();
     response answer;
     if (verb == http::verb::get && parts.query.contains("watch")) {
-        answer =
-            co_await watch(kind, number(parts.query, "watch"), number(parts.query, "wait_ms"));
+        answer = co_await watch(kind, number(parts.query, "watch"), number(parts.query, "wait_ms"));
     }
     else if (verb == http::verb::get) {
         const auto after = parts.query.find("after");
@@ -115,8 +114,7 @@
             }
         }
         if (!events.empty() || std::chrono::steady_clock::now() >= deadline) {
-            co_return json_answer(200,
-                                  json{{"events", events}, {"current_rev", revision_}}.dump());
+            co_return json_answer(200, json{{"events", events}, {"current_rev", revision_}}.dump());
         }
         news_.expires_at(std::max(news_.expiry(), deadline));
         co_await news_.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -145,9 +143,8 @@
         return json_answer(200, found->second.dump());
     }
     const auto revision = revision_ + 1;
-    kept[key] = {{"metadata", {{"name", key}, {"revision", revision}}},
-                 {"spec", spec},
-                 {"status", nullptr}};
+    kept[key] = {
+        {"metadata", {{"name", key}, {"revision", revision}}}, {"spec", spec}, {"status", nullptr}};
     record(kind, kept[key], false);
     return json_answer(200, kept[key].dump());
 }
--- a/tools/users_platform_stand_in/worker.cpp
+++ b/tools/users_platform_stand_in/worker.cpp
@@ -38,10 +38,9 @@
 
 worker::worker(asio::io_context& context, worker_options options)
     : context_(context), options_(std::move(options)),
-      born_ms_(static_cast<std::uint64_t>(
-          std::chrono::duration_cast<std::chrono::milliseconds>(
-              std::chrono::system_clock::now().time_since_epoch())
-              .count()))
+      born_ms_(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                              std::chrono::system_clock::now().time_since_epoch())
+                                              .count()))
 {
     if (options_.is_engine) {
         models_.insert("base");
@@ -122,8 +121,8 @@
     for (; number <= events; ++number) {
         const auto event = fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
         bytes += fmt::format("{:x}\r\n{}\r\n", event.size(), event);
-        const auto [error, count] = co_await asio::async_write(socket, asio::buffer(bytes),
-                                                               as_result);
+        const auto [error, count] =
+            co_await asio::async_write(socket, asio::buffer(bytes), as_result);
         if (error) {
             co_return false;
         }
