--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -197,8 +197,13 @@
         stop_waiting();
         return try_next();
     }
+    const auto& models = state->status->models;
     const auto held = state->status->adapters.find(adapter_key());
-    if (held != state->status->adapters.end() && held->second >= least_version(steady_now())) {
+    const bool is_held =
+        call_.adapter.empty()
+            ? std::find(models.begin(), models.end(), call_.model) != models.end()
+            : held != state->status->adapters.end() && held->second >= least_version(steady_now());
+    if (is_held) {
         stop_waiting();
         --waits_;
         if (may_send(steady_now())) {
