--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -197,13 +197,8 @@
         stop_waiting();
         return try_next();
     }
-    const auto& models = state->status->models;
     const auto held = state->status->adapters.find(adapter_key());
-    const bool is_held =
-        call_.adapter.empty()
-            ? std::find(models.begin(), models.end(), call_.model) != models.end()
-            : held != state->status->adapters.end() && held->second >= least_version(steady_now());
-    if (is_held) {
+    if (held != state->status->adapters.end() && held->second >= least_version(steady_now())) {
         stop_waiting();
         --waits_;
         if (may_send(steady_now())) {
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -65,12 +65,6 @@
     return std::find(models.begin(), models.end(), query.model) != models.end();
 }
 
-// Whether the engine is alive but holds no model; its sidecar loads one within seconds.
-bool is_starting(const upstream_state& state, time_point now)
-{
-    return state.status && state.status->models.empty() && now - state.status_at <= sidecar_silence;
-}
-
 // Leaves only those that satisfy the condition, if any does.
 template <class Condition>
 void prefer(std::vector<const upstream_state*>& candidates, Condition condition)
@@ -157,8 +151,6 @@
     const upstream_state* home = nullptr;
     const upstream_state* relief = nullptr;
     const upstream_state* unheard = nullptr;
-    // An engine that has not loaded its base model yet, as after a restart of everything.
-    const upstream_state* starting = nullptr;
     for (const auto& [score, state] : ranking) {
         const double load = loads[state];
         if (holds(*state, query)) {
@@ -172,9 +164,6 @@
         else if (!state->status) {
             unheard = unheard == nullptr ? state : unheard;
         }
-        else if (is_starting(*state, now)) {
-            starting = starting == nullptr ? state : starting;
-        }
         else if (load >= full) {
             continue;
         }
@@ -207,8 +196,8 @@
     if (least_held != nullptr && loads[least_held] < full) {
         return send_to{least_held->entry.id};
     }
-    if (unheard != nullptr || starting != nullptr) {
-        return wait_for_adapter{(unheard != nullptr ? unheard : starting)->entry.id};
+    if (unheard != nullptr) {
+        return wait_for_adapter{unheard->entry.id};
     }
     return no_upstream{true};
 }
