--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -111,7 +111,7 @@
     const auto arrived = *std::exchange(request_began_, std::nullopt);
     context_.metrics.calls.add();
     auto message = parser_->release();
-    const std::string id(message["Request-Id"]);
+    const std::string id = platform::request_id_of(message);
     auto call = platform::decode_call(std::move(message));
     if (!call.ok()) {
         context_.log.info(
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -7,6 +7,7 @@
 #include "platform/adapter_version_codec.h"
 #include "platform/config_codec.h"
 #include "platform/upstream_entry_codec.h"
+#include "platform/wire_names.h"
 #include "telemetry/admin_server.h"
 
 #include <algorithm>
@@ -65,12 +66,14 @@
       context_(io.get_executor(), settings.failure_domain, start_, seed_of(settings.seed), log),
       peers_(settings.control_listen), acceptor_(io), tick_timer_(io),
       datagrams_(io.get_executor()),
-      config_watch_(make_watch("config", duration{}, &gateway_server::on_config_listed,
+      config_watch_(make_watch(platform::wire::config_kind, duration{},
+                               &gateway_server::on_config_listed,
                                &gateway_server::on_config_changed)),
-      upstream_watch_(make_watch("servers", upstream_poll_pause,
+      upstream_watch_(make_watch(platform::wire::upstream_kind, upstream_poll_pause,
                                  &gateway_server::on_upstreams_listed,
                                  &gateway_server::on_upstream_changed)),
-      version_watch_(make_watch("versions", version_poll_pause, &gateway_server::on_versions_listed,
+      version_watch_(make_watch(platform::wire::version_kind, version_poll_pause,
+                                &gateway_server::on_versions_listed,
                                 &gateway_server::on_version_changed))
 {
     context_.send_demand = [this](const upstream_id& upstream) { queue_demand(upstream); };
@@ -386,7 +389,7 @@
 {
     if (is_reached) {
         context_.log.info("platform_reached", {{"kind", kind}});
-        if (kind == "servers") {
+        if (kind == platform::wire::upstream_kind) {
             context_.upstreams.on_registry_return(steady_now());
         }
     }
--- a/src/gateway/refusal.cpp
+++ b/src/gateway/refusal.cpp
@@ -1,5 +1,7 @@
 #include "gateway/refusal.h"
 
+#include "platform/wire_names.h"
+
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
 
@@ -13,7 +15,7 @@
     std::string text = fmt::format("HTTP/1.1 {} {}\r\n", answer.status,
                                    std::string_view(reason.data(), reason.size()));
     if (!request_id.empty()) {
-        text += fmt::format("Request-Id: {}\r\n", request_id);
+        text += fmt::format("{}: {}\r\n", platform::wire::request_id, request_id);
     }
     if (answer.retry_after) {
         text += fmt::format("Retry-After: {:.3f}\r\n",
--- a/src/platform/call_codec.cpp
+++ b/src/platform/call_codec.cpp
@@ -170,6 +170,11 @@
 
 } // namespace
 
+std::string request_id_of(const http::request<http::string_body>& message)
+{
+    return std::string(field(message, wire::request_id));
+}
+
 absl::StatusOr<gateway::call> decode_call(http::request<http::string_body> message)
 {
     gateway::call call;
@@ -184,7 +189,7 @@
     if (port != std::string::npos) {
         call.host.resize(port);
     }
-    call.request_id = field(message, wire::request_id);
+    call.request_id = request_id_of(message);
     if (message.count(
             boost::beast::string_view(wire::request_id.data(), wire::request_id.size())) != 1) {
         return bad_line(wire::request_id, "must be given once");
--- a/src/platform/call_codec.h
+++ b/src/platform/call_codec.h
@@ -11,6 +11,10 @@
 
 namespace snipespar::platform {
 
+/// The caller's name for the request; empty if there is none.
+std::string
+request_id_of(const boost::beast::http::request<boost::beast::http::string_body>& message);
+
 /// Decodes a caller's request. InvalidArgument names the faulty header line.
 absl::StatusOr<gateway::call>
 decode_call(boost::beast::http::request<boost::beast::http::string_body> message);
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -9,6 +9,13 @@
 /// file passes the settings as flags.
 inline constexpr std::string_view settings_file_variable = "SNIPESPAR_NODE_FILE";
 
+// Kinds of objects in the store.
+inline constexpr const char* config_kind = "config";
+/// Entries of upstreams; the platform calls an upstream a server.
+inline constexpr const char* upstream_kind = "servers";
+/// Announced versions of adapters.
+inline constexpr const char* version_kind = "versions";
+
 inline constexpr std::string_view request_id = "Request-Id";
 /// Milliseconds for which the sender waits.
 inline constexpr std::string_view time_left = "Deadline-Ms";
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -5,6 +5,7 @@
 #include "net/steady_time.h"
 #include "platform/adapter_version_codec.h"
 #include "platform/engine_codec.h"
+#include "platform/wire_names.h"
 #include "telemetry/admin_handlers.h"
 #include "telemetry/admin_server.h"
 
@@ -58,23 +59,24 @@
     : io_(io), settings_(settings), log_(log), start_(net::start_number()),
       datagrams_(io.get_executor()),
       engine_(settings.engine.ip, settings.engine.port, max_report_bytes),
-      version_watch_(io.get_executor(), settings.platform, "versions", duration{},
-                     settings.seed != 0 ? settings.seed : std::random_device{}(),
-                     {[this](const auto& objects) {
-                          for (const auto& object : objects) {
-                              on_version(object);
-                          }
-                      },
-                      [this](const auto& object) { on_version(object); },
-                      [this](bool is_reached, const std::string& reason) {
-                          if (is_reached) {
-                              log_.info("platform_reached", {{"kind", "versions"}});
-                          }
-                          else {
-                              log_.warning("platform_lost",
-                                           {{"kind", "versions"}, {"reason", reason}});
-                          }
-                      }}),
+      version_watch_(
+          io.get_executor(), settings.platform, platform::wire::version_kind, duration{},
+          settings.seed != 0 ? settings.seed : std::random_device{}(),
+          {[this](const auto& objects) {
+               for (const auto& object : objects) {
+                   on_version(object);
+               }
+           },
+           [this](const auto& object) { on_version(object); },
+           [this](bool is_reached, const std::string& reason) {
+               if (is_reached) {
+                   log_.info("platform_reached", {{"kind", platform::wire::version_kind}});
+               }
+               else {
+                   log_.warning("platform_lost",
+                                {{"kind", platform::wire::version_kind}, {"reason", reason}});
+               }
+           }}),
       pause_(io)
 {
 }
