Notice polls that a silent store has swallowed

Ruled out: the pause between polls and the grace for removed entries. Polls of upstreams now wait 1.5 s, and when they show an outage the other watches list anew.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -40,8 +40,10 @@
 constexpr auto idle_usage_interval = milliseconds(1000);
 // Entries of upstreams change several times a second, and each answer to a watch is a call that the
 // platform charges. An upstream that leaves must get no work two seconds later.
-constexpr auto upstream_poll_pause = milliseconds(700);
-constexpr auto version_poll_pause = milliseconds(200);
+// Polls of it are also how an outage is noticed: a store that was silent has lost what it took
+// meanwhile, and the connection does not show it.
+constexpr platform::object_watch_pace upstream_pace{milliseconds(1500), milliseconds(700)};
+constexpr platform::object_watch_pace version_pace{std::chrono::seconds(25), milliseconds(200)};
 // Pause between two readings of the configuration that other gateways have a newer version of.
 constexpr auto config_refresh_pause = milliseconds(1000);
 // After it, the balancer has noticed that this gateway is not ready and sends no new connections.
@@ -66,13 +68,12 @@
       context_(io.get_executor(), settings.failure_domain, start_, seed_of(settings.seed), log),
       peers_(settings.control_listen), acceptor_(io), tick_timer_(io),
       datagrams_(io.get_executor()),
-      config_watch_(make_watch(platform::wire::config_kind, duration{},
-                               &gateway_server::on_config_listed,
+      config_watch_(make_watch(platform::wire::config_kind, {}, &gateway_server::on_config_listed,
                                &gateway_server::on_config_changed)),
-      upstream_watch_(make_watch(platform::wire::upstream_kind, upstream_poll_pause,
+      upstream_watch_(make_watch(platform::wire::upstream_kind, upstream_pace,
                                  &gateway_server::on_upstreams_listed,
                                  &gateway_server::on_upstream_changed)),
-      version_watch_(make_watch(platform::wire::version_kind, version_poll_pause,
+      version_watch_(make_watch(platform::wire::version_kind, version_pace,
                                 &gateway_server::on_versions_listed,
                                 &gateway_server::on_version_changed))
 {
@@ -82,12 +83,12 @@
 gateway_server::~gateway_server() = default;
 
 platform::object_watch gateway_server::make_watch(
-    const std::string& kind, duration poll_pause,
+    const std::string& kind, platform::object_watch_pace pace,
     void (gateway_server::*listed)(const std::vector<platform::watched_object>&),
     void (gateway_server::*changed)(const platform::watched_object&))
 {
     return platform::object_watch(
-        io_.get_executor(), settings_.platform, kind, poll_pause, context_.random(),
+        io_.get_executor(), settings_.platform, kind, pace, context_.random(),
         {[this, listed](const auto& objects) { (this->*listed)(objects); },
          [this, changed](const auto& object) { (this->*changed)(object); },
          [this, kind](bool is_reached, const std::string& reason) {
@@ -391,10 +392,15 @@
         context_.log.info("platform_reached", {{"kind", kind}});
         if (kind == platform::wire::upstream_kind) {
             context_.upstreams.on_registry_return(steady_now());
+            if (std::exchange(is_registry_lost_, false)) {
+                config_watch_.refresh();
+                version_watch_.refresh();
+            }
         }
     }
     else {
         context_.log.warning("platform_lost", {{"kind", kind}, {"reason", reason}});
+        is_registry_lost_ = is_registry_lost_ || kind == platform::wire::upstream_kind;
     }
 }
 
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -46,7 +46,7 @@
 
 private:
     platform::object_watch
-    make_watch(const std::string& kind, duration poll_pause,
+    make_watch(const std::string& kind, platform::object_watch_pace pace,
                void (gateway_server::*listed)(const std::vector<platform::watched_object>&),
                void (gateway_server::*changed)(const platform::watched_object&));
     absl::Status listen();
@@ -87,6 +87,7 @@
     std::list<std::weak_ptr<caller_connection>> connections_;
 
     bool has_upstreams_ = false;
+    bool is_registry_lost_ = false;
     std::set<upstream_id> demands_;
     std::uint64_t usage_sequence_ = 0;
     std::map<std::string, std::uint64_t> usage_sent_;
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -20,8 +20,6 @@
 
 namespace {
 
-// The longest wait that the store accepts is 30 s.
-constexpr auto watch_wait = std::chrono::milliseconds(25'000);
 // The store usually answers within 4 ms, and on a bad day within a quarter of a second.
 constexpr auto answer_timeout = std::chrono::milliseconds(1'500);
 // Pace of tries while the store is away; the longest keeps recovery within a second.
@@ -52,10 +50,10 @@
 class object_watch::follower : public std::enable_shared_from_this<follower> {
 public:
     follower(asio::any_io_executor executor, const cli::endpoint& store, std::string kind,
-             duration poll_pause, std::uint64_t seed, object_watch_handler handler)
+             object_watch_pace pace, std::uint64_t seed, object_watch_handler handler)
         : executor_(std::move(executor)), client_(store.ip, store.port, max_answer_bytes),
-          kind_(std::move(kind)), poll_pause_(poll_pause), handler_(std::move(handler)),
-          pace_(first_retry, longest_retry, seed), pause_(executor_)
+          kind_(std::move(kind)), poll_pause_(pace.poll_pause), poll_wait_(pace.poll_wait),
+          handler_(std::move(handler)), pace_(first_retry, longest_retry, seed), pause_(executor_)
     {
     }
 
@@ -191,9 +189,10 @@
 
     asio::awaitable<absl::Status> poll(std::uint64_t own)
     {
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(poll_wait_);
         auto answer = co_await get(
-            fmt::format("/objects/{}?watch={}&wait_ms={}", kind_, revision_, watch_wait.count()),
-            watch_wait + answer_timeout);
+            fmt::format("/objects/{}?watch={}&wait_ms={}", kind_, revision_, wait.count()),
+            poll_wait_ + answer_timeout);
         if (!answer.ok()) {
             co_return answer.status();
         }
@@ -231,6 +230,7 @@
     net::http_client client_;
     std::string kind_;
     duration poll_pause_;
+    duration poll_wait_;
     object_watch_handler handler_;
     backoff pace_;
     asio::steady_timer pause_;
@@ -242,10 +242,10 @@
 };
 
 object_watch::object_watch(asio::any_io_executor executor, const cli::endpoint& store,
-                           std::string kind, duration poll_pause, std::uint64_t seed,
+                           std::string kind, object_watch_pace pace, std::uint64_t seed,
                            object_watch_handler handler)
-    : follower_(std::make_shared<follower>(std::move(executor), store, std::move(kind), poll_pause,
-                                           seed, std::move(handler)))
+    : follower_(std::make_shared<follower>(std::move(executor), store, std::move(kind), pace, seed,
+                                           std::move(handler)))
 {
 }
 
--- a/src/platform/object_watch.h
+++ b/src/platform/object_watch.h
@@ -31,13 +31,21 @@
     std::function<void(bool is_reached, const std::string& reason)> contact;
 };
 
+/// How an object watch polls.
+struct object_watch_pace {
+    /// How long the store holds a poll without news. A poll that the store has lost is noticed a
+    /// second and a half later.
+    duration poll_wait = std::chrono::seconds(25);
+    /// Pause after news, so that changes that follow closely come in one answer.
+    duration poll_pause{};
+};
+
 /// Follows all objects of one kind: a paged list, then one long poll after the other. A dropped
-/// history or a lost answer leads to a new list, with backoff. After news it pauses for
-/// `poll_pause`, so that changes that follow closely come in one answer.
+/// history or a lost answer leads to a new list, with backoff.
 class object_watch {
 public:
     object_watch(boost::asio::any_io_executor executor, const cli::endpoint& store,
-                 std::string kind, duration poll_pause, std::uint64_t seed,
+                 std::string kind, object_watch_pace pace, std::uint64_t seed,
                  object_watch_handler handler);
     ~object_watch();
     object_watch(const object_watch&) = delete;
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -38,6 +38,9 @@
 constexpr auto report_lifetime = milliseconds(1000);
 // A gateway reports at least once a second.
 constexpr auto forget_gateway_after = milliseconds(3000);
+// Polls that the store has lost in an outage are noticed within the time in which versions have to
+// be replaced.
+constexpr platform::object_watch_pace version_pace{std::chrono::seconds(4), duration{}};
 constexpr std::size_t max_report_bytes = 1024UL * 1024;
 
 // Whether gateways must not use something any more that they were told before.
@@ -60,7 +63,7 @@
       datagrams_(io.get_executor()),
       engine_(settings.engine.ip, settings.engine.port, max_report_bytes),
       version_watch_(
-          io.get_executor(), settings.platform, platform::wire::version_kind, duration{},
+          io.get_executor(), settings.platform, platform::wire::version_kind, version_pace,
           settings.seed != 0 ? settings.seed : std::random_device{}(),
           {[this](const auto& objects) {
                for (const auto& object : objects) {
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -51,8 +51,8 @@
         CPPUNIT_ASSERT(!is_open(table, "i-1", start));
     }
 
-    // It must get no work two seconds after its entry has gone. The watch that tells of it may pause
-    // for 0.9 s, and its answer may take a quarter of a second when the store is slow.
+    // It must get no work two seconds after its entry has gone. The watch that tells of it may
+    // pause for 0.9 s, and its answer may take a quarter of a second when the store is slow.
     void removed_upstream_is_closed_soon()
     {
         upstream_table table;
--- a/tests/process/gateway_path_test.cpp
+++ b/tests/process/gateway_path_test.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <future>
 #include <string>
+#include <thread>
 
 namespace snipespar::testing {
 
@@ -35,6 +36,7 @@
     CPPUNIT_TEST(what_is_not_allowed_is_refused_with_its_status);
     CPPUNIT_TEST(withdrawn_key_and_dropped_route_are_refused);
     CPPUNIT_TEST(configuration_survives_a_lost_history);
+    CPPUNIT_TEST(watch_swallowed_by_a_silent_store_is_noticed);
     CPPUNIT_TEST(stream_goes_on_at_another_engine);
     CPPUNIT_TEST(unsafe_call_is_not_repeated);
     CPPUNIT_TEST(draining_upstream_gets_no_work);
@@ -127,6 +129,29 @@
         }
     }
 
+    // The store takes calls and answers none, then works again; what it took is lost for good,
+    // though the connections are still there.
+    void watch_swallowed_by_a_silent_store_is_noticed()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .has_store_relay = true});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        fleet.store_relay->set_towards_target(relay_mode::drop);
+        // Ends the present polls, so that the next ones are swallowed.
+        CPPUNIT_ASSERT(fleet.announce(fleet.services[0], "desk", true));
+        CPPUNIT_ASSERT(fleet.change_config([](nlohmann::json&) {}));
+        std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+        fleet.store_relay->set_towards_target(relay_mode::pass);
+        CPPUNIT_ASSERT(fleet.change_config(
+            [](nlohmann::json& config) { config["tenants"][0]["api_keys"] = {"key-2"}; }));
+        // The users' bounds: three seconds of calm, five of an outage's stretch, two for the
+        // change.
+        CPPUNIT_ASSERT(wait_until(
+            [&] {
+                return send(fleet.gateways[0], fleet.make_call("/unsafe/x", "1")).status == 401;
+            },
+            std::chrono::seconds(10)));
+    }
+
     void stream_goes_on_at_another_engine()
     {
         gateway_fleet fleet;
