--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -213,6 +213,7 @@
 {
     std::mt19937_64 random(seed);
     std::vector<std::unique_ptr<kept_caller>> callers;
+    callers.reserve(fleet.gateways.size());
     for (const auto& gateway : fleet.gateways) {
         callers.push_back(std::make_unique<kept_caller>(gateway.address));
     }
@@ -272,6 +273,7 @@
     soak_record record;
     std::atomic<bool> is_over = false;
     std::vector<std::thread> callers;
+    callers.reserve(options.callers);
     for (std::size_t i = 0; i < options.callers; ++i) {
         callers.emplace_back([&, i] {
             call_for_ever(fleet, options.seed * 1000 + i, fmt::format("c{}", i), is_over, record);
