--- a/tools/users_platform_stand_in/worker.cpp
+++ b/tools/users_platform_stand_in/worker.cpp
@@ -11,7 +11,6 @@
 namespace users_platform_stand_in {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using nlohmann::json;
 
 namespace {
