--- a/tests/process/gateway_path_test.cpp
+++ b/tests/process/gateway_path_test.cpp
@@ -61,7 +61,8 @@
             CPPUNIT_ASSERT_EQUAL(whole_stream("s1", short_events), stream.body);
         }
         for (const auto& upstream : fleet.services) {
-            for (const auto& run : fleet.runs(upstream)["runs"]) {
+            const auto record = fleet.runs(upstream);
+            for (const auto& run : record["runs"]) {
                 CPPUNIT_ASSERT(run["headers"]["Tenant"] == "shops");
                 CPPUNIT_ASSERT(!run["headers"].contains("Authorization"));
                 CPPUNIT_ASSERT(run.dump().find("key-1") == std::string::npos);
