Drop counters of connections that nothing reads

Found on the last reading: channel_pool::opened and idle_count and upstream_channel::was_used have no caller. Behaviour is unchanged; unit tests of the gateway and gateway_path_test ran.

--- a/src/gateway/channel_pool.cpp
+++ b/src/gateway/channel_pool.cpp
@@ -27,7 +27,6 @@
         }
         last.channel->abandon();
     }
-    ++opened_;
     return std::make_shared<upstream_channel>(executor_, upstream);
 }
 
@@ -79,13 +78,4 @@
     }
 }
 
-std::size_t channel_pool::idle_count() const
-{
-    std::size_t count = 0;
-    for (const auto& [upstream, list] : idle_) {
-        count += list.size();
-    }
-    return count;
-}
-
 } // namespace snipespar::gateway
--- a/src/gateway/channel_pool.h
+++ b/src/gateway/channel_pool.h
@@ -4,8 +4,6 @@
 #include "snipespar/time.h"
 
 #include <boost/asio/any_io_executor.hpp>
-#include <cstddef>
-#include <cstdint>
 #include <map>
 #include <memory>
 #include <vector>
@@ -34,9 +32,6 @@
     /// Closes all idle connections to an address whose upstream has gone.
     void drop(const cli::endpoint& upstream);
 
-    std::uint64_t opened() const { return opened_; }
-    std::size_t idle_count() const;
-
 private:
     struct idle_channel {
         std::shared_ptr<upstream_channel> channel;
@@ -45,7 +40,6 @@
 
     boost::asio::any_io_executor executor_;
     std::map<cli::endpoint, std::vector<idle_channel>> idle_;
-    std::uint64_t opened_ = 0;
     /// Observed by callbacks that may outlive the pool.
     std::shared_ptr<int> self_;
 };
--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -42,7 +42,6 @@
     has_answer_ = false;
     is_stray_ = false;
     ++round_;
-    ++exchanges_;
     if (is_connected_) {
         write();
     }
--- a/src/gateway/upstream_channel.h
+++ b/src/gateway/upstream_channel.h
@@ -54,7 +54,6 @@
     /// Seconds for which the upstream keeps an idle connection, 0 when it did not say.
     unsigned keep_alive_s() const { return keep_alive_s_; }
     const cli::endpoint& upstream() const { return upstream_; }
-    bool was_used() const { return exchanges_ > 1; }
 
 private:
     using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -91,7 +90,6 @@
     bool can_reuse_ = true;
     bool is_closed_ = false;
     unsigned keep_alive_s_ = 0;
-    int exchanges_ = 0;
     /// Raised at each exchange, so that late completions of an earlier one are told apart.
     std::uint64_t round_ = 0;
 };
