Engines load their base model at once after a loss of power

Ruled out: the store (configuration and entries were listed 12 ms after the gateways' start). Change: a refused or conflicting load of the base model does not start the pause; entries carry the start of their process, a gateway closes the older of two entries for one address, and a sidecar uses a name only if it belongs to the life that its engine reports.

--- a/src/control/adapter_demand.h
+++ b/src/control/adapter_demand.h
@@ -24,6 +24,8 @@
     std::uint64_t gateway_start = 0;
     /// The engine's present name, as the gateway knows it.
     std::string upstream;
+    /// Start of the process that bears this name, in Unix milliseconds.
+    std::uint64_t upstream_born_ms = 0;
     /// Places for adapters, as configured for the engine's service.
     int adapter_slots = 0;
     /// Base models that the engine has to offer.
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -25,6 +25,7 @@
     value["gateway"] = content.gateway;
     value["start"] = content.gateway_start;
     value["upstream"] = content.upstream;
+    value["born"] = content.upstream_born_ms;
     value["slots"] = static_cast<unsigned>(content.adapter_slots);
     value["models"] = content.models;
     // Counts of waiting and running calls, by model/adapter.
@@ -83,6 +84,7 @@
         .gateway = fields.text("gateway"),
         .gateway_start = fields.integer<std::uint64_t>("start"),
         .upstream = fields.text("upstream"),
+        .upstream_born_ms = fields.integer<std::uint64_t>("born"),
         .adapter_slots = count(fields, "slots"),
         .models = fields.texts("models"),
         .uses = {},
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -475,6 +475,10 @@
 void gateway_server::send_demand(const upstream_id& upstream)
 {
     const auto* state = context_.upstreams.find(upstream);
+    if (state != nullptr && state->gone_at) {
+        // Another process may run at its address already.
+        return;
+    }
     const auto* service = state == nullptr || context_.config == nullptr
                               ? nullptr
                               : context_.config->find_service(state->entry.service);
@@ -485,6 +489,7 @@
         .gateway = settings_.host.str(),
         .gateway_start = start_,
         .upstream = upstream.str(),
+        .upstream_born_ms = state->entry.born_ms,
         .adapter_slots = service->engine->adapter_slots,
         .models = service->engine->models,
         .uses = {},
--- a/src/gateway/upstream_entry.h
+++ b/src/gateway/upstream_entry.h
@@ -19,6 +19,9 @@
     int slots = 0;
     /// It is about to leave and takes no new work.
     bool is_draining = false;
+    /// Unix milliseconds of its start; tells two processes under one name apart. 0 when it does not
+    /// say.
+    std::uint64_t born_ms = 0;
 
     friend bool operator==(const upstream_entry&, const upstream_entry&) = default;
 };
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -27,23 +27,30 @@
 {
     auto [item, is_new] = states_.try_emplace(entry.id);
     auto& state = item->second;
-    if (!is_new && state.entry.address != entry.address) {
-        // Another process has taken over the name; nothing of before holds.
+    if (!is_new &&
+        (state.entry.address != entry.address || state.entry.born_ms != entry.born_ms)) {
+        // Another process bears the name now; nothing of before holds.
         const int in_flight = state.in_flight;
         state = {};
         state.in_flight = in_flight;
     }
     state.entry = entry;
     state.gone_at.reset();
-    if (!is_new) {
-        return;
-    }
-    // An address belongs to one process at a time: an older entry for it is out of date.
+    // An address belongs to one process at a time: the entry of an older one is out of date.
     for (auto& [id, other] : states_) {
-        if (id != entry.id && other.entry.address == entry.address && !other.gone_at) {
+        if (id == entry.id || other.entry.address != entry.address || other.gone_at) {
+            continue;
+        }
+        if (other.entry.born_ms > entry.born_ms) {
+            state.gone_at = now;
+        }
+        else if (is_new) {
             other.gone_at = now;
         }
     }
+    if (!is_new || state.gone_at) {
+        return;
+    }
     const auto early = early_statuses_.find(entry.address.str());
     if (early != early_statuses_.end()) {
         state.status = early->second;
--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -34,8 +34,6 @@
 constexpr auto recent_use = milliseconds(300);
 // An unanswered order may be carried out up to twelve seconds later.
 constexpr auto late_order_time = std::chrono::seconds(13);
-// After it every gateway that is in touch knows the name under which an engine has restarted.
-constexpr auto rename_time = std::chrono::seconds(3);
 // A gateway tells its use every half a second while it has some; older words no longer count.
 constexpr auto use_lifetime = milliseconds(1300);
 // An accepted load that the engine's report does not show after this time has come to nothing.
@@ -67,7 +65,10 @@
 
 void adapter_planner::on_demand(const control::adapter_demand& demand, time_point now)
 {
-    on_name(demand.upstream, now);
+    if (demand.upstream_born_ms >= told_born_ms_) {
+        told_upstream_ = demand.upstream;
+        told_born_ms_ = demand.upstream_born_ms;
+    }
     adapter_slots_ = demand.adapter_slots;
     models_ = demand.models;
     for (auto& [name, state] : adapters_) {
@@ -85,18 +86,17 @@
 
 void adapter_planner::on_report(const engine_report& report, time_point now)
 {
-    if (report_ && report_->born_ms != report.born_ms) {
+    if (born_ms_ != report.born_ms) {
         ordered_.clear();
         load_began_.clear();
         at_hand_.clear();
         model_ordered_at_.reset();
-        former_upstream_ = std::exchange(upstream_, {});
-        reborn_at_ = now;
         for (auto& load : unsettled_) {
             load.is_of_earlier_life = true;
         }
     }
     report_ = report;
+    born_ms_ = report.born_ms;
     std::erase_if(unsettled_, [&](const unsettled_load& load) { return now >= load.expires; });
     std::erase_if(load_began_, [&](const auto& item) {
         if (is_held(item.first) && !is_at_hand(item.first)) {
@@ -165,6 +165,11 @@
     if (result == order_result::unknown && order.what == engine_order::operation::load) {
         unsettled_.push_back({order.orders_before, order.upstream, false, now + late_order_time});
     }
+    const bool is_not_begun =
+        result == order_result::refused || result == order_result::conflict;
+    if (order.adapter.empty() && is_not_begun) {
+        model_ordered_at_.reset();
+    }
     // What the engine holds, and its count of orders, are not known until its next report.
     report_.reset();
     paused_until_ = now + (result == order_result::refused ? duration(refusal_pause)
@@ -203,10 +208,11 @@
 // A place is left free for each load of an earlier life that the engine may still carry out.
 int adapter_planner::usable_slots() const
 {
+    const auto name = upstream();
     const auto possible =
         std::count_if(unsettled_.begin(), unsettled_.end(), [&](const unsettled_load& load) {
             const bool is_refused =
-                !load.upstream.empty() && !upstream_.empty() && load.upstream != upstream_;
+                !load.upstream.empty() && !name.empty() && load.upstream != name;
             const bool is_void = load.orders_before < report_->orders_accepted;
             return load.is_of_earlier_life && !is_refused && !is_void;
         });
@@ -214,11 +220,9 @@
 }
 
 // Gateways may still know the engine by the name that it had before it restarted.
-void adapter_planner::on_name(const std::string& upstream, time_point now)
+std::string adapter_planner::upstream() const
 {
-    if (upstream != former_upstream_ || now - reborn_at_ > rename_time) {
-        upstream_ = upstream;
-    }
+    return told_born_ms_ == born_ms_ ? told_upstream_ : std::string();
 }
 
 int adapter_planner::backlog() const
@@ -233,7 +237,7 @@
 engine_order adapter_planner::make_order(engine_order::operation what,
                                          const adapter_state& state) const
 {
-    return {what, state.model, state.adapter, std::nullopt, report_->orders_accepted, upstream_};
+    return {what, state.model, state.adapter, std::nullopt, report_->orders_accepted, upstream()};
 }
 
 std::optional<engine_order> adapter_planner::next_order(time_point now)
@@ -268,7 +272,7 @@
     }
     model_ordered_at_ = now;
     return engine_order{engine_order::operation::load, models_.front(), {}, std::nullopt,
-                        report_->orders_accepted,      upstream_};
+                        report_->orders_accepted,      upstream()};
 }
 
 std::optional<engine_order> adapter_planner::replacement_order(time_point now)
--- a/src/sidecar/adapter_planner.h
+++ b/src/sidecar/adapter_planner.h
@@ -77,7 +77,8 @@
     /// Adapters that gateways wait for, that are not on their way and not at hand.
     int backlog() const;
     int usable_slots() const;
-    void on_name(const std::string& upstream, time_point now);
+    /// The engine's present name, or empty while it is not certain.
+    std::string upstream() const;
     bool is_at_hand(const std::string& name) const;
     void note_dropped(const std::string& name);
     std::optional<engine_order> model_order(time_point now);
@@ -103,11 +104,11 @@
     };
 
     std::vector<unsettled_load> unsettled_;
-    /// The engine's present name, once it is certain.
-    std::string upstream_;
-    /// The name before its last restart, and when that was noticed.
-    std::string former_upstream_;
-    time_point reborn_at_;
+    /// Start of the engine's process, by its last report.
+    std::uint64_t born_ms_ = 0;
+    /// The newest name that gateways know for the engine, and the start of the process that bears it.
+    std::string told_upstream_;
+    std::uint64_t told_born_ms_ = 0;
     /// When each load under way was ordered.
     std::map<std::string, time_point> load_began_;
     /// Smoothed time of one load from the weight store, in seconds.
--- a/tests/control_message_test.cpp
+++ b/tests/control_message_test.cpp
@@ -19,7 +19,7 @@
 public:
     void every_message_survives_the_wire()
     {
-        const adapter_demand demand{"g", 7, "i-1", 16, {"base"}, {{"base", "a1", 2, 3}}};
+        const adapter_demand demand{"g", 7, "i-1", 5, 16, {"base"}, {{"base", "a1", 2, 3}}};
         const gateway_usage usage{"g", 7, 9, 3, true, {{"shops", 1234}}};
         sidecar_report report;
         report.status.engine = "10.0.0.1:80";
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(lapsed_entry_survives_the_return_of_the_registry);
     CPPUNIT_TEST(entry_missing_long_after_the_return_is_gone);
     CPPUNIT_TEST(new_owner_of_an_address_closes_the_old_one);
+    CPPUNIT_TEST(entry_of_an_earlier_process_stays_closed);
+    CPPUNIT_TEST(restart_under_the_same_name_forgets_what_was_held);
     CPPUNIT_TEST(failures_in_a_row_eject_for_a_while);
     CPPUNIT_TEST(refusals_say_nothing_about_health);
     CPPUNIT_TEST(older_status_does_not_replace_a_newer_one);
@@ -94,6 +96,42 @@
         CPPUNIT_ASSERT(is_open(table, "i-2", start));
     }
 
+    // The entry of a crashed upstream may stay, and even change, after another process has taken
+    // its address.
+    void entry_of_an_earlier_process_stays_closed()
+    {
+        upstream_table table;
+        auto former = entry("i-9");
+        former.born_ms = 1;
+        auto present = entry("i-1");
+        present.born_ms = 2;
+        table.replace({present, former}, start);
+        CPPUNIT_ASSERT(is_open(table, "i-1", start));
+        CPPUNIT_ASSERT(!is_open(table, "i-9", start));
+        former.slots = 8;
+        table.update(former, start);
+        CPPUNIT_ASSERT(is_open(table, "i-1", start));
+        CPPUNIT_ASSERT(!is_open(table, "i-9", start));
+    }
+
+    void restart_under_the_same_name_forgets_what_was_held()
+    {
+        upstream_table table;
+        auto item = entry("i-1");
+        item.born_ms = 1;
+        table.update(item, start);
+        table.on_call_sent(item.id, "base/a1", 100);
+        engine_status status;
+        status.engine = item.address.str();
+        table.on_engine_status(status, start);
+        item.born_ms = 2;
+        table.update(item, start);
+        const auto* state = table.find(item.id);
+        CPPUNIT_ASSERT(!state->status);
+        CPPUNIT_ASSERT(state->adapters.empty());
+        CPPUNIT_ASSERT_EQUAL(1, state->in_flight);
+    }
+
     void failures_in_a_row_eject_for_a_while()
     {
         upstream_table table;
--- a/tests/sidecar_adapter_planner_test.cpp
+++ b/tests/sidecar_adapter_planner_test.cpp
@@ -23,7 +23,7 @@
 control::adapter_demand demand(const std::vector<control::adapter_use>& uses,
                                const std::string& gateway = "g1")
 {
-    return {gateway, 1, "i-1", slots, {"base"}, uses};
+    return {gateway, 1, "i-1", 1, slots, {"base"}, uses};
 }
 
 control::adapter_use waiting(const std::string& adapter)
@@ -72,6 +72,7 @@
     }
 
     const std::string& name() const { return name_; }
+    std::uint64_t born_ms() const { return born_ms_; }
 
     engine_report step(time_point now)
     {
@@ -145,6 +146,8 @@
     CPPUNIT_TEST(nothing_is_ordered_before_a_report);
     CPPUNIT_TEST(awaited_adapter_is_loaded);
     CPPUNIT_TEST(empty_engine_loads_its_model_first);
+    CPPUNIT_TEST(refused_load_of_the_model_is_repeated_soon);
+    CPPUNIT_TEST(name_of_an_earlier_life_is_not_used);
     CPPUNIT_TEST(least_recently_used_makes_way);
     CPPUNIT_TEST(adapter_in_use_is_never_dropped);
     CPPUNIT_TEST(adapter_is_withdrawn_before_it_is_dropped);
@@ -182,6 +185,7 @@
     {
         adapter_planner planner;
         engine_report empty;
+        empty.born_ms = 1;
         planner.on_report(empty, start);
         planner.on_demand(demand({waiting("a1")}), start);
         const auto order = planner.next_order(start);
@@ -193,6 +197,41 @@
         CPPUNIT_ASSERT(!planner.next_order(start + milliseconds(100)));
     }
 
+    // After a loss of power gateways know an engine by its former name for some seconds, so that
+    // its first order may be refused.
+    void refused_load_of_the_model_is_repeated_soon()
+    {
+        adapter_planner planner;
+        const engine_report empty;
+        planner.on_report(empty, start);
+        planner.on_demand(demand({waiting("a1")}), start);
+        for (int tries = 0; tries < 2; ++tries) {
+            const auto now = start + milliseconds(400 * tries);
+            planner.on_report(empty, now);
+            const auto order = planner.next_order(now);
+            CPPUNIT_ASSERT(order.has_value());
+            CPPUNIT_ASSERT_EQUAL(std::string(), order->adapter);
+            planner.on_order_result(*order, order_result::refused, now);
+        }
+    }
+
+    void name_of_an_earlier_life_is_not_used()
+    {
+        adapter_planner planner;
+        auto told = demand({waiting("a1")});
+        planner.on_demand(told, start);
+        auto reborn = report({});
+        reborn.born_ms = 2;
+        planner.on_report(reborn, start);
+        CPPUNIT_ASSERT_EQUAL(std::string(), planner.next_order(start)->upstream);
+        told.upstream = "i-2";
+        told.upstream_born_ms = 2;
+        planner.on_demand(told, start);
+        // Another gateway lags behind.
+        planner.on_demand(demand({waiting("a1")}, "g2"), start);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), planner.next_order(start)->upstream);
+    }
+
     void least_recently_used_makes_way()
     {
         adapter_planner planner;
@@ -317,6 +356,7 @@
                 const auto any = [&] { return waiting("a" + std::to_string(random() % 12)); };
                 auto told = demand({any(), any(), any()});
                 told.upstream = engine.name();
+                told.upstream_born_ms = engine.born_ms();
                 planner.on_demand(told, now);
             }
             planner.on_report(engine.step(now), now);
