Log what made an answer late

A caller that complains of a slow answer had no line in the log: only refusals and failed attempts had one. call_late says where the time went: until the request left, and until its answer began; and what the gateway knew of the engine then. One line for each late call, within the bound of the log.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -302,11 +302,44 @@
     }
 }
 
+// Logs what made an answer later than its route wants it.
+void call_exchange::note_lateness()
+{
+    const auto first = answered_at_.value_or(steady_now()) - arrived_;
+    if (first <= route_->target_latency) {
+        return;
+    }
+    const auto ms = [](duration span) {
+        return std::chrono::duration_cast<milliseconds>(span).count();
+    };
+    const auto* state = context_.upstreams.find(upstream_);
+    const bool has_status = state != nullptr && state->status;
+    context_.log.info("call_late",
+                      {{"request", call_.request_id},
+                       {"route", route_->id.str()},
+                       {"adapter", adapter_key()},
+                       {"upstream", upstream_.str()},
+                       {"sends", sends_},
+                       {"waits", waits_},
+                       {"prompt_tokens", call_.prompt_tokens},
+                       {"sent_after_ms", ms(sent_at_ - arrived_)},
+                       {"answered_after_ms", ms(first)},
+                       {"running", has_status ? state->status->running : 0},
+                       {"waiting", has_status ? state->status->waiting : 0},
+                       {"in_flight", state == nullptr ? 0 : state->in_flight},
+                       {"status_age_ms", has_status ? ms(sent_at_ - state->status_at) : 0},
+                       {"config", config_->version()}});
+}
+
 void call_exchange::on_body(std::string_view bytes)
 {
     progress_at_ = steady_now();
     context_.upstreams.on_progress(upstream_, progress_at_);
     if (is_stream_open_ && header_->is_success()) {
+        if (!answered_at_) {
+            answered_at_ = progress_at_;
+            note_lateness();
+        }
         return pass_events(bytes);
     }
     body_ += bytes;
@@ -452,6 +485,7 @@
 
 void call_exchange::pass_whole(const whole_answer& answer)
 {
+    note_lateness();
     context_.metrics.answers.add();
     context_.metrics.latency.record(std::chrono::duration<double>(steady_now() - arrived_).count());
     const bool closes = context_.is_draining || !call_.keep_alive;
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -74,6 +74,7 @@
     duration return_time();
     void refuse(const refusal& refused);
     void abort_answer(std::string_view cause);
+    void note_lateness();
     void finish();
     std::string adapter_key() const;
     std::uint64_t least_version(time_point now) const;
@@ -111,6 +112,8 @@
     upstream_id awaited_;
     time_point wait_ends_;
     int waits_ = 0;
+    /// When the first byte for the caller was there.
+    std::optional<time_point> answered_at_;
 
     event_splitter events_;
     std::optional<std::uint64_t> last_event_;
