--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -33,7 +33,10 @@
 constexpr auto idle_interval = milliseconds(150);
 // The state is told again after this time without a change, so that gateways know it still holds.
 constexpr auto publish_interval = milliseconds(450);
-constexpr auto engine_timeout = milliseconds(400);
+constexpr auto report_timeout = milliseconds(400);
+// The engine answers an order within a few milliseconds on its own host. Until an order is settled
+// no other one can be given, and its report tells what became of it.
+constexpr auto order_timeout = milliseconds(80);
 // An engine that has not reported for this long may hold something else by now.
 constexpr auto report_lifetime = milliseconds(1000);
 // A gateway reports at least once a second.
@@ -142,7 +145,7 @@
 {
     http::request<http::string_body> message{http::verb::get,
                                              std::string(platform::engine_report_path), 11};
-    const auto answer = co_await engine_.call(std::move(message), engine_timeout);
+    const auto answer = co_await engine_.call(std::move(message), report_timeout);
     absl::Status status = answer.status();
     if (answer.ok() && answer->result() != http::status::ok) {
         status = absl::UnavailableError("status " + std::to_string(answer->result_int()));
@@ -180,7 +183,7 @@
         }
         message.body() = platform::encode_order(*order, settings_.host.str());
         metrics_.orders.add();
-        const auto answer = co_await engine_.call(std::move(message), engine_timeout);
+        const auto answer = co_await engine_.call(std::move(message), order_timeout);
         auto result = order_result::unknown;
         if (answer.ok()) {
             switch (answer->result_int()) {
