Hold popular adapters at as many engines as they are worth; calls do not wait for replicas

Replicas came one at a time, and all gateways rushed to the first holder that seemed free. Ruled out: loads on their way (fewer than 80 at once). Change: each gateway measures the share of its calls that an adapter draws; that many of the first engines of its ranking load it at once. A call goes to the less busy of two holders drawn, and waits for a replica only if the batch of the best holder is full.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -114,6 +114,9 @@
         return false;
     }
     context_.retries[service_->name].on_request();
+    if (service_->engine) {
+        context_.popularity.note(adapter_key(), steady_now());
+    }
     if (team_ != nullptr) {
         tokens_ = call_.has_token_count ? call_.prompt_tokens + call_.max_output_tokens
                                         : team_->default_tokens;
@@ -148,21 +151,25 @@
         return give_up("no_time_left");
     }
     const placement_query query{service_->name, service_->engine ? adapter_key() : std::string(),
-                                call_.model, least_version(now), excluded_};
-    const auto chosen = context_.upstreams.all().empty()
-                            ? placement(no_upstream{})
-                            : context_.selector.choose(query, *service_, context_.upstreams,
-                                                       context_.gateways, now);
-    if (const auto* target = std::get_if<send_to>(&chosen)) {
+                                call_.model,    least_version(now),
+                                excluded_,      context_.popularity.share(adapter_key(), now)};
+    const auto chosen =
+        context_.selector.choose(query, *service_, context_.upstreams, context_.gateways, now);
+    for (const auto& replica : chosen.replicas) {
+        if (context_.upstreams.on_replica_wanted(replica, adapter_key(), now)) {
+            context_.send_demand(replica);
+        }
+    }
+    if (const auto* target = std::get_if<send_to>(&chosen.where)) {
         if (may_send(now)) {
             send(target->upstream, now);
         }
         return;
     }
-    if (const auto* target = std::get_if<wait_for_adapter>(&chosen)) {
+    if (const auto* target = std::get_if<wait_for_adapter>(&chosen.where)) {
         return wait_for_load(target->upstream, now);
     }
-    give_up(std::get<no_upstream>(chosen).is_overloaded ? "upstreams_full" : "no_upstream");
+    give_up(std::get<no_upstream>(chosen.where).is_overloaded ? "upstreams_full" : "no_upstream");
 }
 
 void call_exchange::wait_for_load(const upstream_id& upstream, time_point now)
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/adapter_popularity.h"
 #include "gateway/channel_pool.h"
 #include "gateway/fleet_config.h"
 #include "gateway/gateway_metrics.h"
@@ -53,6 +54,7 @@
     std::shared_ptr<const fleet_config> config;
     upstream_table upstreams;
     upstream_selector selector;
+    adapter_popularity popularity;
     team_meter teams;
     /// By service.
     std::map<std::string, route::retry_budget> retries;
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -215,6 +215,7 @@
     }
     context_.channels.on_tick(now);
     context_.upstreams.on_tick(now);
+    context_.popularity.on_tick(now);
     context_.teams.on_tick(now);
     peers_.on_tick(now);
     if (context_.gateways != peers_.count()) {
@@ -227,9 +228,8 @@
         ++demand_round_;
         for (const auto& [id, state] : context_.upstreams.all()) {
             const bool has_uses =
-                std::any_of(state.adapters.begin(), state.adapters.end(), [](const auto& item) {
-                    return item.second.waiting > 0 || item.second.running > 0;
-                });
+                std::any_of(state.adapters.begin(), state.adapters.end(),
+                            [&](const auto& item) { return item.second.is_wanted(now); });
             if (has_uses || !state.status || demand_round_ % idle_demand_rounds == 0) {
                 send_demand(id);
             }
@@ -485,6 +485,7 @@
     if (service == nullptr || !service->engine) {
         return;
     }
+    const auto now = steady_now();
     control::adapter_demand demand{
         .gateway = settings_.host.str(),
         .gateway_start = start_,
@@ -496,9 +497,11 @@
     };
     for (const auto& [name, calls] : state->adapters) {
         const auto slash = name.find('/');
-        if (calls.waiting > 0 || calls.running > 0) {
+        if (calls.is_wanted(now)) {
+            // A replica that no call waits for counts like one waiting call.
+            const int waiting = calls.waiting + (now < calls.wanted_until ? 1 : 0);
             demand.uses.push_back(
-                {name.substr(0, slash), name.substr(slash + 1), calls.waiting, calls.running});
+                {name.substr(0, slash), name.substr(slash + 1), waiting, calls.running});
         }
     }
     datagrams_.send({state->entry.address.ip, settings_.control_listen.port},
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -5,7 +5,7 @@
 #include "gateway/upstream_table.h"
 
 #include <algorithm>
-#include <numeric>
+#include <cmath>
 
 namespace snipespar::gateway {
 
@@ -20,6 +20,9 @@
 // An engine is busy when it runs this much more than the average of its service.
 constexpr double busy_factor = 1.3;
 constexpr double busy_margin = 5.0;
+// Room at the engines that hold an adapter beyond its share of the calls, so that its calls need
+// not fill them alone.
+constexpr double replica_headroom = 1.25;
 // Calls that wait at an engine beyond its slots, as a share of the slots.
 constexpr double queue_share = 0.5;
 // A sidecar sends a status at least twice a second; after this silence nothing can be loaded there.
@@ -65,6 +68,20 @@
     return std::find(models.begin(), models.end(), query.model) != models.end();
 }
 
+/// An engine's place in the ranking of an adapter.
+struct ranked_engine {
+    double score = 0;
+    double load = 0;
+    const upstream_state* state = nullptr;
+};
+
+// Engines that should hold an adapter which draws this share of all calls.
+std::size_t wanted_replicas(double share, std::size_t engines)
+{
+    const double worth = share * static_cast<double>(engines) * replica_headroom;
+    return std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(worth)), 1, engines);
+}
+
 // Leaves only those that satisfy the condition, if any does.
 template <class Condition>
 void prefer(std::vector<const upstream_state*>& candidates, Condition condition)
@@ -76,8 +93,10 @@
 
 } // namespace
 
-placement upstream_selector::choose(const placement_query& query, const service_rule& service,
-                                    const upstream_table& table, int gateways, time_point now)
+placement_decision upstream_selector::choose(const placement_query& query,
+                                             const service_rule& service,
+                                             const upstream_table& table, int gateways,
+                                             time_point now)
 {
     std::vector<const upstream_state*> candidates;
     for (const auto& [id, state] : table.all()) {
@@ -90,16 +109,16 @@
     prefer(candidates, [&](const auto* state) { return !state->gone_at; });
     prefer(candidates, [&](const auto* state) { return !upstream_table::is_silent(*state, now); });
     if (candidates.empty()) {
-        return no_upstream{};
+        return {no_upstream{}, {}};
     }
-    return service.engine ? choose_engine(query, service, std::move(candidates), gateways, now)
-                          : choose_plain(candidates, gateways);
+    if (service.engine) {
+        return choose_engine(query, service, std::move(candidates), gateways, now);
+    }
+    return {choose_plain(candidates), {}};
 }
 
-placement upstream_selector::choose_plain(const std::vector<const upstream_state*>& candidates,
-                                          int gateways)
+placement upstream_selector::choose_plain(const std::vector<const upstream_state*>& candidates)
 {
-    static_cast<void>(gateways);
     std::uniform_real_distribution<double> jitter(0, 0.1);
     const upstream_state* best = nullptr;
     double least = 0;
@@ -117,89 +136,113 @@
     return send_to{best->entry.id};
 }
 
-placement upstream_selector::choose_engine(const placement_query& query,
-                                           const service_rule& service,
-                                           std::vector<const upstream_state*> candidates,
-                                           int gateways, time_point now)
+std::size_t upstream_selector::draw(std::size_t count)
+{
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
+}
+
+placement_decision upstream_selector::choose_engine(const placement_query& query,
+                                                    const service_rule& service,
+                                                    std::vector<const upstream_state*> candidates,
+                                                    int gateways, time_point now)
 {
     prefer(candidates,
            [](const auto* state) { return state->failure_rate < unsound_failure_rate; });
-    std::map<const upstream_state*, double> loads;
-    double sum = 0;
-    for (const auto* state : candidates) {
-        loads[state] = load_of(*state, gateways);
-        sum += loads[state];
-    }
     const double slots = std::max(service.engine->slots, 1);
-    const double average = sum / static_cast<double>(candidates.size());
-    const double busy = std::min(busy_factor * average + busy_margin, slots);
-    const double full = slots * (1 + queue_share);
-
     const auto key = stable_hash(query.adapter.empty() ? query.model : query.adapter);
-    std::vector<std::pair<double, const upstream_state*>> ranking;
+    std::vector<ranked_engine> ranking;
+    double sum = 0;
     for (const auto* state : candidates) {
         // Ranked by address, which a restart of the engine keeps.
         const auto candidate = stable_hash(state->entry.address.str());
-        ranking.emplace_back(rendezvous_score(key, candidate, 1.0), state);
+        const double load = load_of(*state, gateways);
+        ranking.push_back({rendezvous_score(key, candidate, 1.0), load, state});
+        sum += load;
     }
-    std::sort(ranking.begin(), ranking.end(), std::greater<>{});
+    std::sort(ranking.begin(), ranking.end(),
+              [](const auto& left, const auto& right) { return left.score > right.score; });
+    const double average = sum / static_cast<double>(ranking.size());
+    const double busy = std::min(busy_factor * average + busy_margin, slots);
+    const double full = slots * (1 + queue_share);
 
-    const upstream_state* held = nullptr;
-    const upstream_state* least_held = nullptr;
-    const upstream_state* loading = nullptr;
-    // The first engine of the ranking that can load the adapter, and the first that is not busy.
-    const upstream_state* home = nullptr;
-    const upstream_state* relief = nullptr;
+    std::vector<const ranked_engine*> holders;
+    const ranked_engine* loading = nullptr;
+    // Engines that can load the adapter, in the order of the ranking.
+    std::vector<const ranked_engine*> loaders;
     const upstream_state* unheard = nullptr;
-    for (const auto& [score, state] : ranking) {
-        const double load = loads[state];
+    for (const auto& engine : ranking) {
+        const auto* state = engine.state;
         if (holds(*state, query)) {
-            if (least_held == nullptr || load < loads[least_held]) {
-                least_held = state;
-            }
-            if (held == nullptr && load < busy) {
-                held = state;
+            if (engine.load < full) {
+                holders.push_back(&engine);
             }
         }
         else if (!state->status) {
             unheard = unheard == nullptr ? state : unheard;
         }
-        else if (load >= full) {
+        else if (engine.load >= full) {
             continue;
         }
         else if (is_loading(*state, query)) {
-            loading = loading == nullptr ? state : loading;
+            loading = loading == nullptr ? &engine : loading;
         }
         else if (can_load(*state, query, now) && !state->status->is_full) {
-            home = home == nullptr ? state : home;
-            if (relief == nullptr && load < busy) {
-                relief = state;
-            }
+            loaders.push_back(&engine);
         }
     }
-    if (query.adapter.empty()) {
-        // No adapter binds the call to an engine, so the least busy one takes it.
-        held = least_held;
-    }
-    if (held != nullptr && loads[held] < full) {
-        return send_to{held->entry.id};
+
+    placement_decision decision;
+    const bool is_bound = !query.adapter.empty();
+    const auto wanted = is_bound ? wanted_replicas(query.share, ranking.size()) : ranking.size();
+    if (is_bound && wanted > 1) {
+        const auto* last = &ranking[wanted - 1];
+        for (const auto* engine : loaders) {
+            if (engine <= last) {
+                decision.replicas.push_back(engine->state->entry.id);
+            }
+        }
     }
-    if (loading != nullptr) {
-        return wait_for_adapter{loading->entry.id};
+    const auto relief = std::find_if(loaders.begin(), loaders.end(),
+                                     [&](const auto* engine) { return engine->load < busy; });
+    if (!holders.empty()) {
+        const auto pool = std::min(holders.size(), wanted);
+        const auto* first = holders[draw(pool)];
+        const auto* second = holders[draw(pool)];
+        const auto* best = second->load < first->load ? second : first;
+        if (best->load >= busy) {
+            best = *std::min_element(holders.begin(), holders.end(), [](auto left, auto right) {
+                return left->load < right->load;
+            });
+        }
+        const bool is_crowded = is_bound && best->load >= busy;
+        if (is_crowded && loading == nullptr && relief != loaders.end()) {
+            decision.replicas.push_back((*relief)->state->entry.id);
+        }
+        // An engine whose batch is full makes a call wait longer than a load takes.
+        if (best->load < slots || (loading == nullptr && relief == loaders.end())) {
+            decision.where = send_to{best->state->entry.id};
+            return decision;
+        }
     }
     // An adapter that no engine holds is loaded at its home even when that is busy: elsewhere it
     // would be one more load from the store, now and whenever it is asked for again.
-    const auto* target = least_held == nullptr ? home : relief;
+    const ranked_engine* target = loading;
+    if (target == nullptr && holders.empty() && !loaders.empty()) {
+        target = loaders.front();
+    }
+    if (target == nullptr && relief != loaders.end()) {
+        target = *relief;
+    }
     if (target != nullptr) {
-        return wait_for_adapter{target->entry.id};
+        decision.where = wait_for_adapter{target->state->entry.id};
     }
-    if (least_held != nullptr && loads[least_held] < full) {
-        return send_to{least_held->entry.id};
+    else if (unheard != nullptr) {
+        decision.where = wait_for_adapter{unheard->entry.id};
     }
-    if (unheard != nullptr) {
-        return wait_for_adapter{unheard->entry.id};
+    else {
+        decision.where = no_upstream{true};
     }
-    return no_upstream{true};
+    return decision;
 }
 
 } // namespace snipespar::gateway
--- a/src/gateway/upstream_selector.h
+++ b/src/gateway/upstream_selector.h
@@ -27,6 +27,8 @@
     std::uint64_t least_version = 0;
     /// Upstreams that the call must not go to (again).
     std::set<upstream_id> excluded;
+    /// Share of this gateway's calls that the adapter draws, 0 to 1.
+    double share = 0;
 };
 
 /// The call can be sent now.
@@ -53,9 +55,19 @@
 
 using placement = std::variant<send_to, wait_for_adapter, no_upstream>;
 
-/// Chooses where calls run. Calls of one adapter go to the first engine of the adapter's ranking
-/// (rendezvous hashing) that holds it and is not much busier than the others; when all of those are
-/// busy, the next one of the ranking loads it too.
+/// Where a call runs, and what that call's adapter needs besides.
+struct placement_decision {
+    placement where;
+    /// Engines that should load the adapter for calls to come; this call does not wait for them.
+    std::vector<upstream_id> replicas;
+
+    friend bool operator==(const placement_decision&, const placement_decision&) = default;
+};
+
+/// Chooses where calls run. Each adapter has a ranking of the engines (rendezvous hashing). As many
+/// of the first ones hold it as its share of the calls is worth engines, and one more while all of
+/// those are busy. A call goes to the less busy one of two that are drawn from the holders, since
+/// what gateways know of the load is old enough for all of them to rush to the least busy one.
 class upstream_selector {
 public:
     /// `gateways` of this kind share the upstreams.
@@ -64,14 +76,15 @@
     {
     }
 
-    placement choose(const placement_query& query, const service_rule& service,
-                     const upstream_table& table, int gateways, time_point now);
+    placement_decision choose(const placement_query& query, const service_rule& service,
+                              const upstream_table& table, int gateways, time_point now);
 
 private:
-    placement choose_plain(const std::vector<const upstream_state*>& candidates, int gateways);
-    placement choose_engine(const placement_query& query, const service_rule& service,
-                            std::vector<const upstream_state*> candidates, int gateways,
-                            time_point now);
+    placement choose_plain(const std::vector<const upstream_state*>& candidates);
+    placement_decision choose_engine(const placement_query& query, const service_rule& service,
+                                     std::vector<const upstream_state*> candidates, int gateways,
+                                     time_point now);
+    std::size_t draw(std::size_t count);
 
     failure_domain_id own_domain_;
     std::mt19937_64 random_;
--- a/src/gateway/upstream_state.h
+++ b/src/gateway/upstream_state.h
@@ -15,6 +15,14 @@
 struct adapter_calls {
     int waiting = 0;
     int running = 0;
+    /// Until then the engine should load the adapter, though no call waits for it.
+    time_point wanted_until;
+
+    /// Whether the engine should hold the adapter.
+    bool is_wanted(time_point now) const
+    {
+        return waiting > 0 || running > 0 || now < wanted_until;
+    }
 
     friend bool operator==(const adapter_calls&, const adapter_calls&) = default;
 };
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -14,6 +14,8 @@
 constexpr auto return_grace = std::chrono::milliseconds(2300);
 // A sidecar tells at least twice a second, so that one lost datagram is no silence.
 constexpr auto silence_limit = std::chrono::milliseconds(1000);
+// A replica that calls still want is asked for again; the engine's sidecar reports in between.
+constexpr auto replica_demand_time = std::chrono::milliseconds(700);
 // Share of one outcome in the smoothed failure rate.
 constexpr double failure_smoothing = 0.12;
 // Consecutive failures after which an upstream gets no work for a while.
@@ -27,8 +29,7 @@
 {
     auto [item, is_new] = states_.try_emplace(entry.id);
     auto& state = item->second;
-    if (!is_new &&
-        (state.entry.address != entry.address || state.entry.born_ms != entry.born_ms)) {
+    if (!is_new && (state.entry.address != entry.address || state.entry.born_ms != entry.born_ms)) {
         // Another process bears the name now; nothing of before holds.
         const int in_flight = state.in_flight;
         state = {};
@@ -181,8 +182,25 @@
     }
 }
 
+bool upstream_table::on_replica_wanted(const upstream_id& id, std::string_view adapter,
+                                       time_point now)
+{
+    const auto found = states_.find(id);
+    if (found == states_.end()) {
+        return false;
+    }
+    auto& calls = found->second.adapters[std::string(adapter)];
+    const bool is_news = !calls.is_wanted(now);
+    calls.wanted_until = now + replica_demand_time;
+    return is_news;
+}
+
 void upstream_table::on_tick(time_point now)
 {
+    for (auto& [id, state] : states_) {
+        std::erase_if(state.adapters,
+                      [&](const auto& item) { return !item.second.is_wanted(now); });
+    }
     std::erase_if(states_, [&](const auto& item) {
         const auto& state = item.second;
         return state.gone_at && now >= *state.gone_at && state.in_flight == 0;
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -50,6 +50,9 @@
     void on_adapter_missing(const upstream_id& id, std::string_view adapter);
     void on_adapter_wait(const upstream_id& id, std::string_view adapter, int change);
 
+    /// The upstream should hold the adapter for calls to come; returns whether that is news.
+    bool on_replica_wanted(const upstream_id& id, std::string_view adapter, time_point now);
+
     /// Forgets upstreams that have gone and hold no call.
     void on_tick(time_point now);
 
