Four loads at once while the weight store is not busy

Change: an engine has four loads from the store on their way, and two while loads take 1.4 times the shortest one. busy_weight_store_is_asked_for_fewer_loads; call_late tells the age of the status at the decision.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -247,6 +247,7 @@
     upstream_ = upstream;
     excluded_.insert(upstream);
     sent_at_ = now;
+    status_age_ = state->status ? now - state->status_at : duration{};
     progress_at_ = now;
     is_answering_ = false;
     header_.reset();
@@ -321,21 +322,20 @@
     };
     const auto* state = context_.upstreams.find(upstream_);
     const bool has_status = state != nullptr && state->status;
-    context_.log.info("call_late",
-                      {{"request", call_.request_id},
-                       {"route", route_->id.str()},
-                       {"adapter", adapter_key()},
-                       {"upstream", upstream_.str()},
-                       {"sends", sends_},
-                       {"waits", waits_},
-                       {"prompt_tokens", call_.prompt_tokens},
-                       {"sent_after_ms", ms(sent_at_ - arrived_)},
-                       {"answered_after_ms", ms(first)},
-                       {"running", has_status ? state->status->running : 0},
-                       {"waiting", has_status ? state->status->waiting : 0},
-                       {"in_flight", state == nullptr ? 0 : state->in_flight},
-                       {"status_age_ms", has_status ? ms(sent_at_ - state->status_at) : 0},
-                       {"config", config_->version()}});
+    context_.log.info("call_late", {{"request", call_.request_id},
+                                    {"route", route_->id.str()},
+                                    {"adapter", adapter_key()},
+                                    {"upstream", upstream_.str()},
+                                    {"sends", sends_},
+                                    {"waits", waits_},
+                                    {"prompt_tokens", call_.prompt_tokens},
+                                    {"sent_after_ms", ms(sent_at_ - arrived_)},
+                                    {"answered_after_ms", ms(first)},
+                                    {"running", has_status ? state->status->running : 0},
+                                    {"waiting", has_status ? state->status->waiting : 0},
+                                    {"in_flight", state == nullptr ? 0 : state->in_flight},
+                                    {"status_age_ms", ms(status_age_)},
+                                    {"config", config_->version()}});
 }
 
 void call_exchange::on_body(std::string_view bytes)
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -103,6 +103,8 @@
     upstream_id upstream_;
     std::shared_ptr<upstream_channel> channel_;
     time_point sent_at_;
+    /// Age of the engine's status on which the choice of the upstream rested.
+    duration status_age_{};
     time_point progress_at_;
     bool is_answering_ = false;
     std::optional<answer_header> header_;
--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -15,9 +15,11 @@
 
 // Adapters that an engine takes at the same time.
 constexpr int max_loads_at_once = 4;
-// Those of them that come from the weight store. All engines share what it can send, so that more
-// would only make each one longer.
-constexpr int max_store_loads_at_once = 2;
+// Those of them that come from the weight store while it is busy. All engines share what it can
+// send, so that more would only make each one longer.
+constexpr int max_store_loads_when_busy = 2;
+// Loads that take this multiple of the shortest one show that the weight store is busy.
+constexpr double busy_load_factor = 1.4;
 // Dropped adapters that an engine is expected to have at hand still; such loads are ten times as
 // fast. Engines keep about a hundred.
 constexpr std::size_t max_at_hand = 80;
@@ -26,7 +28,7 @@
 // Callers of a stream wait for its first event about this long at best; adapters that would come
 // later are not promised any more.
 constexpr double longest_backlog_s = 1.2;
-constexpr double load_time_smoothing = 0.1;
+constexpr double load_time_smoothing = 0.3;
 // Between the last word to gateways that an adapter is there and its removal: a datagram and a
 // request on their way, and a busy processor at either end.
 constexpr auto withdrawal_time = milliseconds(60);
@@ -101,7 +103,10 @@
     std::erase_if(load_began_, [&](const auto& item) {
         if (is_held(item.first) && !is_at_hand(item.first)) {
             const double took_s = std::chrono::duration<double>(now - item.second).count();
-            load_time_s_ += load_time_smoothing * (took_s - load_time_s_);
+            const double smoothing = load_time_s_ == 0 ? 1.0 : load_time_smoothing;
+            load_time_s_ += smoothing * (took_s - load_time_s_);
+            least_load_time_s_ =
+                least_load_time_s_ == 0 ? took_s : std::min(least_load_time_s_, took_s);
         }
         return is_held(item.first) ||
                (!is_loading(item.first) && now - item.second > order_visible_time);
@@ -165,8 +170,7 @@
     if (result == order_result::unknown && order.what == engine_order::operation::load) {
         unsettled_.push_back({order.orders_before, order.upstream, false, now + late_order_time});
     }
-    const bool is_not_begun =
-        result == order_result::refused || result == order_result::conflict;
+    const bool is_not_begun = result == order_result::refused || result == order_result::conflict;
     if (order.adapter.empty() && is_not_begun) {
         model_ordered_at_.reset();
     }
@@ -240,6 +244,13 @@
     return {what, state.model, state.adapter, std::nullopt, report_->orders_accepted, upstream()};
 }
 
+int adapter_planner::store_loads_allowed() const
+{
+    // Without a load to tell by, all engines may be filling up at once.
+    const bool is_busy = load_time_s_ == 0 || load_time_s_ > busy_load_factor * least_load_time_s_;
+    return is_busy ? max_store_loads_when_busy : max_loads_at_once;
+}
+
 std::optional<engine_order> adapter_planner::next_order(time_point now)
 {
     if (!report_ || (paused_until_ && now < *paused_until_) || report_->is_busy) {
@@ -321,7 +332,7 @@
             state.wanted_since && !is_held(name) && !on_the_way.contains(name) &&
             std::find(models.begin(), models.end(), state.model) != models.end();
         const bool is_fast = is_at_hand(name);
-        if (!is_possible || (!is_fast && store_loads >= max_store_loads_at_once)) {
+        if (!is_possible || (!is_fast && store_loads >= store_loads_allowed())) {
             continue;
         }
         // The load that serves most callers comes first, so that a shift of demand is over soonest.
@@ -446,7 +457,7 @@
     status.running = report_->running;
     status.waiting = report_->waiting;
     status.memory_used = report_->memory_used;
-    status.is_full = backlog() * load_time_s_ / max_store_loads_at_once > longest_backlog_s;
+    status.is_full = backlog() * load_time_s_ / store_loads_allowed() > longest_backlog_s;
     return status;
 }
 
--- a/src/sidecar/adapter_planner.h
+++ b/src/sidecar/adapter_planner.h
@@ -76,6 +76,8 @@
     int places_taken() const;
     /// Adapters that gateways wait for, that are not on their way and not at hand.
     int backlog() const;
+    /// Loads from the weight store that may be on their way at once.
+    int store_loads_allowed() const;
     int usable_slots() const;
     /// The engine's present name, or empty while it is not certain.
     std::string upstream() const;
@@ -113,6 +115,8 @@
     std::map<std::string, time_point> load_began_;
     /// Smoothed time of one load from the weight store, in seconds.
     double load_time_s_ = 0;
+    /// The shortest load from the weight store that was seen, in seconds.
+    double least_load_time_s_ = 0;
     /// Adapters that the engine has dropped and most likely still has at hand, oldest first.
     std::deque<std::string> at_hand_;
     std::optional<time_point> model_ordered_at_;
--- a/tests/sidecar_adapter_planner_test.cpp
+++ b/tests/sidecar_adapter_planner_test.cpp
@@ -148,6 +148,7 @@
     CPPUNIT_TEST(empty_engine_loads_its_model_first);
     CPPUNIT_TEST(refused_load_of_the_model_is_repeated_soon);
     CPPUNIT_TEST(name_of_an_earlier_life_is_not_used);
+    CPPUNIT_TEST(busy_weight_store_is_asked_for_fewer_loads);
     CPPUNIT_TEST(least_recently_used_makes_way);
     CPPUNIT_TEST(adapter_in_use_is_never_dropped);
     CPPUNIT_TEST(adapter_is_withdrawn_before_it_is_dropped);
@@ -232,6 +233,44 @@
         CPPUNIT_ASSERT_EQUAL(std::string("i-2"), planner.next_order(start)->upstream);
     }
 
+    // Load: many rare adapters at once. While loads take as long as they must, an engine has four
+    // on their way; when all engines together slow them down, it has two.
+    void busy_weight_store_is_asked_for_fewer_loads()
+    {
+        adapter_planner planner;
+        auto told = demand({waiting("a1"), waiting("a2"), waiting("a3"), waiting("a4")});
+        told.adapter_slots = 16;
+        const auto loads_at_once = [&](time_point now, std::set<std::string> held) {
+            planner.on_report(report(held), now);
+            planner.on_demand(told, now);
+            int orders = 0;
+            while (const auto order = planner.next_order(now)) {
+                planner.on_order_result(*order, order_result::accepted, now);
+                ++orders;
+            }
+            return orders;
+        };
+        CPPUNIT_ASSERT_EQUAL(2, loads_at_once(start, {}));
+        auto now = start + milliseconds(250);
+        std::set<std::string> held{"a1", "a2", "a3", "a4"};
+        planner.on_report(report(held), now);
+        told.uses = {waiting("d1"), waiting("d2"), waiting("d3"), waiting("d4")};
+        CPPUNIT_ASSERT_EQUAL(4, loads_at_once(now, held));
+        now += milliseconds(260);
+        held = {"d1", "d2", "d3", "d4"};
+        planner.on_report(report(held), now);
+        for (int round = 1; round <= 12; ++round) {
+            const auto name = "b" + std::to_string(round);
+            told.uses = {waiting(name)};
+            CPPUNIT_ASSERT_EQUAL(1, loads_at_once(now, held));
+            now += milliseconds(900);
+            held = {name};
+            planner.on_report(report(held), now);
+        }
+        told.uses = {waiting("c1"), waiting("c2"), waiting("c3"), waiting("c4")};
+        CPPUNIT_ASSERT_EQUAL(2, loads_at_once(now, held));
+    }
+
     void least_recently_used_makes_way()
     {
         adapter_planner planner;
