Places for adapters are freed as soon as the last run has ended

Gateways tell the end of a use within half a second only, and an adapter stays for 0.3 s after its use. Change: a sidecar says when more adapters are awaited than it has places; gateways then tell the end of each use at once, and recent use no longer protects an adapter. Also: an engine that accepts to drop an adapter (202) still holds it until its runs have ended; the planner counted its place as free. place_is_taken_until_the_last_run_has_ended and places_are_never_exceeded (now with such engines) fail without this.

--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -69,6 +69,7 @@
     value["waiting"] = static_cast<unsigned>(status.waiting);
     value["memory"] = status.memory_used;
     value["full"] = status.is_full;
+    value["short"] = status.is_short_of_places;
     value["gateways"] = content.gateways;
     return value;
 }
@@ -140,6 +141,7 @@
     status.waiting = count(fields, "waiting");
     status.memory_used = fields.integer<std::uint64_t>("memory");
     status.is_full = fields.flag("full");
+    status.is_short_of_places = fields.flag("short");
     content.gateways = fields.texts("gateways");
     return content;
 }
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -523,7 +523,10 @@
     const auto now = steady_now();
     const auto used = std::exchange(channel_, nullptr);
     const auto unanswered_tokens = is_answering_ ? 0 : call_.prompt_tokens;
-    context_.upstreams.on_call_ended(upstream_, adapter_key(), unanswered_tokens, result, now);
+    if (context_.upstreams.on_call_ended(upstream_, adapter_key(), unanswered_tokens, result,
+                                         now)) {
+        context_.send_demand(upstream_);
+    }
     if (keeps_channel) {
         context_.channels.give_back(used, now);
     }
--- a/src/gateway/engine_status.h
+++ b/src/gateway/engine_status.h
@@ -27,6 +27,9 @@
     std::uint64_t memory_used = 0;
     /// No further adapter can be taken at the moment.
     bool is_full = false;
+    /// More adapters are awaited than there are free places: gateways should tell at once when they
+    /// no longer use one.
+    bool is_short_of_places = false;
 
     friend bool operator==(const engine_status&, const engine_status&) = default;
 };
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -134,35 +134,38 @@
     }
 }
 
-void upstream_table::on_call_ended(const upstream_id& id, std::string_view adapter,
+bool upstream_table::on_call_ended(const upstream_id& id, std::string_view adapter,
                                    std::uint64_t unanswered_tokens, call_result result,
                                    time_point now)
 {
     const auto found = states_.find(id);
     if (found == states_.end()) {
-        return;
+        return false;
     }
     auto& state = found->second;
+    bool is_news = false;
     state.in_flight = std::max(state.in_flight - 1, 0);
     state.prompt_tokens -= std::min(state.prompt_tokens, unanswered_tokens);
     if (!adapter.empty()) {
         auto& calls = state.adapters[std::string(adapter)];
         calls.running = std::max(calls.running - 1, 0);
+        is_news = state.status && state.status->is_short_of_places && !calls.is_wanted(now);
     }
     if (result == call_result::refused) {
-        return;
+        return is_news;
     }
     const bool is_failure = result == call_result::failure;
     state.failure_rate += failure_smoothing * ((is_failure ? 1.0 : 0.0) - state.failure_rate);
     if (!is_failure) {
         state.failures_in_a_row = 0;
         state.ejection = {};
-        return;
+        return is_news;
     }
     if (++state.failures_in_a_row >= failures_before_ejection && now >= state.ejected_until) {
         state.ejection = std::clamp<duration>(2 * state.ejection, first_ejection, longest_ejection);
         state.ejected_until = now + state.ejection;
     }
+    return is_news;
 }
 
 void upstream_table::on_adapter_missing(const upstream_id& id, std::string_view adapter)
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -43,8 +43,9 @@
     void on_call_answering(const upstream_id& id, std::uint64_t tokens, time_point now);
     /// More of an answer has come.
     void on_progress(const upstream_id& id, time_point now);
-    /// `unanswered_tokens`: prompt tokens of a call that ended before its answer began.
-    void on_call_ended(const upstream_id& id, std::string_view adapter,
+    /// `unanswered_tokens`: prompt tokens of a call that ended before its answer began. Returns
+    /// whether the upstream should be told at once that the adapter is no longer used there.
+    bool on_call_ended(const upstream_id& id, std::string_view adapter,
                        std::uint64_t unanswered_tokens, call_result result, time_point now);
     /// The upstream did not hold an adapter that was believed to be there.
     void on_adapter_missing(const upstream_id& id, std::string_view adapter);
--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -24,7 +24,7 @@
 // fast. Engines keep about a hundred.
 constexpr std::size_t max_at_hand = 80;
 // Places kept free, so that a load does not have to wait until another adapter has made way.
-constexpr int free_places = 2;
+constexpr int spare_places = 2;
 // Callers of a stream wait for its first event about this long at best; adapters that would come
 // later are not promised any more.
 constexpr double longest_backlog_s = 1.2;
@@ -32,7 +32,8 @@
 // Between the last word to gateways that an adapter is there and its removal: a datagram and a
 // request on their way, and a busy processor at either end.
 constexpr auto withdrawal_time = milliseconds(60);
-// An adapter used this recently is likely to be used again at once.
+// An adapter used this recently is likely to be used again at once, so that it is kept unless
+// others are waited for.
 constexpr auto recent_use = milliseconds(300);
 // An unanswered order may be carried out up to twelve seconds later.
 constexpr auto late_order_time = std::chrono::seconds(13);
@@ -131,9 +132,11 @@
         if (!is_wanted) {
             state.wanted_since.reset();
         }
-        if (!is_held(name) || (state.withdrawn_at && !is_outdated(name, state) &&
-                               now - *state.withdrawn_at > order_visible_time)) {
+        const bool is_kept = state.withdrawn_at && !is_outdated(name, state) &&
+                             !state.is_dropping && now - *state.withdrawn_at > order_visible_time;
+        if (!is_held(name) || is_kept) {
             state.withdrawn_at.reset();
+            state.is_dropping = false;
         }
     }
 }
@@ -151,7 +154,7 @@
 void adapter_planner::on_order_result(const engine_order& order, order_result result,
                                       time_point now)
 {
-    if (result == order_result::accepted && report_) {
+    if ((result == order_result::accepted || result == order_result::done) && report_) {
         report_->orders_accepted = order.orders_before + 1;
         const auto name = name_of(order.model, order.adapter);
         if (order.adapter.empty()) {
@@ -161,10 +164,15 @@
             ordered_[name] = now;
             load_began_[name] = now;
         }
-        else {
+        else if (result == order_result::done) {
             report_->adapters.erase(name);
             note_dropped(name);
         }
+        else {
+            // Its place is taken until its runs have ended; a report will show it.
+            adapters_[name].is_dropping = true;
+            note_dropped(name);
+        }
         return;
     }
     if (result == order_result::unknown && order.what == engine_order::operation::load) {
@@ -229,6 +237,20 @@
     return told_born_ms_ == born_ms_ ? told_upstream_ : std::string();
 }
 
+int adapter_planner::free_places() const
+{
+    return usable_slots() - places_taken();
+}
+
+int adapter_planner::awaited() const
+{
+    return static_cast<int>(
+        std::count_if(adapters_.begin(), adapters_.end(), [&](const auto& item) {
+            return item.second.wanted_since && !is_held(item.first) && !is_loading(item.first) &&
+                   !ordered_.contains(item.first);
+        }));
+}
+
 int adapter_planner::backlog() const
 {
     return static_cast<int>(
@@ -317,8 +339,7 @@
     for (const auto& [name, when] : ordered_) {
         on_the_way.insert(name);
     }
-    if (static_cast<int>(on_the_way.size()) >= max_loads_at_once ||
-        places_taken() >= usable_slots()) {
+    if (static_cast<int>(on_the_way.size()) >= max_loads_at_once || free_places() <= 0) {
         return std::nullopt;
     }
     const auto store_loads =
@@ -387,17 +408,20 @@
 // Withdraws the adapters that were used least recently while too few places are free.
 void adapter_planner::withdraw_victims(time_point now)
 {
-    int free = usable_slots() - places_taken();
+    int free = free_places();
+    const int awaited_now = awaited();
+    const int needed = std::clamp(awaited_now, spare_places, max_loads_at_once);
+    const bool is_short = awaited_now > free;
     for (const auto& [name, state] : adapters_) {
         if (state.withdrawn_at && is_held(name) && !is_outdated(name, state)) {
             ++free;
         }
     }
-    while (free < free_places) {
+    while (free < needed) {
         adapter_state* oldest = nullptr;
         for (auto& [name, state] : adapters_) {
-            if (!is_held(name) || state.withdrawn_at || !state.uses.empty() ||
-                now - state.last_used < recent_use) {
+            const bool is_recent = !is_short && now - state.last_used < recent_use;
+            if (!is_held(name) || state.withdrawn_at || !state.uses.empty() || is_recent) {
                 continue;
             }
             if (oldest == nullptr || state.last_used < oldest->last_used) {
@@ -417,7 +441,7 @@
     const adapter_state* oldest = nullptr;
     for (auto& [name, state] : adapters_) {
         const bool is_due = state.withdrawn_at && is_held(name) && !is_outdated(name, state) &&
-                            now - *state.withdrawn_at >= withdrawal_time;
+                            now - *state.withdrawn_at >= withdrawal_time && !state.is_dropping;
         if (!is_due) {
             continue;
         }
@@ -457,6 +481,7 @@
     status.running = report_->running;
     status.waiting = report_->waiting;
     status.memory_used = report_->memory_used;
+    status.is_short_of_places = awaited() > free_places();
     status.is_full = backlog() * load_time_s_ / store_loads_allowed() > longest_backlog_s;
     return status;
 }
--- a/src/sidecar/adapter_planner.h
+++ b/src/sidecar/adapter_planner.h
@@ -62,6 +62,8 @@
         std::optional<time_point> wanted_since;
         /// Gateways are no longer told of it; it may be dropped or replaced after a moment.
         std::optional<time_point> withdrawn_at;
+        /// The engine drops it as soon as its runs have ended.
+        bool is_dropping = false;
 
         /// Calls that wait for it at all gateways.
         int waiting() const;
@@ -76,6 +78,9 @@
     int places_taken() const;
     /// Adapters that gateways wait for, that are not on their way and not at hand.
     int backlog() const;
+    /// Adapters that gateways wait for and that are neither held nor on their way.
+    int awaited() const;
+    int free_places() const;
     /// Loads from the weight store that may be on their way at once.
     int store_loads_allowed() const;
     int usable_slots() const;
--- a/src/sidecar/order_result.h
+++ b/src/sidecar/order_result.h
@@ -4,8 +4,10 @@
 
 /// What became of an order.
 enum class order_result {
-    /// It is carried out, or what it asks for holds already.
+    /// It is being carried out.
     accepted,
+    /// What it asks for holds.
+    done,
     /// The engine is busy, or its count of orders is another one.
     conflict,
     /// It was refused for another reason.
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -55,7 +55,8 @@
             const auto found = now.adapters.find(item.first);
             return found == now.adapters.end() || found->second != item.second;
         });
-    return has_lost_model || has_lost_adapter || before.is_full != now.is_full;
+    return has_lost_model || has_lost_adapter || before.is_full != now.is_full ||
+           before.is_short_of_places != now.is_short_of_places;
 }
 
 } // namespace
@@ -188,6 +189,8 @@
         if (answer.ok()) {
             switch (answer->result_int()) {
             case 200:
+                result = order_result::done;
+                break;
             case 202:
                 result = order_result::accepted;
                 break;
@@ -199,7 +202,7 @@
                 break;
             }
         }
-        if (result != order_result::accepted) {
+        if (result != order_result::accepted && result != order_result::done) {
             metrics_.orders_failed.add();
         }
         log_.info("order_given",
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(failures_in_a_row_eject_for_a_while);
     CPPUNIT_TEST(refusals_say_nothing_about_health);
     CPPUNIT_TEST(older_status_does_not_replace_a_newer_one);
+    CPPUNIT_TEST(end_of_use_is_news_where_places_are_short);
     CPPUNIT_TEST(upstream_is_kept_while_calls_run_there);
     CPPUNIT_TEST(host_that_stands_still_is_silent);
     CPPUNIT_TEST_SUITE_END();
@@ -184,6 +185,28 @@
         CPPUNIT_ASSERT_EQUAL(3, table.find(upstream_id("i-1"))->status->running);
     }
 
+    void end_of_use_is_news_where_places_are_short()
+    {
+        upstream_table table;
+        const auto item = entry("i-1");
+        table.update(item, start);
+        engine_status status;
+        status.engine = item.address.str();
+        const auto end_call = [&] {
+            return table.on_call_ended(item.id, "base/a1", 0, call_result::success, start);
+        };
+        table.on_call_sent(item.id, "base/a1", 100);
+        table.on_engine_status(status, start);
+        CPPUNIT_ASSERT(!end_call());
+        status.sequence = 1;
+        status.is_short_of_places = true;
+        table.on_engine_status(status, start);
+        table.on_call_sent(item.id, "base/a1", 100);
+        table.on_call_sent(item.id, "base/a1", 100);
+        CPPUNIT_ASSERT(!end_call());
+        CPPUNIT_ASSERT(end_call());
+    }
+
     void upstream_is_kept_while_calls_run_there()
     {
         upstream_table table;
--- a/tests/sidecar_adapter_planner_test.cpp
+++ b/tests/sidecar_adapter_planner_test.cpp
@@ -65,6 +65,7 @@
         accepted_ = 0;
         held_.clear();
         loading_.clear();
+        dropping_.clear();
         ++born_ms_;
         if (!keeps_name) {
             name_ = "i-" + std::to_string(born_ms_);
@@ -94,6 +95,9 @@
                 ++item;
             }
         }
+        std::erase_if(dropping_, [&](const auto& item) {
+            return item.second <= now && held_.erase(item.first) > 0;
+        });
         engine_report result = report({}, accepted_);
         result.born_ms = born_ms_;
         for (const auto& name : held_) {
@@ -123,8 +127,13 @@
             loading_[name] = now + milliseconds(100);
             most_loads_ = std::max(most_loads_, loading_.size());
         }
+        else if (std::bernoulli_distribution(0.3)(random_)) {
+            // Runs are still using it.
+            dropping_[name] = now + milliseconds(200);
+        }
         else {
             held_.erase(name);
+            return order_result::done;
         }
         return order_result::accepted;
     }
@@ -133,6 +142,7 @@
     std::uint64_t accepted_ = 0;
     std::set<std::string> held_;
     std::map<std::string, time_point> loading_;
+    std::map<std::string, time_point> dropping_;
     std::vector<std::pair<time_point, engine_order>> late_;
     std::size_t most_loads_ = 0;
     std::uint64_t born_ms_ = 1;
@@ -152,6 +162,8 @@
     CPPUNIT_TEST(least_recently_used_makes_way);
     CPPUNIT_TEST(adapter_in_use_is_never_dropped);
     CPPUNIT_TEST(adapter_is_withdrawn_before_it_is_dropped);
+    CPPUNIT_TEST(place_is_taken_until_the_last_run_has_ended);
+    CPPUNIT_TEST(recent_use_does_not_hold_up_awaited_adapters);
     CPPUNIT_TEST(outdated_adapter_is_replaced_within_its_time);
     CPPUNIT_TEST(unanswered_order_is_settled_by_the_report);
     CPPUNIT_TEST(restarted_engine_is_filled_anew);
@@ -316,6 +328,45 @@
         CPPUNIT_ASSERT(!told.contains("base/" + order->adapter));
     }
 
+    // An engine accepts the order to drop an adapter at once and drops it after its last run.
+    void place_is_taken_until_the_last_run_has_ended()
+    {
+        adapter_planner planner;
+        planner.on_report(report({"a", "b", "c", "d"}), start);
+        auto now = start + milliseconds(1000);
+        planner.on_demand(demand({waiting("e")}), now);
+        CPPUNIT_ASSERT(!planner.next_order(now));
+        now += milliseconds(100);
+        const auto drop = planner.next_order(now);
+        CPPUNIT_ASSERT(drop && drop->what == operation::unload);
+        planner.on_order_result(*drop, order_result::accepted, now);
+        const auto other = planner.next_order(now);
+        CPPUNIT_ASSERT(other && other->what == operation::unload);
+        planner.on_order_result(*other, order_result::done, now);
+        const auto load = planner.next_order(now);
+        CPPUNIT_ASSERT(load && load->what == operation::load);
+        planner.on_order_result(*load, order_result::accepted, now);
+        planner.on_demand(demand({waiting("e"), waiting("f")}), now);
+        const auto next = planner.next_order(now);
+        CPPUNIT_ASSERT(!next || next->what == operation::unload);
+    }
+
+    // Load: more rare adapters at once than an engine has places. Each place is worth most to the
+    // calls that wait.
+    void recent_use_does_not_hold_up_awaited_adapters()
+    {
+        adapter_planner planner;
+        planner.on_report(report({"a", "b", "c", "d"}), start);
+        planner.on_demand(demand({{"base", "a", 0, 1}, {"base", "b", 0, 1}, {"base", "c", 0, 1}}),
+                          start);
+        CPPUNIT_ASSERT(!planner.status().is_short_of_places);
+        const auto now = start + milliseconds(100);
+        planner.on_demand(demand({waiting("e"), waiting("f"), waiting("g")}), now);
+        CPPUNIT_ASSERT(planner.status().is_short_of_places);
+        CPPUNIT_ASSERT(!planner.next_order(now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, planner.status().adapters.size());
+    }
+
     void outdated_adapter_is_replaced_within_its_time()
     {
         adapter_planner planner;
