Calls leave an engine that has crashed at once, and wait while all engines start

Change: a sidecar that misses two reports in a row tells gateways that its engine has nothing to offer; calls that wait there choose again, also when a host falls silent. All waits of a call together last 2.5 s. While no engine has its base model, calls wait for the first of their ranking instead of being refused. Tests: engine_without_its_model_is_passed_over, calls_wait_while_all_engines_start.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -27,9 +27,9 @@
 // With less time left no upstream can do anything useful.
 constexpr auto least_useful_time = milliseconds(20);
 constexpr auto connect_timeout = milliseconds(300);
-// A load takes a quarter of a second, and longer while many are on their way. A second engine that
-// loads the same adapter makes all loads longer, so that it is asked only after most of the time
-// that callers wait for a stream.
+// How long a call waits for its adapter in all. A load takes a quarter of a second, and longer
+// while many are on their way. A second engine that loads the same adapter makes all loads longer,
+// so that it is asked only when the first one has gone.
 constexpr auto load_patience = milliseconds(2500);
 // Waits for an adapter after which a request is refused.
 constexpr int max_waits = 4;
@@ -174,12 +174,14 @@
 
 void call_exchange::wait_for_load(const upstream_id& upstream, time_point now)
 {
-    if (++waits_ > max_waits) {
+    if (!wait_ends_) {
+        wait_ends_ = now + load_patience;
+    }
+    if (++waits_ > max_waits || now >= *wait_ends_) {
         return give_up("adapter_not_loaded");
     }
     context_.metrics.adapter_waits.add();
     awaited_ = upstream;
-    wait_ends_ = now + load_patience;
     context_.upstreams.on_adapter_wait(upstream, adapter_key(), 1);
     context_.send_demand(upstream);
 }
@@ -197,23 +199,31 @@
     if (is_done_ || awaited_ != upstream) {
         return;
     }
-    const auto* state = context_.upstreams.find(upstream);
-    const bool is_open =
-        state != nullptr && upstream_table::is_open(*state, steady_now()) && state->status;
-    if (!is_open) {
+    const auto now = steady_now();
+    if (!may_still_load(upstream, now)) {
         stop_waiting();
+        --waits_;
         return try_next();
     }
+    const auto* state = context_.upstreams.find(upstream);
     const auto held = state->status->adapters.find(adapter_key());
-    if (held != state->status->adapters.end() && held->second >= least_version(steady_now())) {
+    if (held != state->status->adapters.end() && held->second >= least_version(now)) {
         stop_waiting();
         --waits_;
-        if (may_send(steady_now())) {
-            send(upstream, steady_now());
+        if (may_send(now)) {
+            send(upstream, now);
         }
     }
 }
 
+bool call_exchange::may_still_load(const upstream_id& upstream, time_point now) const
+{
+    const auto* state = context_.upstreams.find(upstream);
+    return state != nullptr && upstream_table::is_open(*state, now) &&
+           !upstream_table::is_silent(*state, now) &&
+           upstream_table::can_load(*state, call_.model, now);
+}
+
 // Whether a request may leave now; refuses the call otherwise.
 bool call_exchange::may_send(time_point now)
 {
@@ -649,11 +659,15 @@
         }
         return give_up("time_limit");
     }
-    if (!awaited_.empty() && now >= wait_ends_) {
-        const auto awaited = awaited_;
-        stop_waiting();
-        excluded_.insert(awaited);
-        return try_next();
+    if (!awaited_.empty()) {
+        const auto* state = context_.upstreams.find(awaited_);
+        const bool has_gone = state == nullptr || upstream_table::is_silent(*state, now);
+        if (has_gone || now >= *wait_ends_) {
+            const auto awaited = awaited_;
+            stop_waiting();
+            excluded_.insert(awaited);
+            return try_next();
+        }
     }
     if (channel_ != nullptr && route_->is_repeatable() && now - progress_at_ > stall_limit() &&
         can_try_again(now) && context_.retries[service_->name].available() >= 1) {
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -55,6 +55,8 @@
     void try_next();
     void wait_for_load(const upstream_id& upstream, time_point now);
     void stop_waiting();
+    /// Whether the adapter may still come to an upstream whose sidecar has been heard.
+    bool may_still_load(const upstream_id& upstream, time_point now) const;
     bool may_send(time_point now);
     void send(const upstream_id& upstream, time_point now);
     void on_header(const answer_header& header);
@@ -112,7 +114,8 @@
     std::optional<whole_answer> failure_;
 
     upstream_id awaited_;
-    time_point wait_ends_;
+    /// When the call gives up waiting for its adapter, set at its first wait.
+    std::optional<time_point> wait_ends_;
     int waits_ = 0;
     /// When the first byte for the caller was there.
     std::optional<time_point> answered_at_;
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -25,8 +25,6 @@
 constexpr double replica_headroom = 1.25;
 // Calls that wait at an engine beyond its slots, as a share of the slots.
 constexpr double queue_share = 0.5;
-// A sidecar sends a status at least twice a second; after this silence nothing can be loaded there.
-constexpr auto sidecar_silence = std::chrono::milliseconds(1600);
 // Failure rate above which an engine is passed over while others are sound.
 constexpr double unsound_failure_rate = 0.35;
 
@@ -59,15 +57,6 @@
                                      query.adapter) != state.status->loading.end();
 }
 
-bool can_load(const upstream_state& state, const placement_query& query, time_point now)
-{
-    if (!state.status || now - state.status_at > sidecar_silence) {
-        return false;
-    }
-    const auto& models = state.status->models;
-    return std::find(models.begin(), models.end(), query.model) != models.end();
-}
-
 /// An engine's place in the ranking of an adapter.
 struct ranked_engine {
     double score = 0;
@@ -170,8 +159,11 @@
     // Engines that can load the adapter, in the order of the ranking.
     std::vector<const ranked_engine*> loaders;
     const upstream_state* unheard = nullptr;
+    // No engine has its base model, as after a loss of power: the first of the ranking is awaited.
+    bool are_all_starting = true;
     for (const auto& engine : ranking) {
         const auto* state = engine.state;
+        are_all_starting = are_all_starting && state->status && state->status->models.empty();
         if (holds(*state, query)) {
             if (engine.load < full) {
                 holders.push_back(&engine);
@@ -186,7 +178,7 @@
         else if (is_loading(*state, query)) {
             loading = loading == nullptr ? &engine : loading;
         }
-        else if (can_load(*state, query, now) && !state->status->is_full) {
+        else if (upstream_table::can_load(*state, query.model, now) && !state->status->is_full) {
             loaders.push_back(&engine);
         }
     }
@@ -239,6 +231,9 @@
     else if (unheard != nullptr) {
         decision.where = wait_for_adapter{unheard->entry.id};
     }
+    else if (are_all_starting) {
+        decision.where = wait_for_adapter{ranking.front().state->entry.id};
+    }
     else {
         decision.where = no_upstream{true};
     }
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -16,6 +16,8 @@
 constexpr auto silence_limit = std::chrono::milliseconds(1000);
 // A replica that calls still want is asked for again; the engine's sidecar reports in between.
 constexpr auto replica_demand_time = std::chrono::milliseconds(700);
+// A sidecar sends a status at least twice a second; after this silence nothing can be loaded there.
+constexpr auto sidecar_silence = std::chrono::milliseconds(1600);
 // Share of one outcome in the smoothed failure rate.
 constexpr double failure_smoothing = 0.12;
 // Consecutive failures after which an upstream gets no work for a while.
@@ -221,6 +223,15 @@
     return !state.entry.is_draining && (!state.gone_at || now < *state.gone_at);
 }
 
+bool upstream_table::can_load(const upstream_state& state, const std::string& model, time_point now)
+{
+    if (!state.status || now - state.status_at > sidecar_silence) {
+        return false;
+    }
+    const auto& models = state.status->models;
+    return std::find(models.begin(), models.end(), model) != models.end();
+}
+
 bool upstream_table::is_silent(const upstream_state& state, time_point now)
 {
     if (!state.status) {
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -63,6 +63,9 @@
     /// Whether new calls may go there at all.
     static bool is_open(const upstream_state& state, time_point now);
 
+    /// Whether an adapter of the model that is not there yet may come soon.
+    static bool can_load(const upstream_state& state, const std::string& model, time_point now);
+
     /// Whether neither the upstream nor its sidecar has been heard for a while, though calls wait
     /// there: its host may stand still or be cut off.
     static bool is_silent(const upstream_state& state, time_point now);
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -44,6 +44,8 @@
 // Polls that the store has lost in an outage are noticed within the time in which versions have to
 // be replaced.
 constexpr platform::object_watch_pace version_pace{std::chrono::seconds(4), duration{}};
+// A single report may be lost while the engine serves.
+constexpr int missed_reports_until_lost = 2;
 constexpr std::size_t max_report_bytes = 1024UL * 1024;
 
 // Whether gateways must not use something any more that they were told before.
@@ -162,6 +164,7 @@
     if (!status.ok()) {
         metrics_.reports_failed.add();
     }
+    reports_missed_ = status.ok() ? 0 : reports_missed_ + 1;
     if (status.ok() != is_engine_reached_) {
         is_engine_reached_ = status.ok();
         log_.info(is_engine_reached_ ? "engine_reached" : "engine_lost",
@@ -263,12 +266,13 @@
     const auto now = steady_now();
     std::erase_if(gateways_,
                   [&](const auto& item) { return now - item.second.heard > forget_gateway_after; });
-    auto status = planner_.status();
+    // An engine that does not answer has nothing to offer; calls that wait there go elsewhere.
+    const bool is_lost = reports_missed_ >= missed_reports_until_lost;
+    auto status = is_lost ? gateway::engine_status{} : planner_.status();
     const bool for_all = withdraws(published_, status) || now - published_at_ >= publish_interval;
     const bool is_news =
         status.adapters != published_.adapters || status.loading != published_.loading;
-    // Without a recent report there is nothing to rely on; gateways notice the silence.
-    const bool is_known = is_engine_reached_ && now - reported_at_ < report_lifetime;
+    const bool is_known = is_lost || (is_engine_reached_ && now - reported_at_ < report_lifetime);
     if (gateways_.empty() || !is_known || (!for_all && !is_news)) {
         return;
     }
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -65,6 +65,8 @@
     time_point reported_at_;
     std::uint64_t sequence_ = 0;
     bool is_engine_reached_ = false;
+    /// Reports in a row that could not be read.
+    int reports_missed_ = 0;
     bool is_urgent_ = false;
 };
 
--- a/tests/gateway_upstream_selector_test.cpp
+++ b/tests/gateway_upstream_selector_test.cpp
@@ -49,6 +49,15 @@
         table_.on_engine_status(status, start);
     }
 
+    void tell_lost(int number)
+    {
+        engine_status status;
+        status.engine = address(number).str();
+        status.sidecar_start = 1;
+        status.sequence = ++sequence_;
+        table_.on_engine_status(status, start);
+    }
+
     placement choose(const std::string& adapter, std::uint64_t least_version = 0,
                      std::set<upstream_id> excluded = {}, time_point now = start)
     {
@@ -101,6 +110,8 @@
     CPPUNIT_TEST(full_engines_are_not_overloaded);
     CPPUNIT_TEST(silent_sidecar_gets_no_loads);
     CPPUNIT_TEST(call_waits_for_the_first_word_of_a_sidecar);
+    CPPUNIT_TEST(engine_without_its_model_is_passed_over);
+    CPPUNIT_TEST(calls_wait_while_all_engines_start);
     CPPUNIT_TEST(base_model_call_avoids_the_busiest);
     CPPUNIT_TEST(plain_call_stays_in_its_failure_domain);
     CPPUNIT_TEST(grey_upstream_gets_less_work);
@@ -243,6 +254,25 @@
                        placement(wait_for_adapter{placement_fleet::id(0)}));
     }
 
+    // It has crashed, or is starting, and its sidecar says so.
+    void engine_without_its_model_is_passed_over()
+    {
+        placement_fleet fleet(9);
+        const auto home = fleet.home("base/a1");
+        fleet.tell_lost(placement_fleet::number_of(home));
+        CPPUNIT_ASSERT(fleet.home("base/a1") != home);
+    }
+
+    // Load: all hosts have lost power and every engine loads its base model.
+    void calls_wait_while_all_engines_start()
+    {
+        placement_fleet fleet(3);
+        for (int i = 0; i < 3; ++i) {
+            fleet.tell_lost(i);
+        }
+        CPPUNIT_ASSERT(std::holds_alternative<wait_for_adapter>(fleet.choose("base/a1")));
+    }
+
     // No adapter binds the call; the busiest engine is never the less busy one of two.
     void base_model_call_avoids_the_busiest()
     {
