An unanswered order holds up the next one for half as long

Change: the answer is awaited for 40 ms, and the report that settles the order is read without a pause.

--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -41,8 +41,6 @@
 constexpr auto use_lifetime = milliseconds(1300);
 // An accepted load that the engine's report does not show after this time has come to nothing.
 constexpr auto order_visible_time = milliseconds(400);
-// After a conflict the engine is asked for its report first.
-constexpr auto conflict_pause = milliseconds(20);
 constexpr auto refusal_pause = milliseconds(250);
 // Loads of a base model take seconds and draw on a limit of the whole fleet.
 constexpr auto model_order_pause = milliseconds(3000);
@@ -184,8 +182,9 @@
     }
     // What the engine holds, and its count of orders, are not known until its next report.
     report_.reset();
-    paused_until_ = now + (result == order_result::refused ? duration(refusal_pause)
-                                                           : duration(conflict_pause));
+    if (result == order_result::refused) {
+        paused_until_ = now + refusal_pause;
+    }
 }
 
 bool adapter_planner::is_held(const std::string& name) const
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -36,7 +36,7 @@
 constexpr auto report_timeout = milliseconds(400);
 // The engine answers an order within a few milliseconds on its own host. Until an order is settled
 // no other one can be given, and its report tells what became of it.
-constexpr auto order_timeout = milliseconds(80);
+constexpr auto order_timeout = milliseconds(40);
 // An engine that has not reported for this long may hold something else by now.
 constexpr auto report_lifetime = milliseconds(1000);
 // A gateway reports at least once a second.
