An unanswered order no longer withdraws everything that the engine holds

After an unanswered order the planner forgot the engine's report, and the sidecar told all gateways at once that the engine held nothing; their calls had everything loaded elsewhere. Change: the last report stays what gateways are told; only the next order waits for a new one. unanswered_order_withdraws_nothing seen failing before.

--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -97,6 +97,7 @@
         }
     }
     report_ = report;
+    is_report_current_ = true;
     born_ms_ = report.born_ms;
     std::erase_if(unsettled_, [&](const unsettled_load& load) { return now >= load.expires; });
     std::erase_if(load_began_, [&](const auto& item) {
@@ -152,7 +153,7 @@
 void adapter_planner::on_order_result(const engine_order& order, order_result result,
                                       time_point now)
 {
-    if ((result == order_result::accepted || result == order_result::done) && report_) {
+    if (result == order_result::accepted || result == order_result::done) {
         report_->orders_accepted = order.orders_before + 1;
         const auto name = name_of(order.model, order.adapter);
         if (order.adapter.empty()) {
@@ -181,7 +182,7 @@
         model_ordered_at_.reset();
     }
     // What the engine holds, and its count of orders, are not known until its next report.
-    report_.reset();
+    is_report_current_ = false;
     if (result == order_result::refused) {
         paused_until_ = now + refusal_pause;
     }
@@ -274,7 +275,7 @@
 
 std::optional<engine_order> adapter_planner::next_order(time_point now)
 {
-    if (!report_ || (paused_until_ && now < *paused_until_) || report_->is_busy) {
+    if (!is_report_current_ || (paused_until_ && now < *paused_until_) || report_->is_busy) {
         return std::nullopt;
     }
     if (auto order = model_order(now)) {
@@ -487,7 +488,7 @@
 
 bool adapter_planner::is_waiting() const
 {
-    if (!report_ || report_->is_busy || !report_->loading.empty() || !ordered_.empty()) {
+    if (!is_report_current_ || report_->is_busy || !report_->loading.empty() || !ordered_.empty()) {
         return true;
     }
     return std::any_of(adapters_.begin(), adapters_.end(), [&](const auto& item) {
--- a/src/sidecar/adapter_planner.h
+++ b/src/sidecar/adapter_planner.h
@@ -96,6 +96,8 @@
     engine_order make_order(engine_order::operation what, const adapter_state& state) const;
 
     std::optional<engine_report> report_;
+    /// Whether nothing has happened since the report that may have changed what it says.
+    bool is_report_current_ = false;
     int adapter_slots_ = 0;
     std::vector<std::string> models_;
     std::map<std::string, adapter_state> adapters_;
--- a/tests/sidecar_adapter_planner_test.cpp
+++ b/tests/sidecar_adapter_planner_test.cpp
@@ -166,6 +166,7 @@
     CPPUNIT_TEST(recent_use_does_not_hold_up_awaited_adapters);
     CPPUNIT_TEST(outdated_adapter_is_replaced_within_its_time);
     CPPUNIT_TEST(unanswered_order_is_settled_by_the_report);
+    CPPUNIT_TEST(unanswered_order_withdraws_nothing);
     CPPUNIT_TEST(restarted_engine_is_filled_anew);
     CPPUNIT_TEST(places_are_never_exceeded);
     CPPUNIT_TEST(late_orders_do_not_overfill_a_restarted_engine);
@@ -384,6 +385,20 @@
         CPPUNIT_ASSERT(planner.status().adapters.empty());
     }
 
+    // Gateways would take their calls elsewhere and have everything loaded there.
+    void unanswered_order_withdraws_nothing()
+    {
+        adapter_planner planner;
+        planner.on_report(report({"a"}), start);
+        planner.on_demand(demand({waiting("b")}), start);
+        const auto order = planner.next_order(start);
+        CPPUNIT_ASSERT(order.has_value());
+        planner.on_order_result(*order, order_result::unknown, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, planner.status().models.size());
+        CPPUNIT_ASSERT(planner.status().adapters.contains("base/a"));
+        CPPUNIT_ASSERT(!planner.next_order(start));
+    }
+
     void unanswered_order_is_settled_by_the_report()
     {
         adapter_planner planner;
