Sidecars hear of new versions from gateways and no longer speak to the store

Change: the demand message tells the versions of the adapters in use and all that were announced in the last ten seconds. The sidecar's settings for the platform and the seed go. Reports name the gateways once in 1.5 s instead of each time, and the planner forgets adapters that nothing refers to.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -228,9 +228,7 @@
         .control_listen = reader.read_or_empty("control-listen", parse_listen_endpoint),
         .admin_listen = reader.read_or_empty("admin-listen", parse_listen_endpoint),
         .engine = reader.read_or_empty("engine", parse_endpoint),
-        .platform = reader.read_or_empty("platform", parse_endpoint),
         .host = host_id(reader.read_or_empty("host", parse_name)),
-        .seed = reader.read_or_empty("seed", parse_number),
     };
 }
 
--- a/src/cli/setting_tables.cpp
+++ b/src/cli/setting_tables.cpp
@@ -137,9 +137,7 @@
             "Address of readiness and metrics."},
     setting{"engine", "<ip:port>", presence::required, "",
             "Address of the engine on this host, as gateways address it."},
-    required_platform_setting,
     host_setting,
-    seed_setting,
 };
 
 constexpr std::array operator_settings_list{
--- a/src/cli/sidecar_settings.h
+++ b/src/cli/sidecar_settings.h
@@ -3,8 +3,6 @@
 #include "cli/endpoint.h"
 #include "snipespar/ids.h"
 
-#include <cstdint>
-
 namespace snipespar::cli {
 
 /// Checked settings of one `snipespar sidecar` process. Never changed once parsed.
@@ -15,10 +13,7 @@
     endpoint admin_listen;
     /// The engine on this host, as gateways address it.
     endpoint engine;
-    endpoint platform;
     host_id host;
-    /// 0 asks for a fresh seed.
-    std::uint64_t seed = 0;
 
     friend bool operator==(const sidecar_settings&, const sidecar_settings&) = default;
 };
--- a/src/control/adapter_demand.h
+++ b/src/control/adapter_demand.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,9 @@
     /// Base models that the engine has to offer.
     std::vector<std::string> models;
     std::vector<adapter_use> uses;
+    /// Announced versions of adapters, by `model/adapter`: those of the uses, and all that were
+    /// announced lately.
+    std::map<std::string, std::uint64_t> versions;
 
     friend bool operator==(const adapter_demand&, const adapter_demand&) = default;
 };
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -3,6 +3,8 @@
 #include "base/cbor.h"
 #include "base/json_reader.h"
 
+#include <fmt/format.h>
+#include <map>
 #include <nlohmann/json.hpp>
 
 namespace snipespar::control {
@@ -35,6 +37,7 @@
                                                static_cast<unsigned>(use.running)};
     }
     value["uses"] = std::move(uses);
+    value["versions"] = content.versions;
     return value;
 }
 
@@ -79,6 +82,20 @@
     return static_cast<int>(fields.integer<std::uint16_t>(name));
 }
 
+// Versions by model/adapter.
+template <class Versions = std::map<std::string, std::uint64_t>>
+Versions read_versions(const json_reader& fields, const char* name)
+{
+    Versions versions;
+    fields.each_member(name, [&](const std::string& adapter, const json& version) {
+        if (!version.is_number_unsigned()) {
+            return fields.fail(fmt::format("message.{}.{}", name, adapter), "must be a version");
+        }
+        versions[adapter] = version.get<std::uint64_t>();
+    });
+    return versions;
+}
+
 adapter_demand read_demand(const json_reader& fields)
 {
     adapter_demand content{
@@ -89,6 +106,7 @@
         .adapter_slots = count(fields, "slots"),
         .models = fields.texts("models"),
         .uses = {},
+        .versions = {},
     };
     fields.each_member("uses", [&](const std::string& name, const json& use) {
         const auto slash = name.find('/');
@@ -100,6 +118,7 @@
         content.uses.push_back(
             {name.substr(0, slash), name.substr(slash + 1), use[0].get<int>(), use[1].get<int>()});
     });
+    content.versions = read_versions(fields, "versions");
     return content;
 }
 
@@ -130,12 +149,7 @@
     status.sidecar_start = fields.integer<std::uint64_t>("start");
     status.sequence = fields.integer<std::uint64_t>("sequence");
     status.models = fields.texts("models");
-    fields.each_member("adapters", [&](const std::string& name, const json& version) {
-        if (!version.is_number_unsigned()) {
-            return fields.fail("message.adapters." + name, "must be a version");
-        }
-        status.adapters[name] = version.get<std::uint64_t>();
-    });
+    status.adapters = read_versions<decltype(status.adapters)>(fields, "adapters");
     status.loading = fields.texts("loading");
     status.running = count(fields, "running");
     status.waiting = count(fields, "waiting");
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -35,6 +35,9 @@
 constexpr auto demand_interval = milliseconds(500);
 // Engines of which nothing is in use hear only at each second interval, to know this gateway.
 constexpr int idle_demand_rounds = 2;
+// How long a new version is told to all sidecars; later ones hear of it with the uses of its
+// adapter.
+constexpr auto version_news_time = std::chrono::seconds(10);
 // Use of team limits is told at this interval while it changes, and else at the longer one.
 constexpr auto usage_interval = milliseconds(250);
 constexpr auto idle_usage_interval = milliseconds(1000);
@@ -494,6 +497,7 @@
         .adapter_slots = service->engine->adapter_slots,
         .models = service->engine->models,
         .uses = {},
+        .versions = {},
     };
     for (const auto& [name, calls] : state->adapters) {
         const auto slash = name.find('/');
@@ -504,6 +508,13 @@
                 {name.substr(0, slash), name.substr(slash + 1), waiting, calls.running});
         }
     }
+    for (const auto& [name, announced] : context_.versions) {
+        const auto used = state->adapters.find(name);
+        const bool is_used = used != state->adapters.end() && used->second.is_wanted(now);
+        if (is_used || now - announced.known_since < version_news_time) {
+            demand.versions[name] = announced.version;
+        }
+    }
     datagrams_.send({state->entry.address.ip, settings_.control_listen.port},
                     control::encode(demand));
 }
--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -70,6 +70,14 @@
         told_upstream_ = demand.upstream;
         told_born_ms_ = demand.upstream_born_ms;
     }
+    for (const auto& [name, version] : demand.versions) {
+        const auto slash = name.find('/');
+        auto& state = state_of(name.substr(0, slash), name.substr(slash + 1));
+        if (version > state.newest_version) {
+            state.newest_version = version;
+            state.newest_since = now;
+        }
+    }
     adapter_slots_ = demand.adapter_slots;
     models_ = demand.models;
     for (auto& [name, state] : adapters_) {
@@ -123,6 +131,11 @@
             state.last_used = now;
         }
     }
+    std::erase_if(adapters_, [&](const auto& item) {
+        const auto& [name, state] = item;
+        return state.uses.empty() && state.newest_version == 0 && !is_held(name) &&
+               !is_loading(name) && !ordered_.contains(name);
+    });
     for (auto& [name, state] : adapters_) {
         std::erase_if(state.uses,
                       [&](const auto& use) { return now - use.second.told > use_lifetime; });
@@ -140,16 +153,6 @@
     }
 }
 
-void adapter_planner::on_version(const std::string& model, const std::string& adapter,
-                                 std::uint64_t version, time_point now)
-{
-    auto& state = state_of(model, adapter);
-    if (version > state.newest_version) {
-        state.newest_version = version;
-        state.newest_since = now;
-    }
-}
-
 void adapter_planner::on_order_result(const engine_order& order, order_result result,
                                       time_point now)
 {
--- a/src/sidecar/adapter_planner.h
+++ b/src/sidecar/adapter_planner.h
@@ -29,8 +29,6 @@
 public:
     void on_demand(const control::adapter_demand& demand, time_point now);
     void on_report(const engine_report& report, time_point now);
-    void on_version(const std::string& model, const std::string& adapter, std::uint64_t version,
-                    time_point now);
     void on_order_result(const engine_order& order, order_result result, time_point now);
 
     /// The next order to give, or nothing for the moment. One order is given at a time: its result
@@ -115,7 +113,8 @@
     std::vector<unsettled_load> unsettled_;
     /// Start of the engine's process, by its last report.
     std::uint64_t born_ms_ = 0;
-    /// The newest name that gateways know for the engine, and the start of the process that bears it.
+    /// The newest name that gateways know for the engine, and the start of the process that bears
+    /// it.
     std::string told_upstream_;
     std::uint64_t told_born_ms_ = 0;
     /// When each load under way was ordered.
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -3,9 +3,7 @@
 #include "control/message.h"
 #include "net/start_number.h"
 #include "net/steady_time.h"
-#include "platform/adapter_version_codec.h"
 #include "platform/engine_codec.h"
-#include "platform/wire_names.h"
 #include "telemetry/admin_handlers.h"
 #include "telemetry/admin_server.h"
 
@@ -16,7 +14,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <utility>
 
 namespace snipespar::sidecar {
@@ -33,6 +30,8 @@
 constexpr auto idle_interval = milliseconds(150);
 // The state is told again after this time without a change, so that gateways know it still holds.
 constexpr auto publish_interval = milliseconds(450);
+// Gateways forget one another after four seconds, and hear of each other from every sidecar.
+constexpr auto gateways_interval = milliseconds(1500);
 constexpr auto report_timeout = milliseconds(400);
 // The engine answers an order within a few milliseconds on its own host. Until an order is settled
 // no other one can be given, and its report tells what became of it.
@@ -41,9 +40,6 @@
 constexpr auto report_lifetime = milliseconds(1000);
 // A gateway reports at least once a second.
 constexpr auto forget_gateway_after = milliseconds(3000);
-// Polls that the store has lost in an outage are noticed within the time in which versions have to
-// be replaced.
-constexpr platform::object_watch_pace version_pace{std::chrono::seconds(4), duration{}};
 // A single report may be lost while the engine serves.
 constexpr int missed_reports_until_lost = 2;
 constexpr std::size_t max_report_bytes = 1024UL * 1024;
@@ -67,26 +63,7 @@
                                telemetry::logger& log)
     : io_(io), settings_(settings), log_(log), start_(net::start_number()),
       datagrams_(io.get_executor()),
-      engine_(settings.engine.ip, settings.engine.port, max_report_bytes),
-      version_watch_(
-          io.get_executor(), settings.platform, platform::wire::version_kind, version_pace,
-          settings.seed != 0 ? settings.seed : std::random_device{}(),
-          {[this](const auto& objects) {
-               for (const auto& object : objects) {
-                   on_version(object);
-               }
-           },
-           [this](const auto& object) { on_version(object); },
-           [this](bool is_reached, const std::string& reason) {
-               if (is_reached) {
-                   log_.info("platform_reached", {{"kind", platform::wire::version_kind}});
-               }
-               else {
-                   log_.warning("platform_lost",
-                                {{"kind", platform::wire::version_kind}, {"reason", reason}});
-               }
-           }}),
-      pause_(io)
+      engine_(settings.engine.ip, settings.engine.port, max_report_bytes), pause_(io)
 {
 }
 
@@ -120,12 +97,10 @@
         return admin.status();
     }
     admin_ = *std::move(admin);
-    version_watch_.start();
     asio::co_spawn(io_, run(), asio::detached);
     log_.info("started", {{"role", "sidecar"},
                           {"host", settings_.host.str()},
                           {"engine", settings_.engine.str()},
-                          {"platform", settings_.platform.str()},
                           {"start", start_}});
     return absl::OkStatus();
 }
@@ -234,6 +209,7 @@
     planner_.on_demand(*demand, now);
     if (is_new) {
         published_at_ = {};
+        gateways_told_at_ = {};
         log_.info("gateway_heard", {{"gateway", demand->gateway}, {"address", from.str()}});
     }
     if (planner_.is_waiting() || is_new) {
@@ -242,24 +218,6 @@
     }
 }
 
-void sidecar_server::on_version(const platform::watched_object& object)
-{
-    if (object.is_removed) {
-        return;
-    }
-    const auto announced = platform::decode_adapter_version(object.content);
-    if (!announced.ok()) {
-        log_.warning("version_rejected", {{"cause", std::string(announced.status().message())}});
-        return;
-    }
-    if (!announced->adapter.empty()) {
-        planner_.on_version(announced->model, announced->adapter, announced->version, steady_now());
-        log_.info("version_announced", {{"model", announced->model},
-                                        {"adapter", announced->adapter},
-                                        {"version", announced->version}});
-    }
-}
-
 // Tells the gateways what the engine holds, if that is news to them.
 void sidecar_server::publish()
 {
@@ -284,8 +242,11 @@
     status.sidecar_start = start_;
     status.sequence = ++sequence_;
     control::sidecar_report report{std::move(status), {}};
-    for (const auto& [gateway, known] : gateways_) {
-        report.gateways.push_back(gateway.str());
+    if (for_all && now - gateways_told_at_ >= gateways_interval) {
+        gateways_told_at_ = now;
+        for (const auto& [gateway, known] : gateways_) {
+            report.gateways.push_back(gateway.str());
+        }
     }
     const auto bytes = control::encode(report);
     // What has come is told at once to those who wait for it, and to the others with the next
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -4,7 +4,6 @@
 #include "control/datagram_socket.h"
 #include "gateway/engine_status.h"
 #include "net/http_client.h"
-#include "platform/object_watch.h"
 #include "sidecar/adapter_planner.h"
 #include "sidecar/sidecar_metrics.h"
 #include "telemetry/logger.h"
@@ -40,7 +39,6 @@
     boost::asio::awaitable<void> read_report();
     boost::asio::awaitable<void> give_orders();
     void on_message(const control::message& content, const cli::endpoint& from);
-    void on_version(const platform::watched_object& object);
     void publish();
 
     boost::asio::io_context& io_;
@@ -51,7 +49,6 @@
     adapter_planner planner_;
     control::datagram_socket datagrams_;
     net::http_client engine_;
-    platform::object_watch version_watch_;
     std::unique_ptr<telemetry::admin_server> admin_;
     boost::asio::steady_timer pause_;
     struct known_gateway {
@@ -62,6 +59,7 @@
     std::map<cli::endpoint, known_gateway> gateways_;
     gateway::engine_status published_;
     time_point published_at_;
+    time_point gateways_told_at_;
     time_point reported_at_;
     std::uint64_t sequence_ = 0;
     bool is_engine_reached_ = false;
--- a/tests/control_message_test.cpp
+++ b/tests/control_message_test.cpp
@@ -19,7 +19,8 @@
 public:
     void every_message_survives_the_wire()
     {
-        const adapter_demand demand{"g", 7, "i-1", 5, 16, {"base"}, {{"base", "a1", 2, 3}}};
+        const adapter_demand demand{
+            "g", 7, "i-1", 5, 16, {"base"}, {{"base", "a1", 2, 3}}, {{"base/a1", 4}}};
         const gateway_usage usage{"g", 7, 9, 3, true, {{"shops", 1234}}};
         sidecar_report report;
         report.status.engine = "10.0.0.1:80";
@@ -32,6 +33,7 @@
         report.status.waiting = 2;
         report.status.memory_used = 41'000;
         report.status.is_full = true;
+        report.status.is_short_of_places = true;
         report.gateways = {"10.0.0.9:7600"};
         for (const auto& content : {message(demand), message(usage), message(report)}) {
             const auto decoded = decode(encode(content));
--- a/tests/process/support/gateway_fleet.cpp
+++ b/tests/process/support/gateway_fleet.cpp
@@ -79,8 +79,7 @@
             sidecar.start = {"snipespar",
                              {"sidecar", "--control-listen=" + sidecar.address.str(),
                               "--admin-listen=" + sidecar.admin.str(),
-                              "--engine=" + member.address.str(), "--platform=" + platform_.str(),
-                              "--host=" + sidecar.id, "--seed=1"},
+                              "--engine=" + member.address.str(), "--host=" + sidecar.id},
                              {}};
             sidecar.restart();
             sidecars.push_back(std::move(sidecar));
--- a/tests/sidecar_adapter_planner_test.cpp
+++ b/tests/sidecar_adapter_planner_test.cpp
@@ -23,7 +23,7 @@
 control::adapter_demand demand(const std::vector<control::adapter_use>& uses,
                                const std::string& gateway = "g1")
 {
-    return {gateway, 1, "i-1", 1, slots, {"base"}, uses};
+    return {gateway, 1, "i-1", 1, slots, {"base"}, uses, {}};
 }
 
 control::adapter_use waiting(const std::string& adapter)
@@ -372,8 +372,9 @@
     {
         adapter_planner planner;
         planner.on_report(report({"a"}), start);
-        planner.on_demand(demand({}), start);
-        planner.on_version("base", "a", 2, start);
+        auto told = demand({});
+        told.versions = {{"base/a", 2}};
+        planner.on_demand(told, start);
         std::optional<engine_order> order;
         auto now = start;
         while (!order && now < start + std::chrono::seconds(5)) {
