The product's own object API moves to src/store

The users' platform had two clients in src/platform/: one of them speaks the product's own object API, which only the entry, the agents, the operator commands and the stand-in use. src/platform/ now holds what speaks the users' platform, with one client of its store. The backoff that both use moves to src/base.

--- a/src/platform/backoff.h
+++ b/src/base/backoff.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <random>
 
-namespace snipespar::platform {
+namespace snipespar {
 
 /// Exponential backoff with full jitter, the same for the same seed.
 class backoff {
@@ -33,4 +33,4 @@
     std::mt19937_64 random_;
 };
 
-} // namespace snipespar::platform
+} // namespace snipespar
--- a/src/config/follower.cpp
+++ b/src/config/follower.cpp
@@ -38,8 +38,8 @@
     return out;
 }
 
-follower_actions follower::on_watched(const std::optional<platform::object>& changed,
-                                      time_point sent, time_point now)
+follower_actions follower::on_watched(const std::optional<store::object>& changed, time_point sent,
+                                      time_point now)
 {
     watching_ = false;
     platform_answers_ = true;
--- a/src/config/follower.h
+++ b/src/config/follower.h
@@ -31,7 +31,7 @@
     follower_actions on_tick(time_point now);
 
     /// Outcome of `watch_root` sent at `sent`: the object, or none when it did not change.
-    follower_actions on_watched(const std::optional<platform::object>& changed, time_point sent,
+    follower_actions on_watched(const std::optional<store::object>& changed, time_point sent,
                                 time_point now);
 
     /// `watch_root` failed, or was not answered in time.
@@ -100,7 +100,7 @@
     std::size_t source_turn_ = 0;
 
     std::map<host_id, known_peer> peers_;
-    platform::revision seen_revision_ = 0;
+    store::revision seen_revision_ = 0;
     std::uint64_t platform_version_ = 0;
     bool watching_ = false;
     bool platform_answers_ = false;
--- a/src/config/follower_action.h
+++ b/src/config/follower_action.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "platform/object.h"
 #include "snipespar/ids.h"
 #include "snipespar/time.h"
+#include "store/object.h"
 
 #include <memory>
 #include <string>
@@ -15,7 +15,7 @@
 
 /// Watch the root at the platform and report the outcome.
 struct watch_root {
-    platform::revision after = 0;
+    store::revision after = 0;
     duration wait{};
 
     friend bool operator==(const watch_root&, const watch_root&) = default;
--- a/src/config/publisher.cpp
+++ b/src/config/publisher.cpp
@@ -27,7 +27,7 @@
     start_over();
 }
 
-void publisher::on_reply(platform::object_reply reply)
+void publisher::on_reply(store::object_reply reply)
 {
     assert(next_);
     next_.reset();
@@ -58,10 +58,10 @@
     base_revision_ = 0;
     listed_.clear();
     step_ = step::read_root;
-    next_ = platform::get_object{root_key(environment_)};
+    next_ = store::get_object{root_key(environment_)};
 }
 
-void publisher::on_root(const platform::object_reply& reply)
+void publisher::on_root(const store::object_reply& reply)
 {
     if (absl::IsNotFound(reply.status)) {
         return build();
@@ -86,14 +86,14 @@
     for (const auto& ref : base_.parts) {
         if (!base_parts_.contains(ref.sha256)) {
             step_ = step::read_part;
-            next_ = platform::get_object{part_key(environment_, ref.sha256)};
+            next_ = store::get_object{part_key(environment_, ref.sha256)};
             return;
         }
     }
     build();
 }
 
-void publisher::on_part(platform::object_reply& reply)
+void publisher::on_part(store::object_reply& reply)
 {
     if (absl::IsNotFound(reply.status)) {
         // A newer version may have been accepted and this part erased since the root was read.
@@ -135,14 +135,14 @@
     }
     target_parts_ = std::move(stored->parts);
     step_ = step::list_parts;
-    next_ = platform::list_objects{part_prefix(environment_)};
+    next_ = store::list_objects{part_prefix(environment_)};
 }
 
 // The revisions listed before the root is replaced are those that may be erased after it: a writer
 // that needs one of these parts for a later version has written it anew by then.
-void publisher::on_list(const platform::object_reply& reply)
+void publisher::on_list(const store::object_reply& reply)
 {
-    listed_ = reply.status.ok() ? reply.objects : std::vector<platform::object>{};
+    listed_ = reply.status.ok() ? reply.objects : std::vector<store::object>{};
     to_write_.clear();
     for (const auto& [hash, bytes] : target_parts_) {
         if (!refers_to(base_, hash)) {
@@ -156,15 +156,15 @@
 {
     if (to_write_.empty()) {
         step_ = step::write_root;
-        next_ = platform::put_object{root_key(environment_), encode(target_), base_revision_};
+        next_ = store::put_object{root_key(environment_), encode(target_), base_revision_};
         return;
     }
     const auto& hash = to_write_.back();
     step_ = step::write_part;
-    next_ = platform::put_object{part_key(environment_, hash), target_parts_.at(hash), {}};
+    next_ = store::put_object{part_key(environment_, hash), target_parts_.at(hash), {}};
 }
 
-void publisher::on_part_written(const platform::object_reply& reply)
+void publisher::on_part_written(const store::object_reply& reply)
 {
     if (!reply.status.ok()) {
         return fail(absl::IsUnknown(reply.status) ? absl::UnavailableError(reply.status.message())
@@ -174,7 +174,7 @@
     write_next();
 }
 
-void publisher::on_root_written(const platform::object_reply& reply)
+void publisher::on_root_written(const store::object_reply& reply)
 {
     if (reply.status.ok()) {
         return accepted(target_.version);
@@ -185,16 +185,16 @@
     // A lost answer, or a race lost perhaps against this very change: the root tells which.
     step_ = step::settle;
     settle_tries_ = 0;
-    next_ = platform::get_object{root_key(environment_)};
+    next_ = store::get_object{root_key(environment_)};
 }
 
-void publisher::on_settled(const platform::object_reply& reply)
+void publisher::on_settled(const store::object_reply& reply)
 {
     if (!reply.status.ok() && !absl::IsNotFound(reply.status)) {
         if (++settle_tries_ >= max_settle_tries) {
             return fail(absl::UnknownError("the change may have been accepted; see `status`"));
         }
-        next_ = platform::get_object{root_key(environment_)};
+        next_ = store::get_object{root_key(environment_)};
         return;
     }
     if (reply.status.ok()) {
@@ -214,7 +214,7 @@
         if (++rounds_ > max_rounds) {
             return fail(absl::UnknownError("the change may have been accepted; see `status`"));
         }
-        next_ = platform::put_object{root_key(environment_), encode(target_), base_revision_};
+        next_ = store::put_object{root_key(environment_), encode(target_), base_revision_};
         return;
     }
     start_over();
@@ -234,7 +234,7 @@
         listed_.pop_back();
         const auto hash = candidate.key.substr(part_prefix(environment_).size());
         if (!refers_to(target_, hash)) {
-            next_ = platform::erase_object{candidate.key, candidate.revision};
+            next_ = store::erase_object{candidate.key, candidate.revision};
             return;
         }
     }
--- a/src/config/publisher.h
+++ b/src/config/publisher.h
@@ -3,8 +3,8 @@
 #include "config/change.h"
 #include "config/layout.h"
 #include "config/root.h"
-#include "platform/object.h"
-#include "platform/object_reply.h"
+#include "store/object.h"
+#include "store/object_reply.h"
 
 #include <absl/status/statusor.h>
 #include <functional>
@@ -34,13 +34,13 @@
 
     /// `nonce` must be unique to this change.
     publisher(std::string environment, std::string nonce, change_function change,
-              std::size_t max_part_bytes = platform::max_value_bytes);
+              std::size_t max_part_bytes = store::max_value_bytes);
 
     /// The call to perform, or none when `result()` is final.
-    const std::optional<platform::request>& next() const { return next_; }
+    const std::optional<store::request>& next() const { return next_; }
 
     /// Takes the reply to `next()`.
-    void on_reply(platform::object_reply reply);
+    void on_reply(store::object_reply reply);
 
     const publish_result& result() const { return result_; }
 
@@ -48,12 +48,12 @@
     enum class step { read_root, read_part, list_parts, write_part, write_root, settle, erase };
 
     void start_over();
-    void on_root(const platform::object_reply& reply);
-    void on_part(platform::object_reply& reply);
-    void on_list(const platform::object_reply& reply);
-    void on_part_written(const platform::object_reply& reply);
-    void on_root_written(const platform::object_reply& reply);
-    void on_settled(const platform::object_reply& reply);
+    void on_root(const store::object_reply& reply);
+    void on_part(store::object_reply& reply);
+    void on_list(const store::object_reply& reply);
+    void on_part_written(const store::object_reply& reply);
+    void on_root_written(const store::object_reply& reply);
+    void on_settled(const store::object_reply& reply);
     void read_next_part();
     void build();
     void write_next();
@@ -67,18 +67,18 @@
     change_function change_;
     std::size_t max_part_bytes_;
     step step_ = step::read_root;
-    std::optional<platform::request> next_;
+    std::optional<store::request> next_;
     publish_result result_;
     unsigned rounds_ = 0;
     unsigned settle_tries_ = 0;
 
     root base_;
-    platform::revision base_revision_ = 0;
+    store::revision base_revision_ = 0;
     part_map base_parts_;
     root target_;
     part_map target_parts_;
     std::vector<std::string> to_write_;
-    std::vector<platform::object> listed_;
+    std::vector<store::object> listed_;
 };
 
 } // namespace snipespar::config
--- a/src/entry/config_service.cpp
+++ b/src/entry/config_service.cpp
@@ -132,7 +132,7 @@
 {
     const auto sent = steady_now();
     const auto reply = co_await store_.perform(
-        platform::watch_object{config::root_key(environment_), action.after, action.wait});
+        store::watch_object{config::root_key(environment_), action.after, action.wait});
     const auto now = steady_now();
     if (!reply.status.ok()) {
         exchange_.logic().on_watch_failed(now);
@@ -148,7 +148,7 @@
 asio::awaitable<void> config_service::read_part(std::string sha256)
 {
     const auto reply =
-        co_await store_.perform(platform::get_object{config::part_key(environment_, sha256)});
+        co_await store_.perform(store::get_object{config::part_key(environment_, sha256)});
     if (reply.status.ok()) {
         const auto now = steady_now();
         exchange_.perform(exchange_.logic().on_part(sha256, reply.objects.front().value, now), now);
--- a/src/entry/config_service.h
+++ b/src/entry/config_service.h
@@ -2,7 +2,7 @@
 
 #include "config/follower_exchange.h"
 #include "entry/peer_links.h"
-#include "platform/http_object_store.h"
+#include "store/http_object_store.h"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -47,7 +47,7 @@
     boost::asio::io_context& control_;
     std::string environment_;
     std::size_t expected_peers_ = 0;
-    platform::http_object_store store_;
+    store::http_object_store store_;
     peer_links& peers_;
     std::map<host_id, incarnation> entries_;
     config::follower_exchange exchange_;
--- a/src/entry/platform_records.cpp
+++ b/src/entry/platform_records.cpp
@@ -19,7 +19,7 @@
 constexpr auto list_interval = std::chrono::seconds(1);
 constexpr const char* entry_role = "entry";
 
-std::optional<limits::versioned_table> table_of(const platform::object_reply& reply)
+std::optional<limits::versioned_table> table_of(const store::object_reply& reply)
 {
     if (absl::IsNotFound(reply.status)) {
         return limits::versioned_table{};
@@ -46,7 +46,7 @@
                                    : limits::write_outcome::unknown;
 }
 
-claims::write_result claim_result_of(const platform::object_reply& reply)
+claims::write_result claim_result_of(const store::object_reply& reply)
 {
     if (reply.status.ok() && !reply.objects.empty()) {
         return {claims::write_status::written, reply.objects.front().revision};
@@ -83,15 +83,15 @@
 {
     limit_store result;
     result.read = [this](const limits::read_table& read, auto reply) {
-        perform(platform::get_object{table_key(read.group)},
-                [reply = std::move(reply)](const platform::object_reply& answer) {
+        perform(store::get_object{table_key(read.group)},
+                [reply = std::move(reply)](const store::object_reply& answer) {
                     reply(table_of(answer));
                 });
     };
     result.write = [this](const limits::write_table& write, auto reply) {
-        perform(platform::put_object{table_key(write.group), encode(write.table).dump(),
-                                     write.expected_version},
-                [reply = std::move(reply)](const platform::object_reply& answer) {
+        perform(store::put_object{table_key(write.group), encode(write.table).dump(),
+                                  write.expected_version},
+                [reply = std::move(reply)](const store::object_reply& answer) {
                     reply(outcome_of(answer.status));
                 });
     };
@@ -103,8 +103,8 @@
 {
     claim_store result;
     result.read = [this](const std::string& key, auto done) {
-        perform(platform::get_object{environment_ + "/" + key},
-                [done = std::move(done)](const platform::object_reply& answer) {
+        perform(store::get_object{environment_ + "/" + key},
+                [done = std::move(done)](const store::object_reply& answer) {
                     if (answer.status.ok() && !answer.objects.empty()) {
                         const auto& found = answer.objects.front();
                         done(claims::read_status::found, found.revision, found.value);
@@ -117,15 +117,15 @@
     };
     result.write = [this](const std::string& key, std::string value, std::uint64_t expected,
                           auto done) {
-        perform(platform::put_object{environment_ + "/" + key, std::move(value), expected},
-                [done = std::move(done)](const platform::object_reply& answer) {
+        perform(store::put_object{environment_ + "/" + key, std::move(value), expected},
+                [done = std::move(done)](const store::object_reply& answer) {
                     done(claim_result_of(answer));
                 });
     };
     return result;
 }
 
-void platform_records::perform(platform::request call, reply_handler reply)
+void platform_records::perform(store::request call, reply_handler reply)
 {
     asio::co_spawn(
         control_,
@@ -141,7 +141,7 @@
 
 void platform_records::list_hosts()
 {
-    perform(platform::list_hosts{}, [this](const platform::object_reply& answer) {
+    perform(store::list_hosts{}, [this](const store::object_reply& answer) {
         const bool born_in_outage = !ever_listed_ && !linked_().empty();
         if (answer.status.ok() || born_in_outage) {
             listed_ = members_of(answer.hosts);
@@ -172,7 +172,7 @@
 
 // The listed entries, and those that run without being listed yet: this one and the linked ones.
 std::vector<limits::member>
-platform_records::members_of(const std::vector<platform::host_record>& hosts) const
+platform_records::members_of(const std::vector<store::host_record>& hosts) const
 {
     std::vector<limits::member> members;
     for (const auto& host : hosts) {
--- a/src/entry/platform_records.h
+++ b/src/entry/platform_records.h
@@ -2,8 +2,8 @@
 
 #include "entry/claim_store.h"
 #include "entry/limit_store.h"
-#include "platform/http_object_store.h"
 #include "snipespar/ids.h"
+#include "store/http_object_store.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -40,16 +40,16 @@
     claim_store claims();
 
 private:
-    using reply_handler = std::function<void(platform::object_reply)>;
+    using reply_handler = std::function<void(store::object_reply)>;
 
-    void perform(platform::request call, reply_handler reply);
+    void perform(store::request call, reply_handler reply);
     void list_hosts();
     std::string table_key(std::uint32_t group) const;
-    std::vector<limits::member> members_of(const std::vector<platform::host_record>& hosts) const;
+    std::vector<limits::member> members_of(const std::vector<store::host_record>& hosts) const;
 
     boost::asio::io_context& control_;
     boost::asio::steady_timer timer_;
-    platform::http_object_store store_;
+    store::http_object_store store_;
     std::string environment_;
     host_id self_;
     failure_domain_id own_domain_;
--- a/src/operator/platform_session.cpp
+++ b/src/operator/platform_session.cpp
@@ -3,8 +3,8 @@
 #include "base/digest.h"
 #include "config/layout.h"
 #include "config/root.h"
-#include "platform/http_object_store.h"
-#include "platform/retrying_store.h"
+#include "store/http_object_store.h"
+#include "store/retrying_store.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -31,10 +31,10 @@
 }
 
 using store_stack =
-    platform::retrying_store<platform::http_object_store, asio::awaitable<void> (*)(duration)>;
+    store::retrying_store<store::http_object_store, asio::awaitable<void> (*)(duration)>;
 
-asio::awaitable<void> perform_one(store_stack& store, platform::request call,
-                                  platform::object_reply& reply)
+asio::awaitable<void> perform_one(store_stack& store, store::request call,
+                                  store::object_reply& reply)
 {
     reply = co_await store.perform(std::move(call));
 }
@@ -43,7 +43,7 @@
 absl::StatusOr<config::snapshot> load_once(const platform_session& session,
                                            const std::string& environment)
 {
-    const auto reply = session.perform(platform::get_object{config::root_key(environment)});
+    const auto reply = session.perform(store::get_object{config::root_key(environment)});
     if (!reply.status.ok()) {
         return reply.status;
     }
@@ -53,8 +53,7 @@
     }
     config::part_map parts;
     for (const auto& ref : root->parts) {
-        auto part =
-            session.perform(platform::get_object{config::part_key(environment, ref.sha256)});
+        auto part = session.perform(store::get_object{config::part_key(environment, ref.sha256)});
         if (absl::IsNotFound(part.status)) {
             return absl::AbortedError("a newer version was accepted while this one was read");
         }
@@ -70,15 +69,15 @@
 
 platform_session::platform_session(const cli::platform_access& access) : access_(access) {}
 
-platform::object_reply platform_session::perform(const platform::request& call) const
+store::object_reply platform_session::perform(const store::request& call) const
 {
     asio::io_context context(1);
-    platform::http_object_store http(access_.platform.ip, access_.platform.port, access_.timeout);
-    platform::retry_settings settings;
+    store::http_object_store http(access_.platform.ip, access_.platform.port, access_.timeout);
+    store::retry_settings settings;
     settings.total_wait = access_.timeout;
     settings.seed = std::random_device{}();
     store_stack store(http, &sleep, settings);
-    platform::object_reply reply;
+    store::object_reply reply;
     asio::co_spawn(context, perform_one(store, call, reply), asio::detached);
     context.run();
     return reply;
--- a/src/operator/platform_session.h
+++ b/src/operator/platform_session.h
@@ -3,7 +3,7 @@
 #include "cli/operator_settings.h"
 #include "config/publisher.h"
 #include "config/snapshot.h"
-#include "platform/object_reply.h"
+#include "store/object_reply.h"
 
 #include <absl/status/statusor.h>
 #include <string>
@@ -16,7 +16,7 @@
     explicit platform_session(const cli::platform_access& access);
 
     /// Performs one call.
-    platform::object_reply perform(const platform::request& call) const;
+    store::object_reply perform(const store::request& call) const;
 
     /// Runs a change to its end.
     config::publish_result publish(const std::string& environment,
--- a/src/operator/run_operator.cpp
+++ b/src/operator/run_operator.cpp
@@ -137,7 +137,7 @@
         fmt::print("environment {}\nversion {}\ncontent {}\nkeys {} standing, {} withdrawn\n",
                    command.environment, content->version, describe(*content), standing,
                    content->keys.size() - static_cast<std::size_t>(standing));
-        for (const auto& host : session.perform(platform::list_hosts{}).hosts) {
+        for (const auto& host : session.perform(store::list_hosts{}).hosts) {
             fmt::print("host {} {} {} {}{}\n", host.host.str(), host.role,
                        host.failure_domain.str(), host.address, host.leaving ? " leaving" : "");
         }
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -1,8 +1,8 @@
 #include "platform/object_watch.h"
 
+#include "base/backoff.h"
 #include "base/json_reader.h"
 #include "net/http_client.h"
-#include "platform/backoff.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/src/platform/http_object_store.cpp
+++ b/src/store/http_object_store.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_object_store.h"
+#include "store/http_object_store.h"
 
 #include "base/json_reader.h"
 
@@ -6,7 +6,7 @@
 #include <chrono>
 #include <fmt/core.h>
 
-namespace snipespar::platform {
+namespace snipespar::store {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -177,4 +177,4 @@
     co_return reply;
 }
 
-} // namespace snipespar::platform
+} // namespace snipespar::store
--- a/src/platform/http_object_store.h
+++ b/src/store/http_object_store.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "net/http_client.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 #include <cstdint>
 #include <string>
 
-namespace snipespar::platform {
+namespace snipespar::store {
 
 /// The platform's object API over HTTP with JSON lists: objects below `/objects/`, revisions as
 /// entity tags, watches as long polls, hosts at `/hosts`.
@@ -24,4 +24,4 @@
 
 static_assert(object_store<http_object_store>);
 
-} // namespace snipespar::platform
+} // namespace snipespar::store
--- a/src/platform/object.h
+++ b/src/store/object.h
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-namespace snipespar::platform {
+namespace snipespar::store {
 
 /// Largest value that the platform holds, in bytes.
 inline constexpr std::size_t max_value_bytes = 1'000'000;
@@ -21,7 +21,7 @@
 struct object {
     std::string key;
     std::string value;
-    platform::revision revision = 0;
+    store::revision revision = 0;
 
     friend bool operator==(const object&, const object&) = default;
 };
@@ -76,4 +76,4 @@
 using request =
     std::variant<get_object, list_objects, put_object, erase_object, watch_object, list_hosts>;
 
-} // namespace snipespar::platform
+} // namespace snipespar::store
--- a/src/platform/object_reply.h
+++ b/src/store/object_reply.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platform/object.h"
+#include "store/object.h"
 
 #include <absl/status/status.h>
 #include <vector>
 
-namespace snipespar::platform {
+namespace snipespar::store {
 
 /// The platform's answer to one call. The status says what is known about the call's effect:
 /// OK, NotFound (no such object), Aborted (a condition did not hold; no effect), Unavailable and
@@ -19,4 +19,4 @@
     std::vector<host_record> hosts;
 };
 
-} // namespace snipespar::platform
+} // namespace snipespar::store
--- a/src/platform/object_store.h
+++ b/src/store/object_store.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "platform/object.h"
-#include "platform/object_reply.h"
+#include "store/object.h"
+#include "store/object_reply.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <concepts>
 
-namespace snipespar::platform {
+namespace snipespar::store {
 
 /// The platform's object API. Another dialect of it is one class with this function. Calls may
 /// overlap; none throws.
@@ -15,4 +15,4 @@
     { store.perform(std::move(call)) } -> std::same_as<boost::asio::awaitable<object_reply>>;
 };
 
-} // namespace snipespar::platform
+} // namespace snipespar::store
--- a/src/platform/retrying_store.h
+++ b/src/store/retrying_store.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "platform/backoff.h"
-#include "platform/object_store.h"
+#include "base/backoff.h"
+#include "store/object_store.h"
 
 #include <cstdint>
 #include <utility>
 
-namespace snipespar::platform {
+namespace snipespar::store {
 
 /// Bounds and pace of retries.
 struct retry_settings {
@@ -98,4 +98,4 @@
     std::uint64_t seed_;
 };
 
-} // namespace snipespar::platform
+} // namespace snipespar::store
--- a/tests/config_publisher_test.cpp
+++ b/tests/config_publisher_test.cpp
@@ -55,11 +55,11 @@
 
     snapshot accepted()
     {
-        const auto reply = table.perform(platform::get_object{root_key("trial")});
+        const auto reply = table.perform(store::get_object{root_key("trial")});
         const auto root = decode_root(reply.objects.front().value);
         part_map parts;
         for (const auto& ref : root->parts) {
-            const auto part = table.perform(platform::get_object{part_key("trial", ref.sha256)});
+            const auto part = table.perform(store::get_object{part_key("trial", ref.sha256)});
             CPPUNIT_ASSERT_MESSAGE("part erased: " + ref.name, part.status.ok());
             parts[ref.sha256] = part.objects.front().value;
         }
@@ -70,7 +70,7 @@
 
     std::size_t stored_parts()
     {
-        return table.perform(platform::list_objects{part_prefix("trial")}).objects.size();
+        return table.perform(store::list_objects{part_prefix("trial")}).objects.size();
     }
 
 private:
@@ -153,7 +153,7 @@
     static void check_overtaken_document(operators& fleet)
     {
         auto& slow = fleet.add(replace_document(sample_snapshot(2)));
-        while (!std::holds_alternative<platform::list_objects>(*slow.next())) {
+        while (!std::holds_alternative<store::list_objects>(*slow.next())) {
             slow.on_reply(fleet.table.perform(*slow.next()));
         }
         publisher quick("trial", "quick", replace_document(sample_snapshot(5)), small_parts);
@@ -171,7 +171,7 @@
         operators fleet(1);
         auto& change = fleet.add(replace_document(sample_snapshot(1)));
         while (change.next()) {
-            const auto* put = std::get_if<platform::put_object>(&*change.next());
+            const auto* put = std::get_if<store::put_object>(&*change.next());
             const bool is_root = put != nullptr && put->key == root_key("trial");
             stand_in::platform_faults faults;
             faults.drop_answers = is_root;
@@ -190,10 +190,10 @@
         while (first.next()) {
             first.on_reply(fleet.table.perform(*first.next()));
         }
-        std::optional<platform::request> delayed;
+        std::optional<store::request> delayed;
         while (change.next()) {
             const auto call = *change.next();
-            const auto* put = std::get_if<platform::put_object>(&call);
+            const auto* put = std::get_if<store::put_object>(&call);
             if (put != nullptr && put->key == root_key("trial")) {
                 if (!delayed) {
                     delayed = call;
@@ -217,7 +217,7 @@
         for (int steps = 0;; ++steps) {
             publisher dying("trial", "dying", replace_document(sample_snapshot(31)), small_parts);
             for (int i = 0; i < steps && dying.next(); ++i) {
-                const auto* put = std::get_if<platform::put_object>(&*dying.next());
+                const auto* put = std::get_if<store::put_object>(&*dying.next());
                 if (put != nullptr && put->key == root_key("trial")) {
                     return;
                 }
--- a/tests/platform_retrying_store_test.cpp
+++ b/tests/store_retrying_store_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/retrying_store.h"
+#include "store/retrying_store.h"
 
 #include "../tools/platform_stand_in/object_table.h"
 
@@ -10,7 +10,7 @@
 #include <functional>
 #include <vector>
 
-namespace snipespar::platform {
+namespace snipespar::store {
 
 namespace {
 
@@ -31,8 +31,8 @@
 
 } // namespace
 
-class platform_retrying_store_test : public CppUnit::TestFixture {
-    CPPUNIT_TEST_SUITE(platform_retrying_store_test);
+class store_retrying_store_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(store_retrying_store_test);
     CPPUNIT_TEST(own_write_with_a_lost_answer_is_a_success);
     CPPUNIT_TEST(foreign_write_after_a_lost_answer_is_a_conflict);
     CPPUNIT_TEST(write_succeeds_although_every_answer_is_lost);
@@ -131,6 +131,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(platform_retrying_store_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(store_retrying_store_test);
 
-} // namespace snipespar::platform
+} // namespace snipespar::store
--- a/tests/support/config_fleet.h
+++ b/tests/support/config_fleet.h
@@ -188,11 +188,10 @@
                time_point end)
     {
         later(random_delay(), [this, index, life, action, sent, end] {
-            const platform::watch_object call{root_key(environment), action.after, action.wait};
+            const store::watch_object call{root_key(environment), action.after, action.wait};
             const bool is_cut = at(index).cut_from_platform;
-            const auto reply = is_cut
-                                   ? platform::object_reply{absl::UnavailableError("cut"), {}, {}}
-                                   : platform.perform(call);
+            const auto reply = is_cut ? store::object_reply{absl::UnavailableError("cut"), {}, {}}
+                                      : platform.perform(call);
             if (reply.status.ok() && reply.objects.empty() && now_ < end) {
                 return watch(index, life, action, sent, end);
             }
@@ -256,7 +255,7 @@
         }
         later(random_delay(), [this, index, action, life = lives_[index]] {
             const auto reply =
-                platform.perform(platform::get_object{part_key(environment, action.sha256)});
+                platform.perform(store::get_object{part_key(environment, action.sha256)});
             if (!at(index).cut_from_platform && reply.status.ok()) {
                 in_process(index, life, [this, index, action, reply] {
                     perform(index, at(index).logic->on_part(action.sha256,
--- a/tools/platform_stand_in/object_table.h
+++ b/tools/platform_stand_in/object_table.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/object_reply.h"
+#include "store/object_reply.h"
 
 #include <cstdint>
 #include <map>
@@ -26,7 +26,7 @@
 class object_table {
 public:
     /// Performs one call; a watch answers at once, with nothing when there is nothing newer.
-    platform::object_reply perform(const platform::request& call)
+    store::object_reply perform(const store::request& call)
     {
         ++calls_;
         if (faults_.outage) {
@@ -51,16 +51,16 @@
         faults_ = faults;
     }
 
-    void set_hosts(std::vector<platform::host_record> hosts) { hosts_ = std::move(hosts); }
+    void set_hosts(std::vector<store::host_record> hosts) { hosts_ = std::move(hosts); }
 
     const platform_faults& faults() const { return faults_; }
     std::uint64_t calls() const { return calls_; }
-    std::map<std::string, platform::object>& objects() { return objects_; }
+    std::map<std::string, store::object>& objects() { return objects_; }
 
 private:
-    using reply = platform::object_reply;
+    using reply = store::object_reply;
 
-    reply apply(const platform::get_object& call) const
+    reply apply(const store::get_object& call) const
     {
         const auto found = objects_.find(call.key);
         if (found == objects_.end()) {
@@ -69,7 +69,7 @@
         return {absl::OkStatus(), {found->second}, {}};
     }
 
-    reply apply(const platform::list_objects& call) const
+    reply apply(const store::list_objects& call) const
     {
         const auto& source = faults_.stale_list ? stale_ : objects_;
         reply result;
@@ -82,9 +82,9 @@
         return result;
     }
 
-    reply apply(const platform::put_object& call)
+    reply apply(const store::put_object& call)
     {
-        if (call.value.size() > platform::max_value_bytes) {
+        if (call.value.size() > store::max_value_bytes) {
             return {absl::InvalidArgumentError("value too large"), {}, {}};
         }
         if (call.expected && *call.expected != revision_of(call.key)) {
@@ -94,7 +94,7 @@
         return {absl::OkStatus(), {{call.key, {}, revision_}}, {}};
     }
 
-    reply apply(const platform::erase_object& call)
+    reply apply(const store::erase_object& call)
     {
         const auto current = revision_of(call.key);
         if (current == 0) {
@@ -108,7 +108,7 @@
         return {};
     }
 
-    reply apply(const platform::watch_object& call) const
+    reply apply(const store::watch_object& call) const
     {
         const auto found = objects_.find(call.key);
         if (found == objects_.end() || found->second.revision <= call.after) {
@@ -117,19 +117,19 @@
         return {absl::OkStatus(), {found->second}, {}};
     }
 
-    reply apply(const platform::list_hosts&) const { return {absl::OkStatus(), {}, hosts_}; }
+    reply apply(const store::list_hosts&) const { return {absl::OkStatus(), {}, hosts_}; }
 
-    platform::revision revision_of(const std::string& key) const
+    store::revision revision_of(const std::string& key) const
     {
         const auto found = objects_.find(key);
         return found == objects_.end() ? 0 : found->second.revision;
     }
 
-    std::map<std::string, platform::object> objects_;
-    std::map<std::string, platform::object> stale_;
-    std::vector<platform::host_record> hosts_;
+    std::map<std::string, store::object> objects_;
+    std::map<std::string, store::object> stale_;
+    std::vector<store::host_record> hosts_;
     platform_faults faults_;
-    platform::revision revision_ = 0;
+    store::revision revision_ = 0;
     std::uint64_t calls_ = 0;
 };
 
--- a/tools/platform_stand_in/platform_server.cpp
+++ b/tools/platform_stand_in/platform_server.cpp
@@ -23,7 +23,7 @@
 namespace {
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t max_body_bytes = 2 * platform::max_value_bytes;
+constexpr std::size_t max_body_bytes = 2 * store::max_value_bytes;
 constexpr std::string_view objects_path = "/objects/";
 
 http::response<http::string_body> make_response(const http::request<http::string_body>& message,
@@ -60,40 +60,40 @@
 }
 
 // The object call that an HTTP request stands for, or none if it is malformed.
-std::optional<platform::request> read_call(const http::request<http::string_body>& message)
+std::optional<store::request> read_call(const http::request<http::string_body>& message)
 {
     const std::string target(message.target());
     if (target.starts_with("/objects?")) {
-        return platform::list_objects{parameter(target, "prefix")};
+        return store::list_objects{parameter(target, "prefix")};
     }
     const auto key = target.substr(objects_path.size(), target.find('?') - objects_path.size());
     const std::string if_match(message[http::field::if_match]);
     switch (message.method()) {
     case http::verb::get:
         if (target.find("?watch") != std::string::npos) {
-            return platform::watch_object{
+            return store::watch_object{
                 key, number(parameter(target, "from")),
                 std::chrono::milliseconds(number(parameter(target, "wait_ms")))};
         }
-        return platform::get_object{key};
+        return store::get_object{key};
     case http::verb::put: {
-        std::optional<platform::revision> expected;
+        std::optional<store::revision> expected;
         if (!if_match.empty()) {
             expected = number(if_match);
         }
         else if (message[http::field::if_none_match] == "*") {
             expected = 0;
         }
-        return platform::put_object{key, message.body(), expected};
+        return store::put_object{key, message.body(), expected};
     }
     case http::verb::delete_:
-        return platform::erase_object{key, number(if_match)};
+        return store::erase_object{key, number(if_match)};
     default:
         return std::nullopt;
     }
 }
 
-http::status status_of(const platform::object_reply& reply)
+http::status status_of(const store::object_reply& reply)
 {
     switch (reply.status.code()) {
     case absl::StatusCode::kOk:
@@ -109,7 +109,7 @@
     }
 }
 
-std::string list_body(const platform::object_reply& reply)
+std::string list_body(const store::object_reply& reply)
 {
     auto list = nlohmann::json::array();
     for (const auto& item : reply.objects) {
@@ -221,7 +221,7 @@
     if (is_over_rate(is_write)) {
         co_return make_response(message, http::status::too_many_requests, "");
     }
-    const auto* waiting = std::get_if<platform::watch_object>(&*call);
+    const auto* waiting = std::get_if<store::watch_object>(&*call);
     const auto reply = waiting != nullptr ? co_await watch(*waiting) : table_.perform(*call);
     if (is_write) {
         changed_.cancel();
@@ -229,7 +229,7 @@
     if (absl::IsUnavailable(reply.status) || absl::IsUnknown(reply.status)) {
         co_return std::nullopt;
     }
-    if (std::holds_alternative<platform::list_objects>(*call)) {
+    if (std::holds_alternative<store::list_objects>(*call)) {
         co_return make_response(message, http::status::ok, list_body(reply));
     }
     if (reply.status.ok() && reply.objects.empty()) {
@@ -243,7 +243,7 @@
     co_return result;
 }
 
-asio::awaitable<platform::object_reply> platform_server::watch(platform::watch_object call)
+asio::awaitable<store::object_reply> platform_server::watch(store::watch_object call)
 {
     const auto end = std::chrono::steady_clock::now() + call.wait;
     while (true) {
@@ -268,7 +268,7 @@
     if (is_over_rate(false)) {
         return response(http::status::too_many_requests, 11);
     }
-    const auto reply = table_.perform(platform::list_hosts{});
+    const auto reply = table_.perform(store::list_hosts{});
     if (!reply.status.ok()) {
         return std::nullopt;
     }
--- a/tools/platform_stand_in/platform_server.h
+++ b/tools/platform_stand_in/platform_server.h
@@ -44,7 +44,7 @@
     boost::asio::awaitable<void> serve(boost::beast::tcp_stream stream, std::uint16_t port);
     boost::asio::awaitable<answer> respond(const request& message, std::uint16_t port);
     boost::asio::awaitable<answer> object_call(const request& message);
-    boost::asio::awaitable<platform::object_reply> watch(platform::watch_object call);
+    boost::asio::awaitable<store::object_reply> watch(store::watch_object call);
     answer list_hosts();
     response set_host(const request& message);
     response set_faults(const request& message);
@@ -56,7 +56,7 @@
     object_table table_;
     // Cancelled at each change, so that waiting watches look again.
     boost::asio::steady_timer changed_;
-    std::vector<platform::host_record> hosts_;
+    std::vector<store::host_record> hosts_;
     std::optional<std::uint16_t> cut_port_;
     std::int64_t second_ = 0;
     std::uint64_t writes_ = 0;
