Calls with a long shared prompt return to the engine that has read it

Two choices spread the calls of a session over all holders of the adapter. Change: from 1,000 shared tokens on, the holder that ranks first for the session takes the call while it is not busy. The hash of a session no longer covers the last part of the prompt, which is the request's own (its id differed in 40 of 40 calls seen). long_shared_prompt_returns_to_its_engine.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -27,8 +27,10 @@
     bool has_token_count = false;
     std::uint64_t prompt_tokens = 0;
     std::uint64_t max_output_tokens = 0;
-    /// Hash of the prompt parts that the call shares with others, and zero without any.
+    /// Hash of the prompt parts that the call shares with others of its session; zero without any.
     std::uint64_t session = 0;
+    /// Tokens of those parts.
+    std::uint64_t shared_tokens = 0;
     /// Number of the last event that the caller has, when it resumes a stream.
     std::optional<std::uint64_t> last_event;
     /// Header lines that are passed on as they came, each with its line end.
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -152,7 +152,8 @@
     }
     const placement_query query{service_->name, service_->engine ? adapter_key() : std::string(),
                                 call_.model,    least_version(now),
-                                excluded_,      context_.popularity.share(adapter_key(), now)};
+                                excluded_,      context_.popularity.share(adapter_key(), now),
+                                call_.session,  call_.shared_tokens};
     const auto chosen =
         context_.selector.choose(query, *service_, context_.upstreams, context_.gateways, now);
     for (const auto& replica : chosen.replicas) {
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -9,6 +9,14 @@
 
 namespace snipespar::gateway {
 
+/// An engine's place in the ranking of an adapter.
+struct ranked_engine {
+    double score = 0;
+    double load = 0;
+    std::uint64_t address_hash = 0;
+    const upstream_state* state = nullptr;
+};
+
 namespace {
 
 // Weight of the failure rate against the load: an upstream that fails every call counts as four
@@ -20,6 +28,9 @@
 // An engine is busy when it runs this much more than the average of its service.
 constexpr double busy_factor = 1.3;
 constexpr double busy_margin = 5.0;
+// Shared prompt tokens from which a call returns to the engine that has read them: an engine reads
+// about 38 in a millisecond, so that it saves more than an even load would.
+constexpr std::uint64_t least_affinity_tokens = 1000;
 // Room at the engines that hold an adapter beyond its share of the calls, so that its calls need
 // not fill them alone.
 constexpr double replica_headroom = 1.25;
@@ -57,13 +68,6 @@
                                      query.adapter) != state.status->loading.end();
 }
 
-/// An engine's place in the ranking of an adapter.
-struct ranked_engine {
-    double score = 0;
-    double load = 0;
-    const upstream_state* state = nullptr;
-};
-
 // Engines that should hold an adapter which draws this share of all calls.
 std::size_t wanted_replicas(double share, std::size_t engines)
 {
@@ -125,9 +129,23 @@
     return send_to{best->entry.id};
 }
 
-std::size_t upstream_selector::draw(std::size_t count)
+const ranked_engine& upstream_selector::pick_holder(const placement_query& query,
+                                                    const std::vector<const ranked_engine*>& pool,
+                                                    double busy)
 {
-    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
+    if (query.shared_tokens >= least_affinity_tokens) {
+        const auto* home = *std::max_element(pool.begin(), pool.end(), [&](auto left, auto right) {
+            return rendezvous_score(query.session, left->address_hash, 1.0) <
+                   rendezvous_score(query.session, right->address_hash, 1.0);
+        });
+        if (home->load < busy) {
+            return *home;
+        }
+    }
+    std::uniform_int_distribution<std::size_t> draw(0, pool.size() - 1);
+    const auto* first = pool[draw(random_)];
+    const auto* second = pool[draw(random_)];
+    return second->load < first->load ? *second : *first;
 }
 
 placement_decision upstream_selector::choose_engine(const placement_query& query,
@@ -145,7 +163,7 @@
         // Ranked by address, which a restart of the engine keeps.
         const auto candidate = stable_hash(state->entry.address.str());
         const double load = load_of(*state, gateways);
-        ranking.push_back({rendezvous_score(key, candidate, 1.0), load, state});
+        ranking.push_back({rendezvous_score(key, candidate, 1.0), load, candidate, state});
         sum += load;
     }
     std::sort(ranking.begin(), ranking.end(),
@@ -197,10 +215,9 @@
     const auto relief = std::find_if(loaders.begin(), loaders.end(),
                                      [&](const auto* engine) { return engine->load < busy; });
     if (!holders.empty()) {
-        const auto pool = std::min(holders.size(), wanted);
-        const auto* first = holders[draw(pool)];
-        const auto* second = holders[draw(pool)];
-        const auto* best = second->load < first->load ? second : first;
+        const auto pool_size = static_cast<std::ptrdiff_t>(std::min(holders.size(), wanted));
+        const std::vector pool(holders.begin(), holders.begin() + pool_size);
+        const auto* best = &pick_holder(query, pool, busy);
         if (best->load >= busy) {
             best = *std::min_element(holders.begin(), holders.end(), [](auto left, auto right) {
                 return left->load < right->load;
--- a/src/gateway/upstream_selector.h
+++ b/src/gateway/upstream_selector.h
@@ -16,6 +16,7 @@
 
 struct service_rule;
 class upstream_table;
+struct ranked_engine;
 
 /// What a call needs of the upstream that runs it.
 struct placement_query {
@@ -29,6 +30,9 @@
     std::set<upstream_id> excluded;
     /// Share of this gateway's calls that the adapter draws, 0 to 1.
     double share = 0;
+    /// Hash of the prompt parts that the call shares with its session, and their tokens.
+    std::uint64_t session = 0;
+    std::uint64_t shared_tokens = 0;
 };
 
 /// The call can be sent now.
@@ -68,6 +72,7 @@
 /// of the first ones hold it as its share of the calls is worth engines, and one more while all of
 /// those are busy. A call goes to the less busy one of two that are drawn from the holders, since
 /// what gateways know of the load is old enough for all of them to rush to the least busy one.
+/// Calls with a long shared prompt return to the holder that has read it, while that is not busy.
 class upstream_selector {
 public:
     /// `gateways` of this kind share the upstreams.
@@ -84,7 +89,8 @@
     placement_decision choose_engine(const placement_query& query, const service_rule& service,
                                      std::vector<const upstream_state*> candidates, int gateways,
                                      time_point now);
-    std::size_t draw(std::size_t count);
+    const ranked_engine& pick_holder(const placement_query& query,
+                                     const std::vector<const ranked_engine*>& pool, double busy);
 
     failure_domain_id own_domain_;
     std::mt19937_64 random_;
--- a/src/platform/call_codec.cpp
+++ b/src/platform/call_codec.cpp
@@ -136,6 +136,26 @@
     return absl::OkStatus();
 }
 
+// The last part is the request's own; those before it are shared, the one before it with the other
+// requests of a session.
+void read_shared_parts(std::string_view prompt, gateway::call& call)
+{
+    const auto last = prompt.rfind(',');
+    if (last == std::string_view::npos) {
+        return;
+    }
+    const auto shared = prompt.substr(0, last);
+    call.session = stable_hash(shared);
+    for (const auto part : absl::StrSplit(to_absl(shared), ',')) {
+        const auto colon = part.rfind(':');
+        std::uint64_t tokens = 0;
+        // Parts only steer the choice of an engine, so that an unreadable one counts nothing.
+        if (colon != absl::string_view::npos && absl::SimpleAtoi(part.substr(colon + 1), &tokens)) {
+            call.shared_tokens += tokens;
+        }
+    }
+}
+
 void read_model(const http::fields& fields, gateway::call& call)
 {
     const auto text = field(fields, wire::model);
@@ -144,8 +164,7 @@
     if (slash != std::string_view::npos) {
         call.adapter = std::string(text.substr(slash + 1));
     }
-    const auto prompt = field(fields, wire::prompt_parts);
-    call.session = prompt.empty() ? 0 : stable_hash(prompt);
+    read_shared_parts(field(fields, wire::prompt_parts), call);
 }
 
 void append_line(std::string& text, std::string_view name, std::string_view value)
--- a/tests/gateway_upstream_selector_test.cpp
+++ b/tests/gateway_upstream_selector_test.cpp
@@ -70,6 +70,15 @@
         return selector_.choose({"llm", adapter, "base", 0, {}, share}, service_, table_, 1, start);
     }
 
+    placement choose_in_session(const std::string& adapter, std::uint64_t session,
+                                std::uint64_t shared_tokens)
+    {
+        return selector_
+            .choose({"llm", adapter, "base", 0, {}, 1.0, session, shared_tokens}, service_, table_,
+                    1, start)
+            .where;
+    }
+
     // The engine that is first in the adapter's ranking.
     upstream_id home(const std::string& adapter)
     {
@@ -110,6 +119,7 @@
     CPPUNIT_TEST(full_engines_are_not_overloaded);
     CPPUNIT_TEST(silent_sidecar_gets_no_loads);
     CPPUNIT_TEST(call_waits_for_the_first_word_of_a_sidecar);
+    CPPUNIT_TEST(long_shared_prompt_returns_to_its_engine);
     CPPUNIT_TEST(engine_without_its_model_is_passed_over);
     CPPUNIT_TEST(calls_wait_while_all_engines_start);
     CPPUNIT_TEST(base_model_call_avoids_the_busiest);
@@ -254,6 +264,31 @@
                        placement(wait_for_adapter{placement_fleet::id(0)}));
     }
 
+    // Load: requests of a session share thousands of tokens, and their adapter is held by all.
+    void long_shared_prompt_returns_to_its_engine()
+    {
+        placement_fleet fleet(9);
+        for (int i = 0; i < 9; ++i) {
+            fleet.tell(i, {{"base/a1", 1}}, 3);
+        }
+        std::set<std::string> of_all_sessions;
+        std::set<std::string> of_short_prompts;
+        for (std::uint64_t session = 1; session <= 20; ++session) {
+            const auto first = fleet.choose_in_session("base/a1", session, 6300);
+            CPPUNIT_ASSERT(first == fleet.choose_in_session("base/a1", session, 6300));
+            of_all_sessions.insert(std::get<send_to>(first).upstream.str());
+            const auto any = fleet.choose_in_session("base/a1", 1, 155);
+            of_short_prompts.insert(std::get<send_to>(any).upstream.str());
+        }
+        CPPUNIT_ASSERT(of_all_sessions.size() >= 5U);
+        CPPUNIT_ASSERT(of_short_prompts.size() >= 5U);
+        // A busy engine costs more than reading the prompt again.
+        const auto home = fleet.choose_in_session("base/a1", 1, 6300);
+        const auto number = placement_fleet::number_of(std::get<send_to>(home).upstream);
+        fleet.tell(number, {{"base/a1", 1}}, 40);
+        CPPUNIT_ASSERT(fleet.choose_in_session("base/a1", 1, 6300) != home);
+    }
+
     // It has crashed, or is starting, and its sidecar says so.
     void engine_without_its_model_is_passed_over()
     {
--- a/tests/platform_call_codec_test.cpp
+++ b/tests/platform_call_codec_test.cpp
@@ -61,6 +61,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1460}, call->prompt_tokens);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{80}, call->max_output_tokens);
         CPPUNIT_ASSERT(call->session != 0);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{800}, call->shared_tokens);
     }
 
     void faulty_lines_are_named()
