--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -75,6 +75,85 @@
     return std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(worth)), 1, engines);
 }
 
+/// Loads by which engines are told apart.
+struct load_limits {
+    /// Calls that an engine runs at once.
+    double slots = 0;
+    /// An engine with more is busier than the others.
+    double busy = 0;
+    /// An engine with more takes no further call.
+    double full = 0;
+};
+
+/// The engines of a ranking by what they can do for one adapter; each group in ranking order.
+struct engine_groups {
+    /// They hold it and are not full.
+    std::vector<const ranked_engine*> holders;
+    /// They can load it.
+    std::vector<const ranked_engine*> loaders;
+    /// The first engine to which it is on its way.
+    const ranked_engine* loading = nullptr;
+    /// The first engine whose sidecar has not been heard yet.
+    const ranked_engine* unheard = nullptr;
+    /// No engine has its base model, as after a loss of power.
+    bool are_all_starting = true;
+};
+
+std::vector<ranked_engine> rank(const placement_query& query,
+                                const std::vector<const upstream_state*>& candidates, int gateways)
+{
+    const auto key = stable_hash(query.adapter.empty() ? query.model : query.adapter);
+    std::vector<ranked_engine> ranking;
+    ranking.reserve(candidates.size());
+    for (const auto* state : candidates) {
+        // Ranked by address, which a restart of the engine keeps.
+        const auto candidate = stable_hash(state->entry.address.str());
+        ranking.push_back(
+            {rendezvous_score(key, candidate, 1.0), load_of(*state, gateways), candidate, state});
+    }
+    std::sort(ranking.begin(), ranking.end(),
+              [](const auto& left, const auto& right) { return left.score > right.score; });
+    return ranking;
+}
+
+load_limits limits_of(const std::vector<ranked_engine>& ranking, double slots)
+{
+    double sum = 0;
+    for (const auto& engine : ranking) {
+        sum += engine.load;
+    }
+    const double average = sum / static_cast<double>(ranking.size());
+    return {slots, std::min(busy_factor * average + busy_margin, slots), slots * (1 + queue_share)};
+}
+
+engine_groups group(const std::vector<ranked_engine>& ranking, const placement_query& query,
+                    const load_limits& limits, time_point now)
+{
+    engine_groups groups;
+    for (const auto& engine : ranking) {
+        const auto& state = *engine.state;
+        const bool has_room = engine.load < limits.full;
+        const bool is_starting = state.status && state.status->models.empty();
+        groups.are_all_starting = groups.are_all_starting && is_starting;
+        if (holds(state, query)) {
+            if (has_room) {
+                groups.holders.push_back(&engine);
+            }
+        }
+        else if (!state.status) {
+            groups.unheard = groups.unheard == nullptr ? &engine : groups.unheard;
+        }
+        else if (has_room && is_loading(state, query)) {
+            groups.loading = groups.loading == nullptr ? &engine : groups.loading;
+        }
+        else if (has_room && upstream_table::can_load(state, query.model, now) &&
+                 !state.status->is_full) {
+            groups.loaders.push_back(&engine);
+        }
+    }
+    return groups;
+}
+
 // Leaves only those that satisfy the condition, if any does.
 template <class Condition>
 void prefer(std::vector<const upstream_state*>& candidates, Condition condition)
@@ -129,12 +208,17 @@
     return send_to{best->entry.id};
 }
 
-const ranked_engine& upstream_selector::pick_holder(const placement_query& query,
-                                                    const std::vector<const ranked_engine*>& pool,
-                                                    double busy)
+// The holder that takes the call: one of the first `wanted`, or the least busy of all when that one
+// is busy.
+const ranked_engine&
+upstream_selector::pick_holder(const placement_query& query,
+                               const std::vector<const ranked_engine*>& holders, std::size_t wanted,
+                               double busy)
 {
+    const auto pool_size = std::min(holders.size(), wanted);
+    const auto pool_end = holders.begin() + static_cast<std::ptrdiff_t>(pool_size);
     if (query.shared_tokens >= least_affinity_tokens) {
-        const auto* home = *std::max_element(pool.begin(), pool.end(), [&](auto left, auto right) {
+        const auto* home = *std::max_element(holders.begin(), pool_end, [&](auto left, auto right) {
             return rendezvous_score(query.session, left->address_hash, 1.0) <
                    rendezvous_score(query.session, right->address_hash, 1.0);
         });
@@ -142,10 +226,15 @@
             return *home;
         }
     }
-    std::uniform_int_distribution<std::size_t> draw(0, pool.size() - 1);
-    const auto* first = pool[draw(random_)];
-    const auto* second = pool[draw(random_)];
-    return second->load < first->load ? *second : *first;
+    std::uniform_int_distribution<std::size_t> draw(0, pool_size - 1);
+    const auto* first = holders[draw(random_)];
+    const auto* second = holders[draw(random_)];
+    const auto& less_busy = second->load < first->load ? *second : *first;
+    if (less_busy.load < busy) {
+        return less_busy;
+    }
+    return **std::min_element(holders.begin(), holders.end(),
+                              [](auto left, auto right) { return left->load < right->load; });
 }
 
 placement_decision upstream_selector::choose_engine(const placement_query& query,
@@ -155,104 +244,57 @@
 {
     prefer(candidates,
            [](const auto* state) { return state->failure_rate < unsound_failure_rate; });
-    const double slots = std::max(service.engine->slots, 1);
-    const auto key = stable_hash(query.adapter.empty() ? query.model : query.adapter);
-    std::vector<ranked_engine> ranking;
-    double sum = 0;
-    for (const auto* state : candidates) {
-        // Ranked by address, which a restart of the engine keeps.
-        const auto candidate = stable_hash(state->entry.address.str());
-        const double load = load_of(*state, gateways);
-        ranking.push_back({rendezvous_score(key, candidate, 1.0), load, candidate, state});
-        sum += load;
-    }
-    std::sort(ranking.begin(), ranking.end(),
-              [](const auto& left, const auto& right) { return left.score > right.score; });
-    const double average = sum / static_cast<double>(ranking.size());
-    const double busy = std::min(busy_factor * average + busy_margin, slots);
-    const double full = slots * (1 + queue_share);
-
-    std::vector<const ranked_engine*> holders;
-    const ranked_engine* loading = nullptr;
-    // Engines that can load the adapter, in the order of the ranking.
-    std::vector<const ranked_engine*> loaders;
-    const upstream_state* unheard = nullptr;
-    // No engine has its base model, as after a loss of power: the first of the ranking is awaited.
-    bool are_all_starting = true;
-    for (const auto& engine : ranking) {
-        const auto* state = engine.state;
-        are_all_starting = are_all_starting && state->status && state->status->models.empty();
-        if (holds(*state, query)) {
-            if (engine.load < full) {
-                holders.push_back(&engine);
-            }
-        }
-        else if (!state->status) {
-            unheard = unheard == nullptr ? state : unheard;
-        }
-        else if (engine.load >= full) {
-            continue;
-        }
-        else if (is_loading(*state, query)) {
-            loading = loading == nullptr ? &engine : loading;
-        }
-        else if (upstream_table::can_load(*state, query.model, now) && !state->status->is_full) {
-            loaders.push_back(&engine);
-        }
-    }
-
-    placement_decision decision;
+    const auto ranking = rank(query, candidates, gateways);
+    const auto limits = limits_of(ranking, std::max(service.engine->slots, 1));
+    const auto groups = group(ranking, query, limits, now);
     const bool is_bound = !query.adapter.empty();
     const auto wanted = is_bound ? wanted_replicas(query.share, ranking.size()) : ranking.size();
+    const auto relief =
+        std::find_if(groups.loaders.begin(), groups.loaders.end(),
+                     [&](const auto* engine) { return engine->load < limits.busy; });
+    const bool has_relief = relief != groups.loaders.end();
+
+    placement_decision decision;
     if (is_bound && wanted > 1) {
-        const auto* last = &ranking[wanted - 1];
-        for (const auto* engine : loaders) {
-            if (engine <= last) {
+        for (const auto* engine : groups.loaders) {
+            if (engine <= &ranking[wanted - 1]) {
                 decision.replicas.push_back(engine->state->entry.id);
             }
         }
     }
-    const auto relief = std::find_if(loaders.begin(), loaders.end(),
-                                     [&](const auto* engine) { return engine->load < busy; });
-    if (!holders.empty()) {
-        const auto pool_size = static_cast<std::ptrdiff_t>(std::min(holders.size(), wanted));
-        const std::vector pool(holders.begin(), holders.begin() + pool_size);
-        const auto* best = &pick_holder(query, pool, busy);
-        if (best->load >= busy) {
-            best = *std::min_element(holders.begin(), holders.end(), [](auto left, auto right) {
-                return left->load < right->load;
-            });
-        }
-        const bool is_crowded = is_bound && best->load >= busy;
-        if (is_crowded && loading == nullptr && relief != loaders.end()) {
+    if (!groups.holders.empty()) {
+        const auto& best = pick_holder(query, groups.holders, wanted, limits.busy);
+        const bool is_crowded = is_bound && best.load >= limits.busy;
+        if (is_crowded && groups.loading == nullptr && has_relief) {
             decision.replicas.push_back((*relief)->state->entry.id);
         }
         // An engine whose batch is full makes a call wait longer than a load takes.
-        if (best->load < slots || (loading == nullptr && relief == loaders.end())) {
-            decision.where = send_to{best->state->entry.id};
+        const bool may_come_sooner = groups.loading != nullptr || has_relief;
+        if (best.load < limits.slots || !may_come_sooner) {
+            decision.where = send_to{best.state->entry.id};
             return decision;
         }
     }
     // An adapter that no engine holds is loaded at its home even when that is busy: elsewhere it
     // would be one more load from the store, now and whenever it is asked for again.
-    const ranked_engine* target = loading;
-    if (target == nullptr && holders.empty() && !loaders.empty()) {
-        target = loaders.front();
+    const ranked_engine* target = groups.loading;
+    if (target == nullptr && groups.holders.empty() && !groups.loaders.empty()) {
+        target = groups.loaders.front();
     }
-    if (target == nullptr && relief != loaders.end()) {
+    if (target == nullptr && has_relief) {
         target = *relief;
     }
-    if (target != nullptr) {
-        decision.where = wait_for_adapter{target->state->entry.id};
+    if (target == nullptr) {
+        target = groups.unheard;
     }
-    else if (unheard != nullptr) {
-        decision.where = wait_for_adapter{unheard->entry.id};
+    if (target == nullptr && groups.are_all_starting) {
+        target = &ranking.front();
     }
-    else if (are_all_starting) {
-        decision.where = wait_for_adapter{ranking.front().state->entry.id};
+    if (target == nullptr) {
+        decision.where = no_upstream{true};
     }
     else {
-        decision.where = no_upstream{true};
+        decision.where = wait_for_adapter{target->state->entry.id};
     }
     return decision;
 }
--- a/src/gateway/upstream_selector.h
+++ b/src/gateway/upstream_selector.h
@@ -90,7 +90,8 @@
                                      std::vector<const upstream_state*> candidates, int gateways,
                                      time_point now);
     const ranked_engine& pick_holder(const placement_query& query,
-                                     const std::vector<const ranked_engine*>& pool, double busy);
+                                     const std::vector<const ranked_engine*>& holders,
+                                     std::size_t wanted, double busy);
 
     failure_domain_id own_domain_;
     std::mt19937_64 random_;
