--- a/tests/sidecar_adapter_planner_test.cpp
+++ b/tests/sidecar_adapter_planner_test.cpp
@@ -253,7 +253,7 @@
         adapter_planner planner;
         auto told = demand({waiting("a1"), waiting("a2"), waiting("a3"), waiting("a4")});
         told.adapter_slots = 16;
-        const auto loads_at_once = [&](time_point now, std::set<std::string> held) {
+        const auto loads_at_once = [&](time_point now, const std::set<std::string>& held) {
             planner.on_report(report(held), now);
             planner.on_demand(told, now);
             int orders = 0;
