Say once when an adapter is awaited

awaited() and backlog() spelled out the same condition; backlog() adds only that the adapter is not at hand.

--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -245,21 +245,23 @@
     return usable_slots() - places_taken();
 }
 
+bool adapter_planner::is_awaited(const std::string& name, const adapter_state& state) const
+{
+    return state.wanted_since && !is_held(name) && !is_loading(name) && !ordered_.contains(name);
+}
+
 int adapter_planner::awaited() const
 {
     return static_cast<int>(
-        std::count_if(adapters_.begin(), adapters_.end(), [&](const auto& item) {
-            return item.second.wanted_since && !is_held(item.first) && !is_loading(item.first) &&
-                   !ordered_.contains(item.first);
-        }));
+        std::count_if(adapters_.begin(), adapters_.end(),
+                      [&](const auto& item) { return is_awaited(item.first, item.second); }));
 }
 
 int adapter_planner::backlog() const
 {
     return static_cast<int>(
         std::count_if(adapters_.begin(), adapters_.end(), [&](const auto& item) {
-            return item.second.wanted_since && !is_held(item.first) && !is_loading(item.first) &&
-                   !ordered_.contains(item.first) && !is_at_hand(item.first);
+            return is_awaited(item.first, item.second) && !is_at_hand(item.first);
         }));
 }
 
--- a/src/sidecar/adapter_planner.h
+++ b/src/sidecar/adapter_planner.h
@@ -76,7 +76,9 @@
     int places_taken() const;
     /// Adapters that gateways wait for, that are not on their way and not at hand.
     int backlog() const;
-    /// Adapters that gateways wait for and that are neither held nor on their way.
+    /// Whether gateways wait for it, and it is neither held nor on its way.
+    bool is_awaited(const std::string& name, const adapter_state& state) const;
+    /// How many are awaited.
     int awaited() const;
     int free_places() const;
     /// Loads from the weight store that may be on their way at once.
