--- a/src/control/gateway_usage.h
+++ b/src/control/gateway_usage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "snipespar/time.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -14,8 +16,14 @@
     std::uint64_t config_version = 0;
     /// The gateway is stopping and uses no more tokens.
     bool is_stopping = false;
-    /// Tokens admitted by team.
+    /// Total tokens admitted and not refunded, of the teams whose use has changed lately.
     std::map<std::string, std::uint64_t> team_tokens;
+    /// Upstreams whose responses recently announced their stop: process start by upstream.
+    std::map<std::string, std::uint64_t> leaving_upstreams;
+    /// Teams that are not stated have no use.
+    bool is_complete = true;
+    /// Longest time between two reports; zero if not stated.
+    duration report_interval{};
 
     friend bool operator==(const gateway_usage&, const gateway_usage&) = default;
 };
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -2,6 +2,7 @@
 
 #include "base/cbor.h"
 #include "base/json_reader.h"
+#include "poison/suspect_codec.h"
 
 #include <fmt/format.h>
 #include <map>
@@ -49,6 +50,10 @@
     value["sequence"] = content.sequence;
     value["config"] = content.config_version;
     value["leaving"] = content.is_stopping;
+    value["leaving_upstreams"] = content.leaving_upstreams;
+    value["complete"] = content.is_complete;
+    value["interval_ms"] = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(content.report_interval).count());
     value["teams"] = content.team_tokens;
     return value;
 }
@@ -77,6 +82,25 @@
     return value;
 }
 
+json to_json(const sidecar_heartbeat& content)
+{
+    auto value = header("alive");
+    value["engine"] = content.engine;
+    value["start"] = content.sidecar_start;
+    value["sequence"] = content.sequence;
+    value["report"] = content.report_sequence;
+    value["running"] = static_cast<unsigned>(content.running);
+    value["waiting"] = static_cast<unsigned>(content.waiting);
+    return value;
+}
+
+json to_json(const crash_findings& content)
+{
+    auto value = header("crashes");
+    value["suspects"] = poison::encode(content.suspects);
+    return value;
+}
+
 int count(const json_reader& fields, const char* name)
 {
     return static_cast<int>(fields.integer<std::uint16_t>(name));
@@ -132,7 +156,21 @@
         .config_version = fields.integer<std::uint64_t>("config"),
         .is_stopping = fields.flag("leaving"),
         .team_tokens = {},
+        .leaving_upstreams = {},
+        .is_complete = true,
+        .report_interval = {},
     };
+    // Absent in messages of earlier builds.
+    if (fields.has("leaving_upstreams")) {
+        content.leaving_upstreams = read_versions(fields, "leaving_upstreams");
+    }
+    if (fields.has("complete")) {
+        content.is_complete = fields.flag("complete");
+    }
+    if (fields.has("interval_ms")) {
+        content.report_interval =
+            std::chrono::milliseconds(fields.integer<std::uint16_t>("interval_ms"));
+    }
     fields.each_member("teams", [&](const std::string& team, const json& tokens) {
         if (!tokens.is_number_unsigned()) {
             return fields.fail("message.teams." + team, "must be a number of tokens");
@@ -161,6 +199,18 @@
     return content;
 }
 
+sidecar_heartbeat read_heartbeat(const json_reader& fields)
+{
+    return {
+        .engine = fields.text("engine"),
+        .sidecar_start = fields.integer<std::uint64_t>("start"),
+        .sequence = fields.integer<std::uint64_t>("sequence"),
+        .report_sequence = fields.integer<std::uint64_t>("report"),
+        .running = count(fields, "running"),
+        .waiting = count(fields, "waiting"),
+    };
+}
+
 } // namespace
 
 std::string encode(const message& content)
@@ -190,6 +240,17 @@
     else if (type == "engine") {
         content = read_report(fields);
     }
+    else if (type == "alive") {
+        content = read_heartbeat(fields);
+    }
+    else if (type == "crashes") {
+        const auto suspects = value->find("suspects");
+        auto digest = poison::decode_suspect_digest(suspects == value->end() ? json() : *suspects);
+        if (!digest.ok()) {
+            return digest.status();
+        }
+        content = crash_findings{*std::move(digest)};
+    }
     else {
         fields.fail("message.type", "is unknown");
     }
--- a/src/control/message.h
+++ b/src/control/message.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "control/adapter_demand.h"
+#include "control/crash_findings.h"
 #include "control/gateway_usage.h"
+#include "control/sidecar_heartbeat.h"
 #include "control/sidecar_report.h"
 
 #include <absl/status/statusor.h>
@@ -11,9 +13,10 @@
 
 namespace snipespar::control {
 
-/// A datagram between gateways and sidecars. Every message contains a complete state, so that lost,
-/// duplicate or late ones are harmless.
-using message = std::variant<adapter_demand, gateway_usage, sidecar_report>;
+/// A datagram between gateways and sidecars. A message states totals or a whole present state, or
+/// names the message that did, so that lost, duplicate or late ones are harmless.
+using message =
+    std::variant<adapter_demand, gateway_usage, sidecar_report, sidecar_heartbeat, crash_findings>;
 
 /// Encodes a message as CBOR.
 std::string encode(const message& content);
--- a/src/gateway/answer_header.h
+++ b/src/gateway/answer_header.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "snipespar/time.h"
+
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace snipespar::gateway {
@@ -20,6 +23,10 @@
     bool is_event_stream = false;
     /// The response has a seal header, without which callers do not accept a success.
     bool is_sealed = false;
+    /// The upstream is about to stop and accepts no new work.
+    bool is_leaving = false;
+    /// For this long the upstream asks for no further calls from this gateway.
+    std::optional<duration> retry_after;
     /// Seconds for which the upstream keeps an idle connection; 0 if not stated.
     unsigned keep_alive_s = 0;
     /// Header lines that are forwarded unchanged, each with its line end.
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -1,9 +1,11 @@
 #include "gateway/call_exchange.h"
 
+#include "base/stable_hash.h"
 #include "base/text_view.h"
 #include "gateway/attempt_header.h"
 #include "gateway/caller_connection.h"
 #include "gateway/channel_pool.h"
+#include "gateway/connect_probe.h"
 #include "gateway/fleet_config.h"
 #include "gateway/gateway_context.h"
 #include "gateway/refusal.h"
@@ -115,6 +117,11 @@
         return false;
     }
     context_.retries[service_->name].on_request();
+    if (!context_.crashes.is_empty() && context_.crashes.is_refused(fingerprint(), steady_now())) {
+        refuse({503, "crashes_upstreams",
+                context_.crashes.refusal_time(fingerprint(), steady_now()), false});
+        return false;
+    }
     if (service_->engine) {
         context_.popularity.on_call(adapter_key(), steady_now());
     }
@@ -126,10 +133,24 @@
             refuse({429, "over_team_limit", *wait_for_tokens + retry_delay(), false});
             return false;
         }
+        is_charged_ = true;
     }
     return true;
 }
 
+// Equal for every copy of the request that its team sends.
+std::uint64_t call_exchange::fingerprint() const
+{
+    auto hash = stable_hash(team_ == nullptr ? std::string_view() : team_->id.str());
+    for (const std::string_view part :
+         {std::string_view(call_.method), std::string_view(call_.host),
+          std::string_view(call_.target), std::string_view(call_.model),
+          std::string_view(call_.adapter), std::string_view(call_.body)}) {
+        hash = combine_hash(hash, stable_hash(part));
+    }
+    return hash;
+}
+
 std::string call_exchange::adapter_key() const
 {
     return call_.adapter.empty() ? std::string() : call_.model + "/" + call_.adapter;
@@ -151,6 +172,9 @@
     if (deadline_ - now < min_useful_time) {
         return give_up("no_time_left");
     }
+    if (runs_ > 0 && context_.crashes.is_refused(fingerprint(), now)) {
+        return give_up("crashes_upstreams");
+    }
     const placement_query query{service_->name, service_->engine ? adapter_key() : std::string(),
                                 call_.model,    min_version(now),
                                 excluded_,      context_.popularity.share(adapter_key(), now),
@@ -171,8 +195,9 @@
     if (const auto* target = std::get_if<wait_for_adapter>(&chosen.destination)) {
         return wait_for_load(target->upstream, now);
     }
-    give_up(std::get<no_upstream>(chosen.destination).is_overloaded ? "upstreams_full"
-                                                                    : "no_upstream");
+    const auto& none = std::get<no_upstream>(chosen.destination);
+    opens_at_ = none.opens_at;
+    give_up(none.is_overloaded ? "upstreams_full" : "no_upstream");
 }
 
 void call_exchange::wait_for_load(const upstream_id& upstream, time_point now)
@@ -304,6 +329,7 @@
 {
     progress_at_ = steady_now();
     header_ = header;
+    note_upstream_state(header);
     if (!has_response_begun_) {
         has_response_begun_ = true;
         context_.upstreams.on_response_started(upstream_, call_.prompt_tokens, progress_at_);
@@ -321,6 +347,30 @@
     }
 }
 
+// Takes over what a response states about its upstream's willingness to accept calls.
+void call_exchange::note_upstream_state(const answer_header& header)
+{
+    const bool is_other = !header.upstream.empty() && header.upstream != upstream_.str();
+    if (is_other) {
+        return;
+    }
+    const auto* state = context_.upstreams.find(upstream_);
+    if (header.is_leaving && state != nullptr && !state->leaving_since) {
+        context_.log.info("upstream_leaving",
+                          {{"request", call_.request_id}, {"upstream", upstream_.str()}});
+        context_.upstreams.on_leaving(upstream_, progress_at_);
+    }
+    if (header.status == 503 && header.retry_after) {
+        context_.log.info(
+            "upstream_overloaded",
+            {{"request", call_.request_id},
+             {"upstream", upstream_.str()},
+             {"retry_after_ms",
+              std::chrono::duration_cast<milliseconds>(*header.retry_after).count()}});
+        context_.upstreams.on_overloaded(upstream_, *header.retry_after, progress_at_);
+    }
+}
+
 // Logs the circumstances of a response that exceeded the target latency of its route.
 void call_exchange::log_late_response()
 {
@@ -398,6 +448,14 @@
         // The upstream has not received the request.
         --sends_;
         --runs_;
+        context_.report_upstream_ended(upstream_);
+    }
+    else if (const auto* state = context_.upstreams.find(upstream_)) {
+        // A broken connection alone does not show whether the upstream has crashed.
+        context_.crashes.on_broken(fingerprint(), upstream_, state->entry.process_start_ms,
+                                   steady_now());
+        probe_connect(context_.executor, state->entry.address, connect_timeout,
+                      [report = context_.report_upstream_ended, id = upstream_] { report(id); });
     }
     on_attempt_failed(to_std(status.message()));
 }
@@ -533,6 +591,9 @@
         return;
     }
     const auto now = steady_now();
+    if (result == call_result::success && !context_.crashes.is_empty()) {
+        context_.crashes.on_completed(fingerprint(), now);
+    }
     const auto used = std::exchange(channel_, nullptr);
     const auto outstanding_tokens = has_response_begun_ ? 0 : call_.prompt_tokens;
     if (context_.upstreams.on_call_ended(upstream_, adapter_key(), outstanding_tokens, result,
@@ -568,7 +629,8 @@
 {
     std::uniform_int_distribution<duration::rep> spread(duration(min_retry_delay).count(),
                                                         duration(max_retry_delay).count());
-    return duration(spread(context_.random));
+    const auto until_open = opens_at_ ? *opens_at_ - steady_now() : duration{};
+    return std::max(until_open, duration{}) + duration(spread(context_.random));
 }
 
 void call_exchange::refuse(const refusal& refused)
@@ -630,6 +692,9 @@
     }
     is_done_ = true;
     stop_waiting();
+    if (is_charged_ && runs_ == 0) {
+        context_.teams.refund(team_->id, tokens_, steady_now());
+    }
     context_.metrics.in_flight.add(-1);
     context_.exchanges.erase(shared_from_this());
 }
@@ -663,8 +728,8 @@
     }
     if (!pending_upstream_.empty()) {
         const auto* state = context_.upstreams.find(pending_upstream_);
-        const bool is_unavailable =
-            state == nullptr || upstream_table::is_unresponsive(*state, now);
+        const bool is_unavailable = state == nullptr || !upstream_table::is_open(*state, now) ||
+                                    upstream_table::is_unresponsive(*state, now);
         if (is_unavailable || now >= *wait_deadline_) {
             const auto pending_upstream = pending_upstream_;
             stop_waiting();
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -60,6 +60,7 @@
     bool reserve_attempt(time_point now);
     void send(const upstream_id& upstream, time_point now);
     void on_header(const answer_header& header);
+    void note_upstream_state(const answer_header& header);
     void on_body(std::string_view bytes);
     void on_ended();
     void on_failed(const absl::Status& status);
@@ -78,6 +79,7 @@
     void abort_response(std::string_view cause);
     void log_late_response();
     void finish();
+    std::uint64_t fingerprint() const;
     std::string adapter_key() const;
     std::uint64_t min_version(time_point now) const;
     duration stall_timeout() const;
@@ -100,6 +102,7 @@
     int sends_ = 0;
     /// The requests among them that may have run.
     int runs_ = 0;
+    /// The team was charged for the call.
     bool is_charged_ = false;
 
     upstream_id upstream_;
@@ -113,6 +116,8 @@
     std::string body_;
     std::optional<buffered_response> failed_response_;
 
+    /// When the first of the closed upstreams accepts calls again, if no other one was left.
+    std::optional<time_point> opens_at_;
     upstream_id pending_upstream_;
     /// Deadline for all waits for the adapter, set at the first one.
     std::optional<time_point> wait_deadline_;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -2,6 +2,7 @@
 
 #include "gateway/adapter_popularity.h"
 #include "gateway/channel_pool.h"
+#include "gateway/crash_guard.h"
 #include "gateway/fleet_config.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/team_meter.h"
@@ -56,6 +57,7 @@
     upstream_selector selector;
     adapter_popularity popularity;
     team_meter teams;
+    crash_guard crashes;
     /// By service.
     std::map<std::string, route::retry_budget> retries;
     /// By `model/adapter`.
@@ -67,6 +69,8 @@
     /// Gateways that share the upstreams, this one included.
     int gateways = 1;
     bool is_draining = false;
+    /// The process of this upstream has ended, or does not accept connections.
+    std::function<void(const upstream_id&)> report_upstream_ended;
     /// Queues a demand message to the sidecar of this upstream.
     std::function<void(const upstream_id&)> send_demand;
 };
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -33,14 +33,13 @@
 constexpr auto slow_tick_interval = milliseconds(250);
 // Adapters in use are reported to sidecars at this interval, new demand immediately.
 constexpr auto demand_interval = milliseconds(500);
-// Sidecars of engines without adapters in use get a report only every second interval, so that they
-// know this gateway.
-constexpr int idle_demand_rounds = 2;
+// Sidecars of engines without adapters in use get a report only every few intervals, so that they
+// know this gateway: seldom in a large fleet, since each sidecar gets one from every gateway.
+constexpr std::uint64_t idle_demand_rounds = 2;
+constexpr std::uint64_t idle_demand_rounds_of_large_fleet = 4;
+constexpr int large_fleet_gateways = 16;
 // How long a new version is sent to all sidecars; afterwards only with uses of its adapter.
 constexpr auto version_announce_time = std::chrono::seconds(10);
-// Team usage is reported at this interval while it changes, otherwise at the longer one.
-constexpr auto usage_interval = milliseconds(250);
-constexpr auto idle_usage_interval = milliseconds(1000);
 // Upstream entries change several times a second, and the platform charges each response to a watch
 // as a call. An upstream must get no more work 2 s after its removal.
 // The polls also detect outages: a store that was unresponsive has lost the requests that it
@@ -84,6 +83,9 @@
                                 &gateway_server::on_version_changed))
 {
     context_.send_demand = [this](const upstream_id& upstream) { queue_demand(upstream); };
+    context_.report_upstream_ended = [this](const upstream_id& upstream) {
+        on_upstream_ended(upstream);
+    };
 }
 
 gateway_server::~gateway_server() = default;
@@ -97,6 +99,7 @@
         io_.get_executor(), settings_.platform, kind, timing, context_.random(),
         {[this, listed](const auto& objects) { (this->*listed)(objects); },
          [this, changed](const auto& object) { (this->*changed)(object); },
+         [this, kind](std::uint64_t era) { on_restored(kind, era); },
          [this, kind](bool is_reached, const std::string& reason) {
              on_contact(kind, is_reached, reason);
          }});
@@ -232,16 +235,21 @@
     if (now - demand_sent_at_ >= demand_interval) {
         demand_sent_at_ = now;
         ++demand_round_;
+        const auto idle_rounds = context_.gateways < large_fleet_gateways
+                                     ? idle_demand_rounds
+                                     : idle_demand_rounds_of_large_fleet;
         for (const auto& [id, state] : context_.upstreams.all()) {
             const bool has_uses =
                 std::any_of(state.adapters.begin(), state.adapters.end(),
                             [&](const auto& item) { return item.second.is_requested(now); });
-            if (has_uses || !state.status || demand_round_ % idle_demand_rounds == 0) {
+            if (has_uses || !state.status || demand_round_ % idle_rounds == 0) {
                 send_demand(id);
             }
         }
     }
     send_usage(now);
+    context_.crashes.on_tick(now);
+    announce_crashes();
     if (context_.is_draining && now - drain_began_ >= balancer_notice_time && acceptor_.is_open()) {
         boost::system::error_code ignored;
         std::ignore = acceptor_.close(ignored);
@@ -254,7 +262,7 @@
     drain_began_ = steady_now();
     drained_ = std::move(done);
     context_.log.info("draining", {{"in_flight", context_.exchanges.size()}});
-    usage_sent_at_ = {};
+    usage_reporter_.expedite();
     send_usage(drain_began_);
 }
 
@@ -279,7 +287,7 @@
         upstreams.push_back({{"id", id.str()},
                              {"service", state.entry.service},
                              {"address", state.entry.address.str()},
-                             {"draining", state.entry.is_draining},
+                             {"draining", state.entry.is_draining || state.is_leaving},
                              {"in_flight", state.in_flight},
                              {"failure_rate", state.failure_rate}});
     }
@@ -344,6 +352,7 @@
     const auto now = steady_now();
     const upstream_id id(object.name);
     if (object.is_removed) {
+        on_upstream_ended(id);
         context_.upstreams.remove(id, now);
         context_.log.info("upstream_gone", {{"upstream", object.name}});
         return;
@@ -362,6 +371,9 @@
                                                {"address", entry->address.str()},
                                                {"draining", entry->is_draining}});
     }
+    if (known != nullptr && known->entry.process_start_ms != entry->process_start_ms) {
+        on_upstream_ended(id);
+    }
     context_.upstreams.update(*entry, now);
 }
 
@@ -411,11 +423,34 @@
     }
 }
 
+// The first watch that notices a restored store makes the others list at once, as their polls may
+// wait for revisions that are assigned again.
+void gateway_server::on_restored(const std::string& kind, std::uint64_t era)
+{
+    if (era <= store_era_) {
+        return;
+    }
+    store_era_ = era;
+    context_.log.warning("store_restored", {{"kind", kind}, {"era", era}});
+    context_.upstreams.on_registry_restored(steady_now());
+    for (auto* watch : {&config_watch_, &upstream_watch_, &version_watch_}) {
+        if (watch->kind() != kind) {
+            watch->refresh();
+        }
+    }
+}
+
 void gateway_server::on_message(const control::message& content, const cli::endpoint& from)
 {
     if (const auto* report = std::get_if<control::sidecar_report>(&content)) {
         on_report(*report);
     }
+    else if (const auto* heartbeat = std::get_if<control::sidecar_heartbeat>(&content)) {
+        context_.upstreams.on_heartbeat(*heartbeat, steady_now());
+    }
+    else if (const auto* findings = std::get_if<control::crash_findings>(&content)) {
+        context_.crashes.merge(findings->suspects, steady_now());
+    }
     else if (const auto* usage = std::get_if<control::gateway_usage>(&content)) {
         on_usage(*usage, from);
     }
@@ -430,11 +465,11 @@
             peers_.on_seen({gateway.substr(0, colon), settings_.control_listen.port}, now);
         }
     }
-    context_.upstreams.on_engine_status(report.status, now);
-    std::set<upstream_id> affected;
-    for (const auto& [id, state] : context_.upstreams.all()) {
-        if (state.entry.address.str() == report.status.engine) {
-            affected.insert(id);
+    const auto affected = context_.upstreams.on_engine_status(report.status, now);
+    if (report.status.models.empty()) {
+        // The engine does not respond, or has just started.
+        for (const auto& id : affected) {
+            on_upstream_ended(id);
         }
     }
     const auto active = context_.exchanges;
@@ -449,6 +484,9 @@
 {
     const auto now = steady_now();
     context_.teams.on_usage(usage, now);
+    for (const auto& [id, process_start_ms] : usage.leaving_upstreams) {
+        context_.upstreams.on_peer_saw_leaving(upstream_id(id), process_start_ms);
+    }
     if (usage.is_stopping) {
         peers_.on_stopping(from);
         return;
@@ -524,23 +562,44 @@
 
 void gateway_server::send_usage(time_point now)
 {
-    const auto& admitted = context_.teams.admitted();
-    const bool is_due = now - usage_sent_at_ >= idle_usage_interval;
-    const bool has_changed = now - usage_sent_at_ >= usage_interval && admitted != usage_sent_;
-    if (!is_due && !has_changed) {
+    auto stated = usage_reporter_.next(context_.teams.admitted(), context_.teams.has_busy_team(now),
+                                       context_.gateways, now);
+    if (!stated) {
         return;
     }
-    usage_sent_ = admitted;
-    usage_sent_at_ = now;
     const control::gateway_usage usage{
         .gateway = settings_.host.str(),
         .gateway_start = start_,
         .sequence = ++usage_sequence_,
         .config_version = context_.config == nullptr ? 0 : context_.config->version(),
         .is_stopping = context_.is_draining,
-        .team_tokens = admitted,
+        .team_tokens = std::move(stated->team_tokens),
+        .leaving_upstreams = context_.upstreams.recently_leaving(now),
+        .is_complete = stated->is_complete,
+        .report_interval = usage_reporter::idle_interval(context_.gateways),
     };
-    const auto bytes = control::encode(usage);
+    send_to_peers(usage);
+}
+
+// Copies of the request may be on their way to other gateways, so that these are told at once.
+void gateway_server::on_upstream_ended(const upstream_id& upstream)
+{
+    if (context_.crashes.on_upstream_ended(upstream, steady_now())) {
+        context_.log.warning("upstream_crashed", {{"upstream", upstream.str()}});
+        announce_crashes();
+    }
+}
+
+void gateway_server::announce_crashes()
+{
+    if (const auto findings = context_.crashes.next_announcement(); !findings.empty()) {
+        send_to_peers(control::crash_findings{findings});
+    }
+}
+
+void gateway_server::send_to_peers(const control::message& content)
+{
+    const auto bytes = control::encode(content);
     for (const auto& peer : peers_.all()) {
         datagrams_.send(peer, bytes);
     }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -5,6 +5,7 @@
 #include "control/message.h"
 #include "gateway/gateway_context.h"
 #include "gateway/peer_directory.h"
+#include "gateway/usage_reporter.h"
 #include "platform/object_watch.h"
 #include "telemetry/admin_handlers.h"
 #include "telemetry/logger.h"
@@ -15,7 +16,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <list>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -64,12 +64,17 @@
     void on_version_changed(const platform::watched_object& object);
     void on_contact(const std::string& kind, bool is_reached, const std::string& reason);
 
+    void on_restored(const std::string& kind, std::uint64_t era);
+
     void on_message(const control::message& content, const cli::endpoint& from);
     void on_report(const control::sidecar_report& report);
     void on_usage(const control::gateway_usage& usage, const cli::endpoint& from);
     void queue_demand(const upstream_id& upstream);
     void send_demand(const upstream_id& upstream);
     void send_usage(time_point now);
+    void on_upstream_ended(const upstream_id& upstream);
+    void announce_crashes();
+    void send_to_peers(const control::message& content);
     void update_retry_budgets();
 
     boost::asio::io_context& io_;
@@ -87,11 +92,12 @@
     std::list<std::weak_ptr<caller_connection>> connections_;
 
     bool has_upstreams_ = false;
+    /// Latest era in which the store was found restored.
+    std::uint64_t store_era_ = 0;
     bool is_registry_unreachable_ = false;
     std::set<upstream_id> queued_demands_;
     std::uint64_t usage_sequence_ = 0;
-    std::map<std::string, std::uint64_t> usage_sent_;
-    time_point usage_sent_at_;
+    usage_reporter usage_reporter_;
     time_point slow_tick_at_;
     time_point demand_sent_at_;
     std::uint64_t demand_round_ = 0;
--- a/src/gateway/team_meter.cpp
+++ b/src/gateway/team_meter.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-// A gateway reports every 250 ms while its use changes.
-constexpr auto unresponsive_after = std::chrono::milliseconds(800);
+// Report intervals after which a gateway counts as unresponsive: one report may be lost.
+constexpr int missed_intervals = 2;
+constexpr auto min_unresponsive_time = std::chrono::milliseconds(800);
 // A gateway without reports for longer has most likely stopped.
 constexpr auto peer_expiry = std::chrono::milliseconds(4000);
 // Weight of a new measurement in the smoothed rate of a peer.
@@ -34,7 +35,7 @@
 void team_meter::charge(bucket& item, double tokens)
 {
     // A debt beyond the burst could only result from the error of an estimate.
-    item.level = std::max(item.level - tokens, -item.capacity);
+    item.level = std::clamp(item.level - tokens, -item.capacity, item.capacity);
 }
 
 void team_meter::set_limits(const fleet_config& config, time_point now)
@@ -75,6 +76,29 @@
     return std::nullopt;
 }
 
+void team_meter::refund(const team_id& team, std::uint64_t tokens, time_point now)
+{
+    const auto total = admitted_.find(team.str());
+    if (total == admitted_.end()) {
+        return;
+    }
+    total->second -= std::min(total->second, tokens);
+    const auto found = buckets_.find(team.str());
+    if (found != buckets_.end()) {
+        refill(found->second, now);
+        charge(found->second, -static_cast<double>(tokens));
+    }
+}
+
+bool team_meter::has_busy_team(time_point now) const
+{
+    return std::any_of(buckets_.begin(), buckets_.end(), [&](const auto& item) {
+        auto bucket = item.second;
+        refill(bucket, now);
+        return bucket.level < bucket.capacity / 2;
+    });
+}
+
 void team_meter::on_usage(const control::gateway_usage& usage, time_point now)
 {
     auto known = peers_.find(usage.gateway);
@@ -91,24 +115,36 @@
     }
     const bool is_same_process =
         known != peers_.end() && known->second.start == usage.gateway_start;
-    peer next{usage.gateway_start, usage.sequence, now, now, {}};
-    for (const auto& [team, total] : usage.team_tokens) {
-        // The first total of a peer that started before this process is a baseline, not a charge.
-        std::uint64_t before = usage.gateway_start < start_ && !is_same_process ? total : 0;
-        double rate = 0;
-        if (is_same_process) {
-            const auto last = known->second.teams.find(team);
-            if (last != known->second.teams.end()) {
-                before = last->second.total;
-                rate = last->second.rate;
+    const bool was_complete = is_same_process && known->second.is_complete;
+    peer next{usage.gateway_start,
+              usage.sequence,
+              now,
+              now,
+              usage.report_interval,
+              was_complete || usage.is_complete,
+              {}};
+    const double span =
+        is_same_process ? std::max(seconds(now - known->second.last_report_at), 0.05) : 0;
+    if (is_same_process) {
+        next.teams = std::move(known->second.teams);
+        for (auto& [team, use] : next.teams) {
+            if (!usage.team_tokens.contains(team)) {
+                use.rate -= use_smoothing * use.rate;
             }
         }
-        const auto increase = static_cast<double>(total > before ? total - before : 0);
+    }
+    for (const auto& [team, total] : usage.team_tokens) {
+        const auto [last, is_first] = next.teams.try_emplace(team);
+        // The first total of a peer that started before this process is a baseline, not a charge.
+        const bool is_baseline = is_first && !was_complete && usage.gateway_start < start_;
+        const auto before = is_baseline ? total : last->second.total;
+        // A refund lowers the total.
+        const auto increase = static_cast<double>(total) - static_cast<double>(before);
         if (is_same_process) {
-            const double span = std::max(seconds(now - known->second.last_report_at), 0.05);
-            rate += use_smoothing * (increase / span - rate);
+            auto& rate = last->second.rate;
+            rate += use_smoothing * (std::max(increase, 0.0) / span - rate);
         }
-        next.teams[team] = {total, rate};
+        last->second.total = total;
         const auto item = buckets_.find(team);
         if (item != buckets_.end()) {
             refill(item->second, now);
@@ -123,6 +159,8 @@
     std::erase_if(peers_,
                   [&](const auto& item) { return now - item.second.last_report_at > peer_expiry; });
     for (auto& [name, unresponsive] : peers_) {
+        const auto unresponsive_after = std::max<duration>(
+            missed_intervals * unresponsive.report_interval, min_unresponsive_time);
         if (now - unresponsive.last_report_at <= unresponsive_after) {
             continue;
         }
--- a/src/gateway/team_meter.h
+++ b/src/gateway/team_meter.h
@@ -18,7 +18,7 @@
 /// Keeps every team within its rate and burst summed over all gateways. Each gateway has one token
 /// bucket per team with the whole rate; tokens that other gateways report as admitted are charged
 /// to it. The sum can exceed the limit by the tokens admitted during one report interval and by one
-/// call per gateway.
+/// call per gateway; the excess is paid back from the rate.
 ///
 /// If a gateway's reports stop, its last known rate is assumed to continue until it expires.
 class team_meter {
@@ -33,13 +33,19 @@
     /// which they are expected to be available.
     std::optional<duration> admit(const team_id& team, std::uint64_t tokens, time_point now);
 
+    /// Returns the tokens of a call that was admitted and has not run.
+    void refund(const team_id& team, std::uint64_t tokens, time_point now);
+
+    /// Whether some team has used up more than half of its burst.
+    bool has_busy_team(time_point now) const;
+
     /// Charges the tokens that another gateway has admitted since its last report.
     void on_usage(const control::gateway_usage& usage, time_point now);
 
     /// Charges the assumed use of unresponsive gateways and drops expired ones.
     void on_tick(time_point now);
 
-    /// Tokens admitted by this process, by team.
+    /// Tokens admitted by this process and not refunded, by team.
     const std::map<std::string, std::uint64_t>& admitted() const { return admitted_; }
 
 private:
@@ -60,6 +66,10 @@
         time_point last_report_at;
         /// Its assumed use has been charged up to this moment.
         time_point charged_until;
+        /// Longest time between two of its reports.
+        duration report_interval{};
+        /// A team that is not in `teams` had no use at its last report.
+        bool is_complete = false;
         std::map<std::string, peer_team> teams;
     };
 
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -171,9 +171,15 @@
                                              time_point now)
 {
     std::vector<const upstream_state*> candidates;
+    std::optional<time_point> opens_at;
     for (const auto& [id, state] : table.all()) {
-        if (state.entry.service == query.service && upstream_table::is_open(state, now) &&
-            !query.excluded.contains(id)) {
+        if (state.entry.service != query.service || !upstream_table::is_serving(state, now)) {
+            continue;
+        }
+        if (now < state.closed_until) {
+            opens_at = std::min(opens_at.value_or(state.closed_until), state.closed_until);
+        }
+        else if (!query.excluded.contains(id)) {
             candidates.push_back(&state);
         }
     }
@@ -182,7 +188,7 @@
     prefer(candidates,
            [&](const auto* state) { return !upstream_table::is_unresponsive(*state, now); });
     if (candidates.empty()) {
-        return {no_upstream{}, {}};
+        return {no_upstream{opens_at.has_value(), opens_at}, {}};
     }
     if (service.engine) {
         return choose_engine(query, service, std::move(candidates), gateways, now);
@@ -294,7 +300,7 @@
         target = &ranking.front();
     }
     if (target == nullptr) {
-        decision.destination = no_upstream{true};
+        decision.destination = no_upstream{true, std::nullopt};
     }
     else {
         decision.destination = wait_for_adapter{target->state->entry.id};
--- a/src/gateway/upstream_selector.h
+++ b/src/gateway/upstream_selector.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -53,6 +54,8 @@
 struct no_upstream {
     /// Upstreams exist, but all of them are full.
     bool is_overloaded = false;
+    /// When the first of the closed upstreams opens, if no other one is left.
+    std::optional<time_point> opens_at;
 
     friend bool operator==(const no_upstream&, const no_upstream&) = default;
 };
--- a/src/gateway/upstream_state.h
+++ b/src/gateway/upstream_state.h
@@ -30,8 +30,17 @@
 /// State of one upstream as known to this gateway.
 struct upstream_state {
     upstream_entry entry;
+    /// Its address as sidecars state it.
+    std::string address;
     /// Set once its entry was removed: from this moment it gets no new work.
     std::optional<time_point> removal_at;
+    /// It has announced, in its entry or in a response, that it is about to stop. Holds for the
+    /// rest of its incarnation, whatever its entry states later.
+    bool is_leaving = false;
+    /// When a response announced it; other gateways are told for a while.
+    std::optional<time_point> leaving_since;
+    /// It gets no work until then.
+    time_point closed_until;
     /// Calls sent there that have not ended.
     int in_flight = 0;
     /// Prompt tokens of the calls whose response has not begun.
@@ -49,6 +58,8 @@
     /// time.
     std::optional<engine_status> status;
     time_point status_at;
+    /// When its sidecar was last heard, also with a message that did not renew the status.
+    time_point sidecar_heard_at;
     int in_flight_at_status = 0;
     /// By `model/adapter`.
     std::map<std::string, adapter_calls, std::less<>> adapters;
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -1,5 +1,7 @@
 #include "gateway/upstream_table.h"
 
+#include "control/sidecar_heartbeat.h"
+
 #include <algorithm>
 #include <set>
 
@@ -18,6 +20,16 @@
 constexpr auto replica_request_lifetime = std::chrono::milliseconds(700);
 // A sidecar sends a status at least twice a second; once it is stale nothing can be loaded there.
 constexpr auto sidecar_status_lifetime = std::chrono::milliseconds(1600);
+// Upstreams write their entries at least every 1.2 s; an entry that is not renewed expires after
+// three such intervals. Within that time and the delay of a watch, entries from an old copy of the
+// registry are either renewed or gone.
+constexpr auto restored_entry_probation = std::chrono::milliseconds(6000);
+// How long an incarnation that is no longer listed is remembered, so that a late entry does not
+// bring it back.
+constexpr auto former_incarnation_lifetime = std::chrono::minutes(10);
+// How long other gateways are told of an upstream that announced its stop; several reports may be
+// lost in that time.
+constexpr auto leaving_announcement_time = std::chrono::seconds(5);
 // Weight of one result in the smoothed failure rate.
 constexpr double failure_smoothing = 0.12;
 // Consecutive failures after which an upstream is ejected for a while.
@@ -38,8 +50,23 @@
         state = {};
         state.in_flight = in_flight;
     }
+    if (is_new) {
+        if (const auto former = former_.find(entry.id);
+            former != former_.end() && former->second.process_start_ms == entry.process_start_ms &&
+            entry.process_start_ms != 0) {
+            state.is_leaving = former->second.was_leaving;
+            state.closed_until = restored_until_;
+        }
+        former_.erase(entry.id);
+    }
+    else if (state.removal_at && now >= *state.removal_at && now < restored_until_) {
+        state.closed_until = restored_until_;
+    }
     state.entry = entry;
+    state.address = entry.address.str();
     state.removal_at.reset();
+    // Entries without a process start cannot be told apart from those of the next incarnation.
+    state.is_leaving = state.is_leaving || (entry.is_draining && entry.process_start_ms != 0);
     // An address belongs to one process at a time: the entry of an earlier process is stale.
     for (auto& [id, other] : states_) {
         if (id == entry.id || other.entry.address != entry.address || other.removal_at) {
@@ -55,10 +82,11 @@
     if (!is_new || state.removal_at) {
         return;
     }
-    const auto last_status = last_statuses_.find(entry.address.str());
+    const auto last_status = last_statuses_.find(state.address);
     if (last_status != last_statuses_.end()) {
         state.status = last_status->second;
         state.status_at = now;
+        state.sidecar_heard_at = now;
     }
 }
 
@@ -89,11 +117,59 @@
     }
 }
 
-void upstream_table::on_engine_status(const engine_status& status, time_point now)
+void upstream_table::on_registry_restored(time_point now)
+{
+    on_registry_recovered(now);
+    restored_until_ = now + restored_entry_probation;
+}
+
+void upstream_table::on_leaving(const upstream_id& id, time_point now)
+{
+    const auto found = states_.find(id);
+    if (found != states_.end() && !found->second.leaving_since) {
+        found->second.is_leaving = true;
+        found->second.leaving_since = now;
+    }
+}
+
+void upstream_table::on_peer_saw_leaving(const upstream_id& id, std::uint64_t process_start_ms)
+{
+    const auto found = states_.find(id);
+    if (found != states_.end() && found->second.entry.process_start_ms == process_start_ms) {
+        found->second.is_leaving = true;
+    }
+}
+
+std::map<std::string, std::uint64_t> upstream_table::recently_leaving(time_point now) const
+{
+    std::map<std::string, std::uint64_t> leaving;
+    for (const auto& [id, state] : states_) {
+        if (state.leaving_since && now - *state.leaving_since < leaving_announcement_time) {
+            leaving[id.str()] = state.entry.process_start_ms;
+        }
+    }
+    return leaving;
+}
+
+void upstream_table::on_overloaded(const upstream_id& id, duration retry_after, time_point now)
+{
+    const auto found = states_.find(id);
+    if (found != states_.end()) {
+        found->second.closed_until = std::max(found->second.closed_until, now + retry_after);
+    }
+}
+
+std::vector<upstream_id> upstream_table::on_engine_status(const engine_status& status,
+                                                          time_point now)
 {
     last_statuses_[status.engine] = status;
+    std::vector<upstream_id> affected;
     for (auto& [id, state] : states_) {
-        if (state.entry.address.str() != status.engine || state.removal_at) {
+        if (state.address != status.engine) {
+            continue;
+        }
+        affected.push_back(id);
+        if (state.removal_at) {
             continue;
         }
         const bool is_outdated = state.status &&
@@ -102,9 +178,31 @@
         if (!is_outdated) {
             state.status = status;
             state.status_at = now;
+            state.sidecar_heard_at = now;
             state.in_flight_at_status = state.in_flight;
         }
     }
+    return affected;
+}
+
+void upstream_table::on_heartbeat(const control::sidecar_heartbeat& heartbeat, time_point now)
+{
+    for (auto& [id, state] : states_) {
+        if (state.address != heartbeat.engine || state.removal_at || !state.status ||
+            state.status->sidecar_start != heartbeat.sidecar_start ||
+            state.status->sequence >= heartbeat.sequence) {
+            continue;
+        }
+        state.sidecar_heard_at = now;
+        if (state.status->sequence < heartbeat.report_sequence) {
+            continue;
+        }
+        state.status->sequence = heartbeat.sequence;
+        state.status->running = heartbeat.running;
+        state.status->waiting = heartbeat.waiting;
+        state.status_at = now;
+        state.in_flight_at_status = state.in_flight;
+    }
 }
 
 void upstream_table::on_call_sent(const upstream_id& id, std::string_view adapter,
@@ -209,9 +307,16 @@
         std::erase_if(state.adapters,
                       [&](const auto& item) { return !item.second.is_requested(now); });
     }
+    std::erase_if(former_, [&](const auto& item) { return now >= item.second.expires; });
     std::erase_if(states_, [&](const auto& item) {
         const auto& state = item.second;
-        return state.removal_at && now >= *state.removal_at && state.in_flight == 0;
+        const bool is_gone = state.removal_at && now >= *state.removal_at && state.in_flight == 0;
+        if (is_gone) {
+            former_[item.first] = {state.entry.process_start_ms,
+                                   state.is_leaving || state.entry.is_draining,
+                                   now + former_incarnation_lifetime};
+        }
+        return is_gone;
     });
 }
 
@@ -223,7 +328,13 @@
 
 bool upstream_table::is_open(const upstream_state& state, time_point now)
 {
-    return !state.entry.is_draining && (!state.removal_at || now < *state.removal_at);
+    return is_serving(state, now) && now >= state.closed_until;
+}
+
+bool upstream_table::is_serving(const upstream_state& state, time_point now)
+{
+    return !state.entry.is_draining && !state.is_leaving &&
+           (!state.removal_at || now < *state.removal_at);
 }
 
 bool upstream_table::can_load(const upstream_state& state, const std::string& model, time_point now)
@@ -240,7 +351,7 @@
     if (!state.status) {
         return false;
     }
-    return now - std::max(state.status_at, state.last_response_at) > unresponsive_after;
+    return now - std::max(state.sidecar_heard_at, state.last_response_at) > unresponsive_after;
 }
 
 } // namespace snipespar::gateway
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -4,11 +4,17 @@
 #include "snipespar/ids.h"
 #include "snipespar/time.h"
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+namespace snipespar::control {
+struct sidecar_heartbeat;
+}
+
 namespace snipespar::gateway {
 
 /// How a call at an upstream ended, as far as the upstream's health is concerned.
@@ -36,7 +42,25 @@
     /// The registry is reachable again after an outage.
     void on_registry_recovered(time_point now) { registry_recovered_at_ = now; }
 
-    void on_engine_status(const engine_status& status, time_point now);
+    /// The registry was restored from an old copy. Entries that it lost are about to be written
+    /// again, and entries of upstreams that had gone may have come back.
+    void on_registry_restored(time_point now);
+
+    /// Returns the upstreams that have this engine's address.
+    std::vector<upstream_id> on_engine_status(const engine_status& status, time_point now);
+
+    /// Confirms the status last reported by the sidecar, unless a later report was missed.
+    void on_heartbeat(const control::sidecar_heartbeat& heartbeat, time_point now);
+
+    /// A response of the upstream announced that it is about to stop.
+    void on_leaving(const upstream_id& id, time_point now);
+    /// Another gateway has received such a response from this incarnation of the upstream.
+    void on_peer_saw_leaving(const upstream_id& id, std::uint64_t process_start_ms);
+    /// Incarnations that announced their stop to this gateway lately: process start by upstream.
+    std::map<std::string, std::uint64_t> recently_leaving(time_point now) const;
+
+    /// The upstream is overloaded and asked for no calls for this long.
+    void on_overloaded(const upstream_id& id, duration retry_after, time_point now);
 
     void on_call_sent(const upstream_id& id, std::string_view adapter, std::uint64_t tokens);
     /// The upstream has begun its response to a call.
@@ -64,6 +88,9 @@
     /// Whether the upstream accepts new calls.
     static bool is_open(const upstream_state& state, time_point now);
 
+    /// Whether the upstream is listed and not about to stop. It may be closed for a while.
+    static bool is_serving(const upstream_state& state, time_point now);
+
     /// Whether the upstream can load an adapter of the model soon.
     static bool can_load(const upstream_state& state, const std::string& model, time_point now);
 
@@ -72,7 +99,17 @@
     static bool is_unresponsive(const upstream_state& state, time_point now);
 
 private:
+    /// An incarnation that is no longer listed.
+    struct former_incarnation {
+        std::uint64_t process_start_ms = 0;
+        bool was_leaving = false;
+        time_point expires;
+    };
+
     std::map<upstream_id, upstream_state> states_;
+    std::map<upstream_id, former_incarnation> former_;
+    /// Until then an entry that reappears does not prove that its upstream runs.
+    time_point restored_until_;
     /// Last status by engine address, kept for engines whose entry is not known yet.
     std::map<std::string, engine_status> last_statuses_;
     std::optional<time_point> registry_recovered_at_;
--- a/src/platform/call_codec.cpp
+++ b/src/platform/call_codec.cpp
@@ -167,6 +167,19 @@
     read_shared_prompt_parts(field(fields, wire::prompt_parts), call);
 }
 
+// Seconds, possibly with a fraction. An unparsable value counts as absent.
+std::optional<duration> read_retry_after(std::string_view text)
+{
+    // Longer than any upstream stays overloaded, and far from overflowing microseconds.
+    constexpr double max_retry_after_s = 3600;
+    double seconds = 0;
+    if (text.empty() || !absl::SimpleAtod(to_absl(text), &seconds) || !(seconds > 0)) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(std::min(seconds, max_retry_after_s)));
+}
+
 void append_field(std::string& text, std::string_view name, std::string_view value)
 {
     text.append(name).append(": ").append(value).append("\r\n");
@@ -271,6 +284,8 @@
     answer.is_event_stream = absl::StartsWithIgnoreCase(
         to_absl(to_view(header[http::field::content_type])), "text/event-stream");
     answer.is_sealed = !field(header, wire::seal).empty();
+    answer.is_leaving = field(header, wire::leaving) == "1";
+    answer.retry_after = read_retry_after(to_view(header[http::field::retry_after]));
     const auto keep_alive = to_view(header[http::field::keep_alive]);
     const auto timeout = keep_alive.find("timeout=");
     if (timeout != std::string_view::npos) {
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -3,7 +3,10 @@
 #include "base/backoff.h"
 #include "base/json_reader.h"
 #include "net/http_client.h"
+#include "platform/watch_position.h"
+#include "platform/wire_names.h"
 
+#include <absl/strings/numbers.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -72,12 +75,14 @@
 
     void refresh()
     {
-        must_list_ = true;
+        position_.invalidate();
         // A second coroutine lists immediately; the first ends when its poll returns.
         ++generation_;
         start();
     }
 
+    const std::string& kind() const { return kind_; }
+
     void stop()
     {
         ++generation_;
@@ -97,7 +102,7 @@
         catch (const std::exception& cause) {
             report_reachability(false, cause.what());
         }
-        must_list_ = true;
+        position_.invalidate();
         timer_.expires_after(max_retry_delay);
         timer_.async_wait([self = shared_from_this(), generation](const auto& wait_error) {
             if (!wait_error && generation == self->generation_) {
@@ -109,7 +114,8 @@
     asio::awaitable<void> run(std::uint64_t generation)
     {
         while (generation == generation_) {
-            const auto status = must_list_ ? co_await list(generation) : co_await poll(generation);
+            const auto status =
+                position_.is_listed() ? co_await poll(generation) : co_await list(generation);
             if (generation != generation_) {
                 co_return;
             }
@@ -122,8 +128,14 @@
                 }
                 continue;
             }
-            must_list_ = must_list_ || absl::IsOutOfRange(status);
-            if (!absl::IsOutOfRange(status)) {
+            if (absl::IsAborted(status)) {
+                // A restored store is listed at once.
+                continue;
+            }
+            if (absl::IsOutOfRange(status)) {
+                position_.invalidate();
+            }
+            else {
                 report_reachability(false, std::string(status.message()));
             }
             timer_.expires_after(retry_backoff_.next());
@@ -138,6 +150,9 @@
         if (!response.ok()) {
             co_return response.status();
         }
+        if (auto status = check_era(*response); !status.ok()) {
+            co_return status;
+        }
         if (response->result() == http::status::gone) {
             co_return absl::OutOfRangeError("the store no longer has the history");
         }
@@ -151,6 +166,27 @@
         co_return value;
     }
 
+    // Aborted: the store was restored since the last response. Unavailable: the response is from
+    // before that.
+    absl::Status check_era(const net::http_client::response& response)
+    {
+        const auto text =
+            response[boost::beast::string_view(wire::store_era.data(), wire::store_era.size())];
+        std::uint64_t number = 0;
+        const bool is_stated =
+            absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &number);
+        switch (position_.on_era(is_stated ? std::optional(number) : std::nullopt)) {
+        case watch_position::era_change::none:
+            return absl::OkStatus();
+        case watch_position::era_change::restored:
+            handler_.restored(number);
+            return absl::AbortedError("the store was restored from a copy");
+        case watch_position::era_change::outdated:
+            break;
+        }
+        return absl::UnavailableError("the response is from before the store was restored");
+    }
+
     asio::awaitable<absl::Status> list(std::uint64_t generation)
     {
         std::vector<watched_object> objects;
@@ -181,8 +217,7 @@
             after = objects.empty() ? std::string() : objects.back().name;
         }
         if (generation == generation_) {
-            revision_ = *revision;
-            must_list_ = false;
+            position_.on_listed(*revision);
             handler_.listed(objects);
         }
         co_return absl::OkStatus();
@@ -191,9 +226,9 @@
     asio::awaitable<absl::Status> poll(std::uint64_t generation)
     {
         const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(poll_wait_);
-        auto response = co_await get(
-            fmt::format("/objects/{}?watch={}&wait_ms={}", kind_, revision_, wait.count()),
-            poll_wait_ + response_timeout);
+        auto response = co_await get(fmt::format("/objects/{}?watch={}&wait_ms={}", kind_,
+                                                 position_.revision(), wait.count()),
+                                     poll_wait_ + response_timeout);
         if (!response.ok()) {
             co_return response.status();
         }
@@ -215,7 +250,7 @@
                 }
             }
         }
-        revision_ = revision;
+        position_.on_polled(revision);
         co_return absl::OkStatus();
     }
 
@@ -235,8 +270,7 @@
     object_watch_handler handler_;
     backoff retry_backoff_;
     asio::steady_timer timer_;
-    std::uint64_t revision_ = 0;
-    bool must_list_ = true;
+    watch_position position_;
     // Incremented to end the coroutines that were started with an earlier value.
     std::uint64_t generation_ = 0;
     std::optional<bool> is_reachable_;
@@ -260,6 +294,11 @@
     follower_->start();
 }
 
+const std::string& object_watch::kind() const
+{
+    return follower_->kind();
+}
+
 void object_watch::refresh()
 {
     follower_->refresh();
--- a/src/platform/object_watch.h
+++ b/src/platform/object_watch.h
@@ -27,6 +27,9 @@
     /// All objects of the kind, as listed; replaces everything reported before.
     std::function<void(const std::vector<watched_object>&)> listed;
     std::function<void(const watched_object&)> changed;
+    /// The store was restored from a copy some seconds old; its era is now this one. All objects
+    /// are listed next.
+    std::function<void(std::uint64_t era)> restored;
     /// The store has become reachable, or unreachable for a reason.
     std::function<void(bool is_reachable, const std::string& reason)> reachability_changed;
 };
@@ -53,6 +56,8 @@
 
     void start();
 
+    const std::string& kind() const;
+
     /// Lists again immediately, because a newer version is known to exist.
     void refresh();
 
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -35,5 +35,9 @@
 inline constexpr std::string_view not_run = "Not-Executed";
 inline constexpr std::string_view seal = "Response-Seal";
 inline constexpr std::string_view upstream_id = "Instance-Id";
+/// `1` in every response of an upstream that is about to stop.
+inline constexpr std::string_view leaving = "Server-Leaving";
+/// Number of times that the store was restored from a copy.
+inline constexpr std::string_view store_era = "Store-Era";
 
 } // namespace snipespar::platform::wire
--- a/src/poison/suspect_table.cpp
+++ b/src/poison/suspect_table.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr std::size_t crashes_to_refuse = 2;
-
 // Maximum number of crashes per fingerprint; more would not change the verdict.
 constexpr std::size_t max_crashes = 8;
 
@@ -17,12 +15,13 @@
 suspect_table::suspect_table(suspect_limits limits) : limits_(limits) {}
 
 suspect_digest suspect_table::on_crash(const crash_id& id, std::span<const fingerprint> in_flight,
-                                       time_point now)
+                                       time_point now, bool is_complete)
 {
     const std::set<fingerprint> prints(in_flight.begin(), in_flight.end());
+    const bool alone = is_complete && prints.size() == 1;
     suspect_digest reported;
     for (const auto print : prints) {
-        reported.push_back({print, {{id, prints.size() == 1, false, limits_.lifetime}}});
+        reported.push_back({print, {{id, alone, false, limits_.lifetime}}});
     }
     merge(reported, now);
     return reported;
@@ -115,7 +114,7 @@
     if (crashes.empty()) {
         return suspicion::none;
     }
-    return crashes.size() >= crashes_to_refuse ? suspicion::refused : suspicion::suspect;
+    return crashes.size() >= limits_.crashes_to_refuse ? suspicion::refused : suspicion::suspect;
 }
 
 bool suspect_table::crashed_at(fingerprint print, const upstream_id& upstream, time_point now) const
--- a/src/poison/suspect_table.h
+++ b/src/poison/suspect_table.h
@@ -17,7 +17,7 @@
     none,
     /// One crash attributed to it: runs alone, on an upstream that it has not crashed.
     suspect,
-    /// Two crashes attributed to it: does not run anywhere.
+    /// Too many crashes attributed to it: does not run anywhere.
     refused,
 };
 
@@ -27,6 +27,8 @@
     duration lifetime = std::chrono::hours(1);
     /// Maximum number of fingerprints; those with the least evidence are evicted first.
     std::size_t max_fingerprints = 4096;
+    /// Crashes attributed to a request from which on it is refused.
+    std::size_t crashes_to_refuse = 2;
 
     friend bool operator==(const suspect_limits&, const suspect_limits&) = default;
 };
@@ -40,9 +42,10 @@
 public:
     explicit suspect_table(suspect_limits limits = {});
 
-    /// An upstream crashed with these requests in flight. Returns the digest for other processes.
+    /// An upstream crashed with these requests in flight. `is_complete`: no other request was in
+    /// flight there. Returns the digest for other processes.
     suspect_digest on_crash(const crash_id& id, std::span<const fingerprint> in_flight,
-                            time_point now);
+                            time_point now, bool is_complete = true);
 
     /// A request ran alone and completed. Returns the digest for other processes.
     suspect_digest on_clean_run_alone(fingerprint print, time_point now);
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -39,12 +39,23 @@
 constexpr auto order_timeout = milliseconds(40);
 // Age after which a report is stale: the engine's adapters may have changed since.
 constexpr auto report_lifetime = milliseconds(1000);
-// A gateway reports at least once a second.
-constexpr auto gateway_expiry = milliseconds(3000);
+// A gateway reports at least every two seconds.
+constexpr auto gateway_expiry = milliseconds(5000);
+// A whole report goes to all gateways at least this often, as datagrams may be lost.
+constexpr auto whole_report_interval = milliseconds(1800);
 // A single report may be lost while the engine is healthy.
 constexpr int missed_report_limit = 2;
 constexpr std::size_t max_report_bytes = 1024UL * 1024;
 
+// Whether the statuses differ only in the load.
+bool equal_but_for_load(const gateway::engine_status& left, gateway::engine_status right)
+{
+    right.running = left.running;
+    right.waiting = left.waiting;
+    right.memory_used = left.memory_used;
+    return left == right;
+}
+
 // Whether the new status withdraws or changes something that was advertised before.
 bool withdraws(const gateway::engine_status& before, const gateway::engine_status& now)
 {
@@ -211,6 +222,7 @@
     planner_.on_demand(*demand, now);
     if (is_new) {
         published_at_ = {};
+        broadcast_at_ = {};
         gateways_published_at_ = {};
         log_.info("gateway_heard", {{"gateway", demand->gateway}, {"address", from.str()}});
     }
@@ -242,9 +254,19 @@
     if (is_broadcast) {
         published_at_ = now;
     }
+    if (is_broadcast && equal_but_for_load(broadcast_, status) &&
+        now - broadcast_at_ < whole_report_interval) {
+        return send_heartbeat(status);
+    }
+    ++sequence_;
+    if (is_broadcast) {
+        broadcast_ = status;
+        broadcast_at_ = now;
+        broadcast_sequence_ = sequence_;
+    }
     status.engine = settings_.engine.str();
     status.sidecar_start = start_;
-    status.sequence = ++sequence_;
+    status.sequence = sequence_;
     control::sidecar_report report{std::move(status), {}};
     if (is_broadcast && now - gateways_published_at_ >= gateway_list_interval) {
         gateways_published_at_ = now;
@@ -263,4 +285,20 @@
     }
 }
 
+// Confirms the last report to all gateways.
+void sidecar_server::send_heartbeat(const gateway::engine_status& status)
+{
+    const auto bytes = control::encode(control::sidecar_heartbeat{
+        .engine = settings_.engine.str(),
+        .sidecar_start = start_,
+        .sequence = ++sequence_,
+        .report_sequence = broadcast_sequence_,
+        .running = status.running,
+        .waiting = status.waiting,
+    });
+    for (const auto& [address, gateway] : gateways_) {
+        datagrams_.send(address, bytes);
+    }
+}
+
 } // namespace snipespar::sidecar
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -40,6 +40,7 @@
     boost::asio::awaitable<void> give_orders();
     void on_message(const control::message& content, const cli::endpoint& from);
     void publish();
+    void send_heartbeat(const gateway::engine_status& status);
 
     boost::asio::io_context& io_;
     cli::sidecar_settings settings_;
@@ -57,8 +58,13 @@
     };
 
     std::map<cli::endpoint, known_gateway> gateways_;
+    /// The status last sent to any gateway, and when one was last sent to all.
     gateway::engine_status published_;
     time_point published_at_;
+    /// The last whole report to all gateways.
+    gateway::engine_status broadcast_;
+    time_point broadcast_at_;
+    std::uint64_t broadcast_sequence_ = 0;
     time_point gateways_published_at_;
     time_point reported_at_;
     std::uint64_t sequence_ = 0;
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway/upstream_table.h"
 
+#include "control/sidecar_heartbeat.h"
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
@@ -17,6 +19,20 @@
     return {upstream_id(id), "llm", {ip, 80}, failure_domain_id("a"), 64, false};
 }
 
+// Lists an engine whose sidecar has just sent a report with this sequence number.
+upstream_id report_engine(upstream_table& table, std::uint64_t sequence)
+{
+    const auto item = entry("i-1");
+    table.update(item, start);
+    engine_status status;
+    status.engine = item.address.str();
+    status.sidecar_start = 1;
+    status.sequence = sequence;
+    status.models = {"base"};
+    table.on_engine_status(status, start);
+    return item.id;
+}
+
 bool is_open(const upstream_table& table, const std::string& id, time_point now)
 {
     const auto* state = table.find(upstream_id(id));
@@ -40,6 +56,13 @@
     CPPUNIT_TEST(end_of_use_is_notified_when_slots_are_short);
     CPPUNIT_TEST(upstream_is_kept_while_calls_run_there);
     CPPUNIT_TEST(frozen_host_is_unresponsive);
+    CPPUNIT_TEST(heartbeat_confirms_the_last_report);
+    CPPUNIT_TEST(heartbeat_after_a_lost_report_shows_only_that_the_sidecar_lives);
+    CPPUNIT_TEST(upstream_that_announced_its_stop_stays_closed);
+    CPPUNIT_TEST(stop_announced_to_another_gateway_closes_the_upstream);
+    CPPUNIT_TEST(overloaded_upstream_is_closed_as_long_as_it_asked);
+    CPPUNIT_TEST(entry_back_from_an_old_copy_is_not_trusted);
+    CPPUNIT_TEST(entry_lost_by_a_restored_registry_is_kept_until_renewed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -245,6 +268,135 @@
         CPPUNIT_ASSERT(
             !upstream_table::is_unresponsive(*table.find(id), start + milliseconds(1100)));
     }
+
+    void heartbeat_confirms_the_last_report()
+    {
+        upstream_table table;
+        const auto id = report_engine(table, 3);
+        table.on_heartbeat({"10.0.0.1:80", 1, 4, 3, 9, 2}, start + milliseconds(1400));
+        const auto* state = table.find(id);
+        CPPUNIT_ASSERT_EQUAL(9, state->status->running);
+        CPPUNIT_ASSERT_EQUAL(2, state->status->waiting);
+        CPPUNIT_ASSERT(upstream_table::can_load(*state, "base", start + milliseconds(2900)));
+        // A late one changes nothing.
+        table.on_heartbeat({"10.0.0.1:80", 1, 4, 3, 5, 5}, start + milliseconds(2000));
+        CPPUNIT_ASSERT_EQUAL(9, state->status->running);
+        CPPUNIT_ASSERT(upstream_table::is_unresponsive(*state, start + milliseconds(2500)));
+    }
+
+    void heartbeat_after_a_lost_report_shows_only_that_the_sidecar_lives()
+    {
+        upstream_table table;
+        const auto id = report_engine(table, 3);
+        const auto now = start + milliseconds(1400);
+        table.on_heartbeat({"10.0.0.1:80", 1, 5, 4, 9, 2}, now);
+        const auto* state = table.find(id);
+        CPPUNIT_ASSERT_EQUAL(0, state->status->running);
+        CPPUNIT_ASSERT(!upstream_table::is_unresponsive(*state, now));
+        CPPUNIT_ASSERT(!upstream_table::can_load(*state, "base", start + milliseconds(1700)));
+        // Of another process of the sidecar.
+        table.on_heartbeat({"10.0.0.1:80", 2, 9, 1, 9, 2}, start + milliseconds(2500));
+        CPPUNIT_ASSERT(upstream_table::is_unresponsive(*state, start + milliseconds(2500)));
+    }
+
+    // The entry of an upstream that is leaving may say `ready` for a while, be renewed, be lost and
+    // come back; only a new incarnation is used again.
+    void upstream_that_announced_its_stop_stays_closed()
+    {
+        upstream_table table;
+        auto item = entry("i-1");
+        item.process_start_ms = 1;
+        table.update(item, start);
+        table.on_leaving(item.id, start);
+        CPPUNIT_ASSERT(!is_open(table, "i-1", start));
+        item.slots = 8;
+        table.update(item, start);
+        CPPUNIT_ASSERT(!is_open(table, "i-1", start));
+        table.remove(item.id, start);
+        table.on_tick(start + std::chrono::seconds(1));
+        CPPUNIT_ASSERT(table.find(item.id) == nullptr);
+        table.update(item, start + std::chrono::seconds(2));
+        CPPUNIT_ASSERT(!is_open(table, "i-1", start + std::chrono::seconds(60)));
+        item.process_start_ms = 2;
+        table.update(item, start + std::chrono::seconds(60));
+        CPPUNIT_ASSERT(is_open(table, "i-1", start + std::chrono::seconds(60)));
+    }
+
+    void stop_announced_to_another_gateway_closes_the_upstream()
+    {
+        upstream_table near;
+        upstream_table far;
+        auto item = entry("i-1");
+        item.process_start_ms = 1;
+        near.update(item, start);
+        far.update(item, start);
+        near.on_leaving(item.id, start);
+        for (const auto& [id, process_start_ms] : near.recently_leaving(start)) {
+            far.on_peer_saw_leaving(upstream_id(id), process_start_ms);
+        }
+        CPPUNIT_ASSERT(!is_open(far, "i-1", start));
+        // It passes on only what it was told by the upstream itself.
+        CPPUNIT_ASSERT(far.recently_leaving(start).empty());
+        CPPUNIT_ASSERT(near.recently_leaving(start + std::chrono::seconds(10)).empty());
+        item.process_start_ms = 2;
+        far.update(item, start);
+        far.on_peer_saw_leaving(item.id, 1);
+        CPPUNIT_ASSERT(is_open(far, "i-1", start));
+    }
+
+    void overloaded_upstream_is_closed_as_long_as_it_asked()
+    {
+        upstream_table table;
+        const upstream_id id("i-1");
+        table.update(entry("i-1"), start);
+        table.on_overloaded(id, milliseconds(2000), start);
+        table.on_overloaded(id, milliseconds(300), start + milliseconds(100));
+        CPPUNIT_ASSERT(!is_open(table, "i-1", start + milliseconds(1999)));
+        CPPUNIT_ASSERT(upstream_table::is_serving(*table.find(id), start + milliseconds(1999)));
+        CPPUNIT_ASSERT(is_open(table, "i-1", start + milliseconds(2000)));
+    }
+
+    // The copy still lists an upstream that crashed after it was taken. Its entry expires again
+    // unless the upstream lives.
+    void entry_back_from_an_old_copy_is_not_trusted()
+    {
+        upstream_table table;
+        auto gone = entry("i-1", "10.0.0.1");
+        gone.process_start_ms = 1;
+        auto forgotten = entry("i-2", "10.0.0.2");
+        forgotten.process_start_ms = 1;
+        table.replace({gone, forgotten}, start);
+        table.remove(forgotten.id, start);
+        table.on_tick(start + std::chrono::seconds(1));
+        table.on_call_sent(gone.id, "", 0);
+        table.remove(gone.id, start);
+        const auto restored = start + std::chrono::seconds(2);
+        table.on_registry_restored(restored);
+        table.replace({gone, forgotten}, restored);
+        for (const auto* id : {"i-1", "i-2"}) {
+            CPPUNIT_ASSERT(!is_open(table, id, restored + std::chrono::seconds(5)));
+            // By now it would have expired if it were not renewed.
+            CPPUNIT_ASSERT(is_open(table, id, restored + std::chrono::seconds(7)));
+        }
+        table.remove(forgotten.id, restored + std::chrono::seconds(4));
+        CPPUNIT_ASSERT(!is_open(table, "i-2", restored + std::chrono::seconds(7)));
+        auto successor = entry("i-2", "10.0.0.2");
+        successor.process_start_ms = 2;
+        table.update(successor, restored + std::chrono::seconds(4));
+        CPPUNIT_ASSERT(is_open(table, "i-2", restored + std::chrono::seconds(4)));
+    }
+
+    void entry_lost_by_a_restored_registry_is_kept_until_renewed()
+    {
+        upstream_table table;
+        table.update(entry("i-1"), start);
+        table.on_registry_restored(start);
+        table.replace({}, start);
+        CPPUNIT_ASSERT(is_open(table, "i-1", start + milliseconds(2000)));
+        table.update(entry("i-1"), start + milliseconds(2000));
+        CPPUNIT_ASSERT(is_open(table, "i-1", start + milliseconds(2000)));
+        CPPUNIT_ASSERT(is_open(table, "i-1", start + milliseconds(9000)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_upstream_table_test);
--- /dev/null
+++ b/tests/gateway_usage_reporter_test.cpp
@@ -0,0 +1,100 @@
+#include "gateway/usage_reporter.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <string>
+
+namespace snipespar::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point start{seconds(50)};
+constexpr int teams = 19;
+
+std::map<std::string, std::uint64_t> totals(std::uint64_t of_first)
+{
+    std::map<std::string, std::uint64_t> result{{"t0", of_first}};
+    for (int i = 1; i < teams; ++i) {
+        result["t" + std::to_string(i)] = 7;
+    }
+    return result;
+}
+
+/// What one gateway receives from the others in ten seconds of steady use of one team.
+struct received {
+    std::uint64_t reports = 0;
+    std::uint64_t totals = 0;
+};
+
+received run(int gateways, bool is_busy)
+{
+    usage_reporter reporter;
+    received sum;
+    for (auto passed = milliseconds(0); passed < seconds(10); passed += milliseconds(50)) {
+        const auto now = start + passed;
+        const auto use = static_cast<std::uint64_t>(passed.count());
+        const auto report = reporter.next(totals(use), is_busy, gateways, now);
+        if (report) {
+            sum.reports += static_cast<std::uint64_t>(gateways) - 1;
+            sum.totals += report->team_tokens.size() * (static_cast<std::uint64_t>(gateways) - 1);
+        }
+    }
+    return sum;
+}
+
+} // namespace
+
+class gateway_usage_reporter_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(gateway_usage_reporter_test);
+    CPPUNIT_TEST(small_fleet_reports_changes_four_times_a_second);
+    CPPUNIT_TEST(unchanged_totals_are_stated_a_few_times_and_then_seldom);
+    CPPUNIT_TEST(reports_received_grow_slower_than_the_fleet);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void small_fleet_reports_changes_four_times_a_second()
+    {
+        usage_reporter reporter;
+        CPPUNIT_ASSERT(reporter.next(totals(1), false, 5, start)->is_complete);
+        CPPUNIT_ASSERT(!reporter.next(totals(2), false, 5, start + milliseconds(249)));
+        CPPUNIT_ASSERT(reporter.next(totals(2), false, 5, start + milliseconds(250)));
+        CPPUNIT_ASSERT(!reporter.next(totals(2), false, 5, start + milliseconds(1249)));
+        CPPUNIT_ASSERT(reporter.next(totals(2), false, 5, start + milliseconds(1250)));
+        reporter.expedite();
+        CPPUNIT_ASSERT(reporter.next(totals(2), false, 5, start + milliseconds(1251)));
+    }
+
+    // A lost report does no harm as long as a later one states the total again.
+    void unchanged_totals_are_stated_a_few_times_and_then_seldom()
+    {
+        usage_reporter reporter;
+        auto now = start;
+        for (std::uint64_t round = 0; round < 24; ++round) {
+            const auto report = reporter.next(totals(round), false, 5, now);
+            CPPUNIT_ASSERT(report.has_value());
+            CPPUNIT_ASSERT_EQUAL(round % 8 == 0, report->is_complete);
+            CPPUNIT_ASSERT(report->team_tokens.contains("t0"));
+            const bool states_all = report->team_tokens.size() == teams;
+            CPPUNIT_ASSERT_EQUAL(round % 8 == 0 || round < 3, states_all);
+            now += milliseconds(250);
+        }
+    }
+
+    // Four reports a second from each would be 268 and 2,196 a second at 68 and 550 gateways.
+    void reports_received_grow_slower_than_the_fleet()
+    {
+        CPPUNIT_ASSERT(run(26, false).reports <= 26 * 10 * 2);
+        CPPUNIT_ASSERT(run(68, false).reports <= 10 * 55);
+        CPPUNIT_ASSERT(run(68, true).reports <= 10 * 130);
+        CPPUNIT_ASSERT(run(550, true).reports <= 10 * 400);
+        CPPUNIT_ASSERT(run(550, false).totals <= run(550, false).reports * teams / 2);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_usage_reporter_test);
+
+} // namespace snipespar::gateway
--- a/tests/platform_call_codec_test.cpp
+++ b/tests/platform_call_codec_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(hop_by_hop_fields_are_not_forwarded);
     CPPUNIT_TEST(upstream_sees_team_and_not_key);
     CPPUNIT_TEST(answer_is_decoded);
+    CPPUNIT_TEST(state_of_the_upstream_is_decoded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -159,6 +160,24 @@
         header.result(421);
         CPPUNIT_ASSERT(decode_answer(header).is_not_run);
     }
+
+    void state_of_the_upstream_is_decoded()
+    {
+        http::response_header<> header;
+        header.result(503);
+        CPPUNIT_ASSERT(!decode_answer(header).is_leaving);
+        CPPUNIT_ASSERT(!decode_answer(header).retry_after);
+        header.set("Server-Leaving", "1");
+        header.set(http::field::retry_after, "2.5");
+        CPPUNIT_ASSERT(decode_answer(header).is_leaving);
+        CPPUNIT_ASSERT(*decode_answer(header).retry_after == milliseconds(2500));
+        for (const auto* invalid : {"soon", "-1", "0", "nan", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+            header.set(http::field::retry_after, invalid);
+            CPPUNIT_ASSERT_MESSAGE(invalid, !decode_answer(header).retry_after);
+        }
+        header.set(http::field::retry_after, "1e300");
+        CPPUNIT_ASSERT(*decode_answer(header).retry_after == std::chrono::hours(1));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(platform_call_codec_test);
--- a/tests/process/gateway_path_test.cpp
+++ b/tests/process/gateway_path_test.cpp
@@ -1,6 +1,7 @@
 #include "process/support/gateway_fleet.h"
 #include "process/support/wait_until.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -40,6 +41,10 @@
     CPPUNIT_TEST(stream_is_resumed_on_another_engine);
     CPPUNIT_TEST(unsafe_call_is_not_repeated);
     CPPUNIT_TEST(draining_upstream_gets_no_work);
+    CPPUNIT_TEST(upstream_that_announces_its_stop_in_an_answer_gets_no_work);
+    CPPUNIT_TEST(overloaded_upstream_is_left_alone_as_long_as_it_asked);
+    CPPUNIT_TEST(restored_store_is_followed_in_its_new_era);
+    CPPUNIT_TEST(request_that_crashes_engines_is_contained);
     CPPUNIT_TEST(terminated_gateway_completes_its_requests);
     CPPUNIT_TEST(disconnected_caller_cancels_the_work);
     CPPUNIT_TEST(sidecar_never_overfills_its_engine);
@@ -212,6 +217,136 @@
         CPPUNIT_ASSERT_EQUAL(before, fleet.runs(fleet.services[0])["runs"].size());
     }
 
+    // Its entry still says that it is ready.
+    void upstream_that_announces_its_stop_in_an_answer_gets_no_work()
+    {
+        gateway_fleet fleet;
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(set_faults(fleet.services[0], R"({"leaving": true})"));
+        const auto& told = fleet.gateways[0];
+        const auto runs_at = [&](std::size_t i) {
+            return fleet.runs(fleet.services[i])["runs"].size();
+        };
+        int sent = 0;
+        const auto send_unsafe = [&](const fleet_member& gateway) {
+            const auto id = fmt::format("v{}", ++sent);
+            CPPUNIT_ASSERT_EQUAL(200U, send(gateway, fleet.make_call("/unsafe/x", id)).status);
+        };
+        CPPUNIT_ASSERT(wait_until([&] {
+            send_unsafe(told);
+            return runs_at(0) > 0;
+        }));
+        const auto before = runs_at(0);
+        for (int i = 0; i < 20; ++i) {
+            send_unsafe(told);
+        }
+        CPPUNIT_ASSERT_EQUAL(before, runs_at(0));
+        // The other gateway learns of it from the first.
+        CPPUNIT_ASSERT(wait_until([&] {
+            const auto status = send_call(fleet.gateways[1].admin, {"GET", "/status", {}, {}});
+            const auto upstreams = nlohmann::json::parse(status->body)["upstreams"];
+            return std::any_of(upstreams.begin(), upstreams.end(),
+                               [](const auto& item) { return item["draining"] == true; });
+        }));
+        for (int i = 0; i < 20; ++i) {
+            send_unsafe(fleet.gateways[1]);
+        }
+        CPPUNIT_ASSERT_EQUAL(before, runs_at(0));
+    }
+
+    void overloaded_upstream_is_left_alone_as_long_as_it_asked()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        CPPUNIT_ASSERT(set_faults(fleet.services[0], R"({"shed_ms": 1500})"));
+        const auto began = std::chrono::steady_clock::now();
+        const auto first = send(gateway, fleet.make_call("/unsafe/x", "o1"));
+        CPPUNIT_ASSERT_EQUAL(503U, first.status);
+        for (int i = 0; i < 20; ++i) {
+            const auto refused = send(gateway, fleet.make_call("/unsafe/x", fmt::format("o{}", i)));
+            if (refused.status != 503 ||
+                std::chrono::steady_clock::now() - began > std::chrono::seconds(1)) {
+                break;
+            }
+            // The caller is told to return when the upstream accepts calls again.
+            const auto left =
+                std::chrono::milliseconds(1500) - (std::chrono::steady_clock::now() - began);
+            CPPUNIT_ASSERT(std::stod(refused.header("retry-after")) >=
+                           std::chrono::duration<double>(left).count() - 0.01);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, fleet.runs(fleet.services[0])["requests_shed"].get<int>());
+        CPPUNIT_ASSERT(wait_until(
+            [&] { return send(gateway, fleet.make_call("/unsafe/x", "again")).status == 200; }));
+        CPPUNIT_ASSERT_EQUAL(1, fleet.runs(fleet.services[0])["requests_shed"].get<int>());
+    }
+
+    // The copy lacks the newest configuration and still lists an upstream that has gone; the
+    // revisions that it lacks are assigned again.
+    void restored_store_is_followed_in_its_new_era()
+    {
+        gateway_fleet fleet;
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        CPPUNIT_ASSERT(send_call(fleet.store.address, {"POST", "/copy", {}, {}}).ok());
+        CPPUNIT_ASSERT(fleet.change_config(
+            [](nlohmann::json& config) { config["tenants"][0]["api_keys"] = {"key-2"}; }));
+        CPPUNIT_ASSERT(wait_until(
+            [&] { return send(gateway, fleet.make_call("/unsafe/x", "e1")).status == 401; }));
+        CPPUNIT_ASSERT(send_call(fleet.store.address, {"POST", "/restore", {}, {}}).ok());
+        // Reuses the revision of the lost change.
+        CPPUNIT_ASSERT(fleet.announce(fleet.services[0], "desk", true));
+        CPPUNIT_ASSERT(wait_until([&] {
+            const auto status = send_call(gateway.admin, {"GET", "/status", {}, {}});
+            const auto upstreams = nlohmann::json::parse(status->body)["upstreams"];
+            return std::any_of(upstreams.begin(), upstreams.end(),
+                               [](const auto& item) { return item["draining"] == true; });
+        }));
+        CPPUNIT_ASSERT(gateway.process->wait_for_output("store_restored"));
+        // The withdrawn key stays withdrawn, and a later configuration is taken.
+        CPPUNIT_ASSERT_EQUAL(401U, send(gateway, fleet.make_call("/unsafe/x", "e2")).status);
+        CPPUNIT_ASSERT(fleet.change_config(
+            [](nlohmann::json& config) { config["tenants"][0]["api_keys"] = {"key-1"}; }));
+        CPPUNIT_ASSERT(wait_until(
+            [&] { return send(gateway, fleet.make_call("/unsafe/x", "e3")).status == 200; }));
+    }
+
+    // Its caller sends it again and again, through both gateways.
+    void request_that_crashes_engines_is_contained()
+    {
+        constexpr std::size_t engines = 6;
+        gateway_fleet fleet({.engines = engines});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        for (const auto& engine : fleet.engines) {
+            CPPUNIT_ASSERT(set_faults(engine, R"({"crash_on": "crashes engines"})"));
+        }
+        for (const auto& gateway : fleet.gateways) {
+            CPPUNIT_ASSERT(wait_until([&] {
+                const auto status = send_call(gateway.admin, {"GET", "/status", {}, {}});
+                return nlohmann::json::parse(status->body)["gateways"] == 2;
+            }));
+        }
+        const auto running = [&] {
+            return std::count_if(fleet.engines.begin(), fleet.engines.end(),
+                                 [](const auto& engine) { return engine.process->running(); });
+        };
+        bool is_refused = false;
+        for (int i = 0; i < 20; ++i) {
+            auto call = fleet.make_call("/stream/x", fmt::format("k{}", i));
+            call.body = "this crashes engines";
+            const auto reply = send(fleet.gateways[static_cast<std::size_t>(i) % 2], call);
+            CPPUNIT_ASSERT(reply.status != 200);
+            is_refused = is_refused || reply.body.starts_with("crashes_upstreams");
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+        CPPUNIT_ASSERT(is_refused);
+        // Three crashes show it; one more copy may have been in flight.
+        CPPUNIT_ASSERT(running() + 4 >= static_cast<std::ptrdiff_t>(engines));
+        CPPUNIT_ASSERT(wait_until([&] {
+            return send(fleet.gateways[1], fleet.make_call("/stream/x", "harmless")).status == 200;
+        }));
+    }
+
     void terminated_gateway_completes_its_requests()
     {
         gateway_fleet fleet;
@@ -304,6 +439,12 @@
     }
 
 private:
+    static bool set_faults(const fleet_member& upstream, const std::string& faults)
+    {
+        const auto reply = send_call(upstream.address, {"POST", "/faults", {}, faults});
+        return reply.ok() && reply->status == 200;
+    }
+
     // An unreachable gateway gives status 0.
     static http_reply send(const fleet_member& gateway, const http_call& call)
     {
--- a/tools/users_platform_stand_in/store.h
+++ b/tools/users_platform_stand_in/store.h
@@ -14,6 +14,8 @@
 
 /// The users' metadata store: objects by kind and name, paged lists, conditional writes, and
 /// watches as long polls. `DELETE /history` drops the history, so that older watches get 410.
+/// `POST /copy` takes a copy, and `POST /restore` brings it back in a new era, which all answers
+/// state: revisions are assigned again from that of the copy.
 class store {
 public:
     explicit store(boost::asio::io_context& context) : changed_(context) {}
@@ -28,6 +30,9 @@
         nlohmann::json event;
     };
 
+    boost::asio::awaitable<bool> answer(boost::asio::ip::tcp::socket& socket,
+                                        const request& message, response content) const;
+    void restore();
     response list(const std::string& kind, const std::string& after) const;
     boost::asio::awaitable<response> watch(std::string kind, std::uint64_t from,
                                            std::uint64_t wait_ms);
@@ -39,6 +44,9 @@
     std::vector<change> history_;
     std::uint64_t revision_ = 1;
     std::uint64_t history_begins_ = 1;
+    std::uint64_t era_ = 1;
+    std::map<std::string, std::map<std::string, nlohmann::json>> copied_objects_;
+    std::uint64_t copied_revision_ = 1;
     /// Cancelled at each change.
     boost::asio::steady_timer changed_;
 };
--- a/tools/users_platform_stand_in/worker.h
+++ b/tools/users_platform_stand_in/worker.h
@@ -25,7 +25,10 @@
 };
 
 /// A worker of the users' platform: runs plain requests and streams, and records its runs, which
-/// `GET /runs` returns.
+/// `GET /runs` returns. `POST /faults` with `{"leaving": BOOL, "shed_ms": NUMBER, "crash_on":
+/// TEXT}` makes it announce its stop in all its answers, turn away requests with a Retry-After for
+/// that long, or end when it begins to run a request whose body contains the text. The requests
+/// turned away are counted in `GET /runs`.
 ///
 /// A stream has `events` events whose data is the request id and the number; a plain response is
 /// the request id and the request's body. Targets that contain `/slow/` take ten times as long.
@@ -39,6 +42,9 @@
 private:
     response report() const;
     response order(const request& message);
+    response set_faults(const request& message);
+    /// Adds what the worker states in each of its answers.
+    response marked(response answer) const;
     boost::asio::awaitable<bool> run(boost::asio::ip::tcp::socket& socket, const request& message);
     boost::asio::awaitable<bool> stream(boost::asio::ip::tcp::socket& socket,
                                         const request& message);
@@ -56,6 +62,11 @@
     int running_ = 0;
     /// Orders that exceeded the number of adapter slots.
     int overfull_orders_ = 0;
+    bool is_leaving_ = false;
+    std::string crash_on_;
+    std::chrono::steady_clock::time_point shed_until_;
+    /// Requests turned away with a Retry-After.
+    int requests_shed_ = 0;
     nlohmann::json runs_ = nlohmann::json::array();
 };
 
