Gateways poll the registry as seldom as the bound on leaving upstreams allows, and log paused streams

Streams that begin in time and are late by a pause left no line in the log. Event stream_paused with the longest gap.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -219,6 +219,7 @@
         .host = host_id(reader.read_or_empty("host", parse_name)),
         .failure_domain = failure_domain_id(reader.read_or_empty("failure-domain", parse_name)),
         .drain_timeout = reader.read_or_empty("drain-timeout", parse_duration),
+        .leave_bound = reader.read_or_empty("leave-bound", parse_duration),
         .retry_ratio = reader.read_or_empty("retry-ratio", parse_real),
         .retry_slack = reader.read_or_empty("retry-slack", parse_real),
         .seed = reader.read_or_empty("seed", parse_number),
--- a/src/cli/gateway_settings.h
+++ b/src/cli/gateway_settings.h
@@ -21,6 +21,8 @@
     failure_domain_id failure_domain;
     /// Maximum time from SIGTERM to the end of the process.
     duration drain_timeout{};
+    /// Time after its announced stop or removal from which an upstream must get no new work.
+    duration leave_bound{};
     /// Retries allowed per request, and beyond those per window, over all gateways.
     double retry_ratio = 0;
     double retry_slack = 0;
--- a/src/cli/setting_tables.cpp
+++ b/src/cli/setting_tables.cpp
@@ -124,6 +124,9 @@
     setting{"drain-timeout", "<duration>", presence::defaulted, "7500ms",
             "After SIGTERM, how long requests in progress may take to end before the stop is "
             "forced."},
+    setting{"leave-bound", "<duration>", presence::defaulted, "2s",
+            "Time after its announced stop or removal from which an upstream must get no new work. "
+            "The registry is polled the less often the longer it is."},
     setting{"retry-ratio", "<number>", presence::defaulted, "0.2",
             "Retries allowed per request, over all gateways."},
     setting{"retry-slack", "<number>", presence::defaulted, "50",
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -399,6 +399,27 @@
                                     {"config", config_->version()}});
 }
 
+// Logs a stream that began in time and was late by a pause between two events.
+void call_exchange::log_paused_stream()
+{
+    const bool began_in_time =
+        first_byte_at_ && *first_byte_at_ - arrived_at_ <= route_->target_latency;
+    if (!began_in_time || route_->target_gap <= duration{} || longest_gap_ <= route_->target_gap) {
+        return;
+    }
+    const auto* state = context_.upstreams.find(upstream_);
+    const bool has_status = state != nullptr && state->status;
+    context_.log.info(
+        "stream_paused",
+        {{"request", call_.request_id},
+         {"route", route_->id.str()},
+         {"upstream", upstream_.str()},
+         {"sends", sends_},
+         {"longest_gap_ms", std::chrono::duration_cast<milliseconds>(longest_gap_).count()},
+         {"running", has_status ? state->status->running : 0},
+         {"waiting", has_status ? state->status->waiting : 0}});
+}
+
 void call_exchange::on_body(std::string_view bytes)
 {
     progress_at_ = steady_now();
@@ -543,6 +564,10 @@
     if (forwarded.empty()) {
         return;
     }
+    if (last_event_at_) {
+        longest_gap_ = std::max(longest_gap_, progress_at_ - *last_event_at_);
+    }
+    last_event_at_ = progress_at_;
     if (caller_->unsent_bytes() > max_unsent_bytes) {
         return abort_response("caller_does_not_read");
     }
@@ -551,6 +576,7 @@
 
 void call_exchange::end_stream()
 {
+    log_paused_stream();
     release_upstream(call_result::success, true);
     context_.metrics.responses.add();
     const auto caller = caller_;
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -78,6 +78,7 @@
     void refuse(const refusal& refused);
     void abort_response(std::string_view cause);
     void log_late_response();
+    void log_paused_stream();
     void finish();
     std::uint64_t fingerprint() const;
     std::string adapter_key() const;
@@ -125,6 +126,10 @@
     /// When the first byte of a streamed response body arrived.
     std::optional<time_point> first_byte_at_;
 
+    /// When events were last forwarded, and the longest pause between two of them.
+    std::optional<time_point> last_event_at_;
+    duration longest_gap_{};
+
     event_splitter events_;
     std::optional<std::uint64_t> last_event_;
     bool is_stream_open_ = false;
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -40,12 +40,15 @@
 constexpr int large_fleet_gateways = 16;
 // How long a new version is sent to all sidecars; afterwards only with uses of its adapter.
 constexpr auto version_announce_time = std::chrono::seconds(10);
-// Upstream entries change several times a second, and the platform charges each response to a watch
-// as a call. An upstream must get no more work 2 s after its removal.
-// The polls also detect outages: a store that was unresponsive has lost the requests that it
-// accepted meanwhile, and the connection does not show it.
-constexpr platform::object_watch_timing upstream_watch_timing{milliseconds(1500),
-                                                              milliseconds(700)};
+// The polls of upstreams also detect outages: a store that was unresponsive has lost the requests
+// that it accepted meanwhile, and the connection does not show it.
+constexpr auto upstream_poll_wait = milliseconds(1500);
+// Of the time after which an upstream must get no more work, this much is left for what follows a
+// pause between polls: 250 ms for a slow store, 200 ms of grace for removed entries, the rest for a
+// busy processor.
+constexpr auto leave_bound_reserve = milliseconds(1300);
+constexpr auto min_upstream_poll_delay = milliseconds(100);
+constexpr auto max_upstream_poll_delay = milliseconds(3000);
 constexpr platform::object_watch_timing version_watch_timing{std::chrono::seconds(25),
                                                              milliseconds(200)};
 // Minimum interval between refreshes of the configuration when other gateways have a newer version.
@@ -60,6 +63,15 @@
 constexpr double retry_budget_share = 0.6;
 constexpr int listen_backlog = 1024;
 
+// Upstream entries change several times a second, and the platform charges each response to a watch
+// as a call: the pause between polls is as long as the bound allows.
+platform::object_watch_timing upstream_watch_timing(duration leave_bound)
+{
+    return {upstream_poll_wait,
+            std::clamp<duration>(leave_bound - leave_bound_reserve, min_upstream_poll_delay,
+                                 max_upstream_poll_delay)};
+}
+
 std::uint64_t seed_of(std::uint64_t given)
 {
     return given != 0 ? given : std::random_device{}();
@@ -75,9 +87,9 @@
       datagrams_(io.get_executor()),
       config_watch_(make_watch(platform::wire::config_kind, {}, &gateway_server::on_config_listed,
                                &gateway_server::on_config_changed)),
-      upstream_watch_(make_watch(platform::wire::upstream_kind, upstream_watch_timing,
-                                 &gateway_server::on_upstreams_listed,
-                                 &gateway_server::on_upstream_changed)),
+      upstream_watch_(
+          make_watch(platform::wire::upstream_kind, upstream_watch_timing(settings.leave_bound),
+                     &gateway_server::on_upstreams_listed, &gateway_server::on_upstream_changed)),
       version_watch_(make_watch(platform::wire::version_kind, version_watch_timing,
                                 &gateway_server::on_versions_listed,
                                 &gateway_server::on_version_changed))
