Sidecars pace the prompts of engines whose streams pause

Cause: an engine reads prompts in chunks between the tokens of its streams. The engine's mean load was under half of what it reads; the prompts came in bursts, from five gateways that do not see each other's. Change: gateways tell a sidecar of pauses, of prompts sent and of the time to the first event. After two pauses the sidecar limits the prompt tokens given within the time of one event to what its engine reads in that time (prompt_pacer); gateways then ask before they send. Calls that cannot begin in time are refused at once, with the expected wait as Retry-After, and load their adapter nowhere else. Engines whose streams keep their pace are not limited, and cost one datagram a prompt.

--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -4,6 +4,7 @@
 #include "base/json_reader.h"
 #include "poison/suspect_codec.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -78,6 +79,7 @@
     value["memory"] = status.memory_used;
     value["full"] = status.is_full;
     value["short"] = status.is_short_of_slots;
+    value["paced"] = status.is_paced;
     value["gateways"] = content.gateways;
     return value;
 }
@@ -101,6 +103,43 @@
     return value;
 }
 
+std::uint64_t to_ms(duration span)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(span).count(), 0));
+}
+
+json to_json(const admission_request& content)
+{
+    auto value = header("admit");
+    value["gateway"] = content.gateway;
+    value["call"] = content.call;
+    value["intent"] = static_cast<unsigned>(content.intent);
+    value["tokens"] = content.prompt_tokens;
+    value["urgency"] = static_cast<unsigned>(content.urgency);
+    value["elapsed_ms"] = to_ms(content.elapsed);
+    value["aim_ms"] = to_ms(content.aim_wait);
+    value["wait_ms"] = to_ms(content.max_wait);
+    return value;
+}
+
+json to_json(const admission_answer& content)
+{
+    auto value = header("admission");
+    value["call"] = content.call;
+    value["verdict"] = static_cast<unsigned>(content.decision);
+    value["wait_ms"] = to_ms(content.wait);
+    return value;
+}
+
+json to_json(const stream_pause& content)
+{
+    auto value = header("pause");
+    value["gap_ms"] = to_ms(content.gap);
+    value["target_ms"] = to_ms(content.target);
+    return value;
+}
+
 int count(const json_reader& fields, const char* name)
 {
     return static_cast<int>(fields.integer<std::uint16_t>(name));
@@ -195,6 +234,8 @@
     status.memory_used = fields.integer<std::uint64_t>("memory");
     status.is_full = fields.flag("full");
     status.is_short_of_slots = fields.flag("short");
+    // Absent in messages of earlier builds.
+    status.is_paced = fields.has("paced") && fields.flag("paced");
     content.gateways = fields.texts("gateways");
     return content;
 }
@@ -211,6 +252,51 @@
     };
 }
 
+duration milliseconds(const json_reader& fields, const char* name)
+{
+    return std::chrono::milliseconds(fields.integer<std::uint32_t>(name));
+}
+
+// A number that stands for one of the enumerators up to `last`.
+template <class Enum>
+Enum enumerator(const json_reader& fields, const char* name, Enum last)
+{
+    const auto number = fields.integer<std::uint8_t>(name);
+    if (number > static_cast<std::uint8_t>(last)) {
+        fields.fail(fmt::format("message.{}", name), "is unknown");
+        return Enum{};
+    }
+    return static_cast<Enum>(number);
+}
+
+admission_request read_admission_request(const json_reader& fields)
+{
+    return {
+        .gateway = fields.text("gateway"),
+        .call = fields.integer<std::uint64_t>("call"),
+        .intent = enumerator(fields, "intent", admission_request::purpose::begun),
+        .prompt_tokens = fields.integer<std::uint32_t>("tokens"),
+        .urgency = count(fields, "urgency"),
+        .aim_wait = milliseconds(fields, "aim_ms"),
+        .max_wait = milliseconds(fields, "wait_ms"),
+        .elapsed = milliseconds(fields, "elapsed_ms"),
+    };
+}
+
+admission_answer read_admission_answer(const json_reader& fields)
+{
+    return {
+        .call = fields.integer<std::uint64_t>("call"),
+        .decision = enumerator(fields, "verdict", admission_answer::verdict::refused),
+        .wait = milliseconds(fields, "wait_ms"),
+    };
+}
+
+stream_pause read_pause(const json_reader& fields)
+{
+    return {.gap = milliseconds(fields, "gap_ms"), .target = milliseconds(fields, "target_ms")};
+}
+
 } // namespace
 
 std::string encode(const message& content)
@@ -243,6 +329,15 @@
     else if (type == "alive") {
         content = read_heartbeat(fields);
     }
+    else if (type == "admit") {
+        content = read_admission_request(fields);
+    }
+    else if (type == "admission") {
+        content = read_admission_answer(fields);
+    }
+    else if (type == "pause") {
+        content = read_pause(fields);
+    }
     else if (type == "crashes") {
         const auto suspects = value->find("suspects");
         auto digest = poison::decode_suspect_digest(suspects == value->end() ? json() : *suspects);
--- a/src/control/message.h
+++ b/src/control/message.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include "control/adapter_demand.h"
+#include "control/admission_answer.h"
+#include "control/admission_request.h"
 #include "control/crash_findings.h"
 #include "control/gateway_usage.h"
 #include "control/sidecar_heartbeat.h"
 #include "control/sidecar_report.h"
+#include "control/stream_pause.h"
 
 #include <absl/status/statusor.h>
 #include <string>
@@ -14,9 +17,9 @@
 namespace snipespar::control {
 
 /// A datagram between gateways and sidecars. A message states totals or a whole present state, or
-/// names the message that did, so that lost, duplicate or late ones are harmless.
-using message =
-    std::variant<adapter_demand, gateway_usage, sidecar_report, sidecar_heartbeat, crash_findings>;
+/// names what it refers to, so that lost, duplicate or late ones are harmless.
+using message = std::variant<adapter_demand, gateway_usage, sidecar_report, sidecar_heartbeat,
+                             crash_findings, admission_request, admission_answer, stream_pause>;
 
 /// Encodes a message as CBOR.
 std::string encode(const message& content);
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -47,6 +47,15 @@
 // Callers refused because of load retry after a delay drawn uniformly from this range.
 constexpr auto min_retry_delay = milliseconds(150);
 constexpr auto max_retry_delay = milliseconds(600);
+// A call waits for the admission of its prompt for at most this part of its time, and for this
+// multiple of the target latency.
+constexpr int admission_limit_divisor = 2;
+constexpr int admission_target_factor = 3;
+// Part of the target latency that the engine needs to read a prompt.
+constexpr int read_time_divisor = 4;
+constexpr auto min_admission_wait = milliseconds(50);
+// Pauses of an engine's streams are reported at most this often, as all of them pause together.
+constexpr auto pause_report_interval = milliseconds(200);
 constexpr int route_urgency_levels = 3;
 constexpr int lowest_urgency = 9;
 // Bytes that a caller may leave unread before its stream is aborted.
@@ -175,10 +184,15 @@
     if (runs_ > 0 && context_.crashes.is_refused(fingerprint(), now)) {
         return give_up("crashes_upstreams");
     }
-    const placement_query query{service_->name, service_->engine ? adapter_key() : std::string(),
-                                call_.model,    min_version(now),
-                                excluded_,      context_.popularity.share(adapter_key(), now),
-                                call_.session,  call_.shared_tokens};
+    const placement_query query{service_->name,
+                                service_->engine ? adapter_key() : std::string(),
+                                call_.model,
+                                min_version(now),
+                                excluded_,
+                                context_.popularity.share(adapter_key(), now),
+                                call_.session,
+                                call_.shared_tokens,
+                                refused_admissions_ == 0};
     const auto chosen =
         context_.selector.choose(query, *service_, context_.upstreams, context_.gateways, now);
     for (const auto& replica : chosen.replicas) {
@@ -187,16 +201,18 @@
         }
     }
     if (const auto* target = std::get_if<send_to>(&chosen.destination)) {
-        if (reserve_attempt(now)) {
-            send(target->upstream, now);
-        }
-        return;
+        return dispatch(target->upstream, now);
     }
     if (const auto* target = std::get_if<wait_for_adapter>(&chosen.destination)) {
         return wait_for_load(target->upstream, now);
     }
     const auto& none = std::get<no_upstream>(chosen.destination);
-    opens_at_ = none.opens_at;
+    if (none.opens_at) {
+        opens_at_ = none.opens_at;
+    }
+    if (refused_admissions_ > 0) {
+        return give_up("prompt_backlog");
+    }
     give_up(none.is_overloaded ? "upstreams_full" : "no_upstream");
 }
 
@@ -238,10 +254,109 @@
     if (resident != state->status->adapters.end() && resident->second >= min_version(now)) {
         stop_waiting();
         --waits_;
+        dispatch(upstream, now);
+    }
+}
+
+// Sends the call to the upstream, or asks its sidecar first if the engine's prompts are paced.
+void call_exchange::dispatch(const upstream_id& upstream, time_point now)
+{
+    const auto* state = context_.upstreams.find(upstream);
+    const bool has_prompt = service_->engine && call_.prompt_tokens > 0;
+    // A call that an engine has begun goes on at once.
+    const bool must_ask = has_prompt && sends_ == 0 && state->status && state->status->is_paced;
+    if (!must_ask) {
         if (reserve_attempt(now)) {
             send(upstream, now);
+            if (has_prompt) {
+                ask_for_admission(control::admission_request::purpose::sent, upstream, 0, {});
+            }
         }
+        return;
     }
+    const auto number = ++context_.last_admission;
+    const auto max_wait = max_admission_wait(now);
+    admission_.emplace(number, upstream, max_wait, now);
+    context_.admissions[number] = weak_from_this();
+    context_.upstreams.on_adapter_wait(upstream, adapter_key(), 1);
+    ask_for_admission(control::admission_request::purpose::ask, upstream, number, max_wait);
+}
+
+void call_exchange::ask_for_admission(control::admission_request::purpose intent,
+                                      const upstream_id& upstream, std::uint64_t number,
+                                      duration max_wait)
+{
+    context_.send_to_sidecar(upstream,
+                             control::admission_request{.gateway = context_.host,
+                                                        .call = number,
+                                                        .intent = intent,
+                                                        .prompt_tokens = call_.prompt_tokens,
+                                                        .urgency = urgency(),
+                                                        .aim_wait = aim_wait(),
+                                                        .max_wait = max_wait,
+                                                        .elapsed = {}});
+}
+
+// Time for which a prompt can wait and its stream still begin in time.
+duration call_exchange::aim_wait() const
+{
+    const auto left = arrived_at_ + route_->target_latency - steady_now();
+    return left - route_->target_latency / read_time_divisor;
+}
+
+// Callers abandon a stream that has not begun after some multiples of the target latency.
+duration call_exchange::max_admission_wait(time_point now) const
+{
+    const auto left = (deadline_ - now) / admission_limit_divisor;
+    const auto until_abandoned =
+        arrived_at_ + admission_target_factor * route_->target_latency - now;
+    return std::max<duration>(std::min<duration>(left, until_abandoned), min_admission_wait);
+}
+
+void call_exchange::on_admission(const control::admission_answer& answer)
+{
+    if (!is_done_ && admission_ && admission_->number() == answer.call) {
+        const auto now = steady_now();
+        if (answer.decision == control::admission_answer::verdict::refused) {
+            opens_at_ = now + answer.wait;
+        }
+        take_step(admission_->on_answer(answer, now), now);
+    }
+}
+
+void call_exchange::take_step(admission_wait::step step, time_point now)
+{
+    const auto upstream = admission_->upstream();
+    switch (step) {
+    case admission_wait::step::wait:
+        return;
+    case admission_wait::step::ask_again:
+        return ask_for_admission(control::admission_request::purpose::ask, upstream,
+                                 admission_->number(), admission_->time_left(now));
+    case admission_wait::step::send:
+        stop_asking();
+        if (reserve_attempt(now)) {
+            send(upstream, now);
+        }
+        return;
+    case admission_wait::step::go_elsewhere:
+        stop_asking();
+        excluded_.insert(upstream);
+        ++refused_admissions_;
+        return try_next_upstream();
+    }
+}
+
+// Ends the wait for admission, whatever its outcome.
+void call_exchange::stop_asking()
+{
+    if (!admission_) {
+        return;
+    }
+    admission_time_ += steady_now() - admission_->began();
+    context_.admissions.erase(admission_->number());
+    context_.upstreams.on_adapter_wait(admission_->upstream(), adapter_key(), -1);
+    admission_.reset();
 }
 
 bool call_exchange::may_still_load(const upstream_id& upstream, time_point now) const
@@ -299,9 +414,7 @@
     attempt.time_left = deadline_ + response_margin - now;
     attempt.last_event = last_event_;
     if (service_->engine) {
-        const int route_level = std::min(route_->priority, route_urgency_levels - 1);
-        const int team_level = team_ == nullptr ? 0 : team_->priority;
-        attempt.urgency = std::min(team_level * route_urgency_levels + route_level, lowest_urgency);
+        attempt.urgency = urgency();
     }
     channel_ = context_.channels.acquire(address, now);
     ++sends_;
@@ -325,6 +438,27 @@
                        std::move(handler));
 }
 
+// Tells the sidecar how long the engine took to read the prompt.
+void call_exchange::tell_begun()
+{
+    context_.send_to_sidecar(
+        upstream_, control::admission_request{.gateway = context_.host,
+                                              .call = 0,
+                                              .intent = control::admission_request::purpose::begun,
+                                              .prompt_tokens = call_.prompt_tokens,
+                                              .urgency = 0,
+                                              .aim_wait = {},
+                                              .max_wait = {},
+                                              .elapsed = progress_at_ - sent_at_});
+}
+
+int call_exchange::urgency() const
+{
+    const int route_level = std::min(route_->priority, route_urgency_levels - 1);
+    const int team_level = team_ == nullptr ? 0 : team_->priority;
+    return std::min(team_level * route_urgency_levels + route_level, lowest_urgency);
+}
+
 void call_exchange::on_header(const answer_header& header)
 {
     progress_at_ = steady_now();
@@ -333,6 +467,9 @@
     if (!has_response_begun_) {
         has_response_begun_ = true;
         context_.upstreams.on_response_started(upstream_, call_.prompt_tokens, progress_at_);
+        if (service_->engine && call_.prompt_tokens > 0 && header.is_success()) {
+            tell_begun();
+        }
     }
     const bool is_usable = header.is_success() && header.is_sealed && !header.is_encoded;
     if (header.is_success() && !is_usable) {
@@ -391,6 +528,7 @@
                                     {"waits", waits_},
                                     {"prompt_tokens", call_.prompt_tokens},
                                     {"sent_after_ms", ms(sent_at_ - arrived_at_)},
+                                    {"admission_ms", ms(admission_time_)},
                                     {"answered_after_ms", ms(first)},
                                     {"running", has_status ? state->status->running : 0},
                                     {"waiting", has_status ? state->status->waiting : 0},
@@ -565,7 +703,7 @@
         return;
     }
     if (last_event_at_) {
-        longest_gap_ = std::max(longest_gap_, progress_at_ - *last_event_at_);
+        note_gap(progress_at_ - *last_event_at_);
     }
     last_event_at_ = progress_at_;
     if (caller_->unsent_bytes() > max_unsent_bytes) {
@@ -574,6 +712,17 @@
     caller_->send(chunk(forwarded));
 }
 
+void call_exchange::note_gap(duration gap)
+{
+    longest_gap_ = std::max(longest_gap_, gap);
+    const bool is_pause = route_->target_gap > duration{} && gap > route_->target_gap;
+    // A gap during which the stream moved says nothing about its new engine.
+    if (is_pause && service_->engine && *last_event_at_ >= sent_at_ &&
+        context_.upstreams.on_pause(upstream_, pause_report_interval, progress_at_)) {
+        context_.send_to_sidecar(upstream_, control::stream_pause{gap, route_->target_gap});
+    }
+}
+
 void call_exchange::end_stream()
 {
     log_paused_stream();
@@ -718,6 +867,11 @@
     }
     is_done_ = true;
     stop_waiting();
+    if (admission_) {
+        ask_for_admission(control::admission_request::purpose::cancel, admission_->upstream(),
+                          admission_->number(), {});
+        stop_asking();
+    }
     if (is_charged_ && runs_ == 0) {
         context_.teams.refund(team_->id, tokens_, steady_now());
     }
@@ -763,6 +917,13 @@
             return try_next_upstream();
         }
     }
+    if (admission_) {
+        const auto* state = context_.upstreams.find(admission_->upstream());
+        const bool is_unavailable = state == nullptr || !upstream_table::is_open(*state, now) ||
+                                    upstream_table::is_unresponsive(*state, now);
+        return take_step(
+            is_unavailable ? admission_wait::step::go_elsewhere : admission_->on_tick(now), now);
+    }
     if (channel_ != nullptr && route_->is_repeatable() && now - progress_at_ > stall_timeout() &&
         can_try_again(now) && context_.retries[service_->name].available() >= 1) {
         on_attempt_failed("silent");
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "control/admission_answer.h"
+#include "control/admission_request.h"
+#include "gateway/admission_wait.h"
 #include "gateway/answer_header.h"
 #include "gateway/call.h"
 #include "gateway/event_splitter.h"
@@ -41,6 +44,9 @@
     /// Checks the timeouts.
     void on_tick(time_point now);
 
+    /// The sidecar of an engine has answered whether the call may be sent.
+    void on_admission(const control::admission_answer& answer);
+
     /// The status of an upstream changed, which the exchange may be waiting for.
     void on_engine_status(const upstream_id& upstream);
 
@@ -58,6 +64,15 @@
     /// Whether the upstream, known to be reporting, can still load the adapter.
     bool may_still_load(const upstream_id& upstream, time_point now) const;
     bool reserve_attempt(time_point now);
+    void dispatch(const upstream_id& upstream, time_point now);
+    void ask_for_admission(control::admission_request::purpose intent, const upstream_id& upstream,
+                           std::uint64_t number, duration max_wait);
+    void tell_begun();
+    void take_step(admission_wait::step step, time_point now);
+    void stop_asking();
+    duration aim_wait() const;
+    duration max_admission_wait(time_point now) const;
+    int urgency() const;
     void send(const upstream_id& upstream, time_point now);
     void on_header(const answer_header& header);
     void note_upstream_state(const answer_header& header);
@@ -66,6 +81,7 @@
     void on_failed(const absl::Status& status);
     void forward_stream_header();
     void forward_events(std::string_view bytes);
+    void note_gap(duration gap);
     void end_stream();
     void forward_buffered(const buffered_response& response);
     void on_not_run();
@@ -106,6 +122,13 @@
     /// The team was charged for the call.
     bool is_charged_ = false;
 
+    /// Set while the call waits for the admission of its prompt.
+    std::optional<admission_wait> admission_;
+    /// Engines that could not take the prompt in time.
+    int refused_admissions_ = 0;
+    /// Total time spent in such waits.
+    duration admission_time_{};
+
     upstream_id upstream_;
     std::shared_ptr<upstream_channel> channel_;
     time_point sent_at_;
@@ -117,7 +140,7 @@
     std::string body_;
     std::optional<buffered_response> failed_response_;
 
-    /// When the first of the closed upstreams accepts calls again, if no other one was left.
+    /// When an upstream presumably accepts the call, if none did so far.
     std::optional<time_point> opens_at_;
     upstream_id pending_upstream_;
     /// Deadline for all waits for the adapter, set at the first one.
--- a/src/gateway/engine_status.h
+++ b/src/gateway/engine_status.h
@@ -31,6 +31,8 @@
     /// More adapters are pending than slots are free: gateways should report immediately when they
     /// no longer use one.
     bool is_short_of_slots = false;
+    /// Gateways must ask the sidecar before they send a prompt.
+    bool is_paced = false;
 
     friend bool operator==(const engine_status&, const engine_status&) = default;
 };
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/message.h"
 #include "gateway/adapter_popularity.h"
 #include "gateway/channel_pool.h"
 #include "gateway/crash_guard.h"
@@ -71,6 +72,13 @@
     bool is_draining = false;
     /// The process of this upstream has ended, or does not accept connections.
     std::function<void(const upstream_id&)> report_upstream_ended;
+    /// Sends a message to the sidecar of this upstream.
+    std::function<void(const upstream_id&, const control::message&)> send_to_sidecar;
+    /// Calls that wait for admission, by number.
+    std::map<std::uint64_t, std::weak_ptr<call_exchange>> admissions;
+    std::uint64_t last_admission = 0;
+    /// Name of the host, which sidecars know this gateway by.
+    std::string host;
     /// Queues a demand message to the sidecar of this upstream.
     std::function<void(const upstream_id&)> send_demand;
 };
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -95,6 +95,14 @@
                                 &gateway_server::on_version_changed))
 {
     context_.send_demand = [this](const upstream_id& upstream) { queue_demand(upstream); };
+    context_.host = settings.host.str();
+    context_.send_to_sidecar = [this](const upstream_id& upstream,
+                                      const control::message& content) {
+        if (const auto* state = context_.upstreams.find(upstream)) {
+            datagrams_.send({state->entry.address.ip, settings_.control_listen.port},
+                            control::encode(content));
+        }
+    };
     context_.report_upstream_ended = [this](const upstream_id& upstream) {
         on_upstream_ended(upstream);
     };
@@ -460,6 +468,13 @@
     else if (const auto* heartbeat = std::get_if<control::sidecar_heartbeat>(&content)) {
         context_.upstreams.on_heartbeat(*heartbeat, steady_now());
     }
+    else if (const auto* answer = std::get_if<control::admission_answer>(&content)) {
+        const auto asked = context_.admissions.find(answer->call);
+        const auto exchange = asked == context_.admissions.end() ? nullptr : asked->second.lock();
+        if (exchange != nullptr) {
+            exchange->on_admission(*answer);
+        }
+    }
     else if (const auto* findings = std::get_if<control::crash_findings>(&content)) {
         context_.crashes.merge(findings->suspects, steady_now());
     }
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -299,7 +299,8 @@
     if (target == nullptr && groups.are_all_starting) {
         target = &ranking.front();
     }
-    if (target == nullptr) {
+    if (target == nullptr || !query.may_load) {
+        decision.replicas.clear();
         decision.destination = no_upstream{true, std::nullopt};
     }
     else {
--- a/src/gateway/upstream_selector.h
+++ b/src/gateway/upstream_selector.h
@@ -34,6 +34,8 @@
     /// Hash of the prompt parts that the call shares with its session, and their token count.
     std::uint64_t session = 0;
     std::uint64_t shared_tokens = 0;
+    /// Whether the adapter may be loaded on further engines for the call.
+    bool may_load = true;
 };
 
 /// The call can be sent immediately.
--- a/src/gateway/upstream_state.h
+++ b/src/gateway/upstream_state.h
@@ -47,6 +47,8 @@
     std::uint64_t prompt_tokens = 0;
     /// When the last part of any response arrived.
     time_point last_response_at;
+    /// When a pause of its streams was last reported to its sidecar.
+    time_point pause_reported_at;
     /// Smoothed share of failed calls, 0 to 1.
     double failure_rate = 0;
     /// Failures since the last success.
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -271,6 +271,16 @@
     return should_notify;
 }
 
+bool upstream_table::on_pause(const upstream_id& id, duration interval, time_point now)
+{
+    const auto found = states_.find(id);
+    if (found == states_.end() || now - found->second.pause_reported_at < interval) {
+        return false;
+    }
+    found->second.pause_reported_at = now;
+    return true;
+}
+
 void upstream_table::on_adapter_missing(const upstream_id& id, std::string_view adapter)
 {
     const auto found = states_.find(id);
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -71,6 +71,9 @@
     /// whether the sidecar should be notified immediately that the adapter is no longer used there.
     bool on_call_ended(const upstream_id& id, std::string_view adapter,
                        std::uint64_t outstanding_tokens, call_result result, time_point now);
+    /// A stream of the upstream has paused. Returns whether to report it, which is so once in each
+    /// interval.
+    bool on_pause(const upstream_id& id, duration interval, time_point now);
     /// An adapter recorded as resident on the upstream was missing there.
     void on_adapter_missing(const upstream_id& id, std::string_view adapter);
     void on_adapter_wait(const upstream_id& id, std::string_view adapter, int change);
--- /dev/null
+++ b/src/sidecar/prompt_pacer.cpp
@@ -0,0 +1,281 @@
+#include "sidecar/prompt_pacer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipespar::sidecar {
+
+namespace {
+
+using verdict = control::admission_answer::verdict;
+using std::chrono::milliseconds;
+
+// A longer pause, relative to the target, comes from a frozen host or a broken path, not from
+// prompts.
+constexpr int max_pause_factor = 3;
+// Two pauses within this time set the first limit; a single one may be an accident of the network.
+constexpr auto pause_evidence_time = milliseconds(2000);
+// Quantile of the measured reading rates that is taken for the engine's: the lower ones come from
+// prompts that waited there, the highest from prompts that it had kept.
+constexpr double read_rate_quantile = 0.75;
+constexpr std::size_t max_read_rates = 64;
+constexpr double lower_factor = 0.93;
+// Distance that the limit keeps from one at which streams paused.
+constexpr double ceiling_share = 0.95;
+// Prompts given before the limit was lowered are still read for so long.
+constexpr auto settling_time = milliseconds(1000);
+// The limit rises by these shares a second while it binds and no stream pauses.
+constexpr double rise_per_s = 0.05;
+constexpr double rise_above_ceiling_per_s = 0.005;
+// A limit that has not bound for so long is dropped.
+constexpr auto unused_limit_lifetime = std::chrono::seconds(20);
+// Calls of average size that may always be given within one window.
+constexpr double lowest_limit_calls = 2;
+// How long tokens given and tickets granted are remembered, in windows.
+constexpr int remembered_windows = 3;
+constexpr auto granted_lifetime = std::chrono::seconds(2);
+
+double seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+void prompt_pacer::on_sent(std::uint64_t tokens, time_point now)
+{
+    give(tokens, now);
+}
+
+void prompt_pacer::on_begun(std::uint64_t tokens, duration elapsed)
+{
+    if (elapsed <= duration{}) {
+        return;
+    }
+    read_rates_.push_back(static_cast<double>(tokens) / seconds(elapsed));
+    if (read_rates_.size() > max_read_rates) {
+        read_rates_.pop_front();
+    }
+}
+
+// Tokens a second that the engine reads when little else waits there.
+double prompt_pacer::read_per_s() const
+{
+    if (read_rates_.empty()) {
+        return 0;
+    }
+    std::vector<double> rates(read_rates_.begin(), read_rates_.end());
+    const auto rank =
+        static_cast<std::ptrdiff_t>(read_rate_quantile * static_cast<double>(rates.size() - 1));
+    std::nth_element(rates.begin(), rates.begin() + rank, rates.end());
+    return rates[static_cast<std::size_t>(rank)];
+}
+
+void prompt_pacer::on_pause(duration gap, duration target, time_point now)
+{
+    if (target <= duration{} || gap > max_pause_factor * target) {
+        return;
+    }
+    window_ = window_ == duration{} ? target : std::min(window_, target);
+    const double readable = std::max(read_per_s() * seconds(window_), lowest_limit());
+    if (limit_) {
+        if (now - lowered_at_ > settling_time) {
+            limit_ = std::max(*limit_ * lower_factor, lowest_limit());
+            ceiling_ = *limit_ / lower_factor * ceiling_share;
+            lowered_at_ = now;
+        }
+        return;
+    }
+    if (!first_pause_at_ || now - *first_pause_at_ > pause_evidence_time) {
+        first_pause_at_ = now;
+        return;
+    }
+    if (now - *first_pause_at_ < window_) {
+        return;
+    }
+    limit_ = readable;
+    ceiling_ = readable;
+    lowered_at_ = now;
+    adjusted_at_ = now;
+    bound_at_ = now;
+}
+
+admission_decision prompt_pacer::ask(const admission_ticket& ticket, std::uint64_t tokens,
+                                     int urgency, admission_times times, time_point now)
+{
+    if (granted_.contains(ticket)) {
+        return {ticket, verdict::granted, {}};
+    }
+    if (const auto place = places_.find(ticket); place != places_.end()) {
+        return {ticket, verdict::queued, expected_wait(place->second, tokens, now)};
+    }
+    const queue_place place{urgency, ++arrivals_};
+    const bool is_next = waiting_.empty() || place < waiting_.begin()->first;
+    if (!limit_ || (is_next && has_room(tokens, now))) {
+        give(tokens, now);
+        granted_[ticket] = now;
+        return {ticket, verdict::granted, {}};
+    }
+    bound_at_ = now;
+    const auto wait = expected_wait(place, tokens, now);
+    if (wait > times.max_wait) {
+        return {ticket, verdict::refused, wait - times.max_wait};
+    }
+    waiting_.emplace(place, waiting_call{ticket, tokens, now + times.aim, now + times.max_wait});
+    places_.emplace(ticket, place);
+    return {ticket, verdict::queued, wait};
+}
+
+void prompt_pacer::cancel(const admission_ticket& ticket)
+{
+    if (const auto place = places_.find(ticket); place != places_.end()) {
+        waiting_.erase(place->second);
+        places_.erase(place);
+    }
+}
+
+std::vector<admission_decision> prompt_pacer::decide(time_point now)
+{
+    forget(now);
+    adjust(now);
+    std::vector<admission_decision> decisions;
+    for (auto item = waiting_.begin(); item != waiting_.end();) {
+        const auto next = std::next(item);
+        if (now >= item->second.deadline) {
+            decisions.push_back(finish(item, verdict::refused, now));
+        }
+        item = next;
+    }
+    for (auto item = next_waiting(now);
+         item != waiting_.end() && (!limit_ || has_room(item->second.tokens, now));
+         item = next_waiting(now)) {
+        decisions.push_back(finish(item, verdict::granted, now));
+    }
+    return decisions;
+}
+
+// A call that can still begin in time goes before equally urgent ones that are late anyway.
+prompt_pacer::queue::iterator prompt_pacer::next_waiting(time_point now)
+{
+    const auto first = waiting_.begin();
+    for (auto item = first; item != waiting_.end() && item->first.urgency == first->first.urgency;
+         ++item) {
+        if (now < item->second.aim) {
+            return item;
+        }
+    }
+    return first;
+}
+
+admission_decision prompt_pacer::finish(queue::iterator item, verdict outcome, time_point now)
+{
+    const auto ticket = item->second.ticket;
+    if (outcome == verdict::granted) {
+        give(item->second.tokens, now);
+        granted_[ticket] = now;
+    }
+    places_.erase(ticket);
+    waiting_.erase(item);
+    return {ticket, outcome, {}};
+}
+
+std::optional<time_point> prompt_pacer::next_decision_at(time_point now) const
+{
+    if (waiting_.empty()) {
+        return std::nullopt;
+    }
+    const auto& next = waiting_.begin()->second;
+    double used = given_within_window(now);
+    for (const auto& item : given_) {
+        if (now - item.at >= window_) {
+            continue;
+        }
+        used -= static_cast<double>(item.tokens);
+        if (!limit_ || used + static_cast<double>(next.tokens) <= *limit_ || used <= 0) {
+            return std::min(item.at + window_, next.deadline);
+        }
+    }
+    return now;
+}
+
+void prompt_pacer::give(std::uint64_t tokens, time_point now)
+{
+    given_.push_back({now, tokens});
+    forget(now);
+}
+
+double prompt_pacer::given_within_window(time_point now) const
+{
+    double sum = 0;
+    for (auto item = given_.rbegin(); item != given_.rend() && now - item->at < window_; ++item) {
+        sum += static_cast<double>(item->tokens);
+    }
+    return sum;
+}
+
+double prompt_pacer::lowest_limit() const
+{
+    if (given_.empty()) {
+        return 0;
+    }
+    double sum = 0;
+    for (const auto& item : given_) {
+        sum += static_cast<double>(item.tokens);
+    }
+    return lowest_limit_calls * sum / static_cast<double>(given_.size());
+}
+
+// A call larger than the limit is given when nothing else is.
+bool prompt_pacer::has_room(std::uint64_t tokens, time_point now) const
+{
+    const auto used = given_within_window(now);
+    return used <= 0 || used + static_cast<double>(tokens) <= *limit_;
+}
+
+duration prompt_pacer::expected_wait(const queue_place& place, std::uint64_t tokens,
+                                     time_point now) const
+{
+    if (!limit_) {
+        return {};
+    }
+    double ahead = given_within_window(now) + static_cast<double>(tokens);
+    for (const auto& [other, call] : waiting_) {
+        if (other < place) {
+            ahead += static_cast<double>(call.tokens);
+        }
+    }
+    const double windows = std::max(ahead - *limit_, 0.0) / *limit_;
+    return duration(static_cast<duration::rep>(windows * static_cast<double>(window_.count())));
+}
+
+void prompt_pacer::adjust(time_point now)
+{
+    // Time without decisions is not time in which the limit was tried.
+    const auto passed = std::min<duration>(now - std::exchange(adjusted_at_, now), window_);
+    if (!limit_) {
+        return;
+    }
+    if (!waiting_.empty()) {
+        bound_at_ = now;
+    }
+    if (now - bound_at_ > unused_limit_lifetime) {
+        limit_.reset();
+        first_pause_at_.reset();
+        return;
+    }
+    if (now - bound_at_ < window_ && now - lowered_at_ > settling_time) {
+        const double rise = *limit_ < ceiling_ ? rise_per_s : rise_above_ceiling_per_s;
+        *limit_ *= 1 + rise * seconds(passed);
+    }
+}
+
+void prompt_pacer::forget(time_point now)
+{
+    const auto kept = std::max<duration>(remembered_windows * window_, std::chrono::seconds(1));
+    while (!given_.empty() && now - given_.front().at > kept) {
+        given_.pop_front();
+    }
+    std::erase_if(granted_, [&](const auto& item) { return now - item.second > granted_lifetime; });
+}
+
+} // namespace snipespar::sidecar
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -16,6 +16,12 @@
         "snipespar_sidecar_orders_failed_total", "Orders that were refused or got no response.");
     telemetry::counter& reports_failed = registry.make_counter(
         "snipespar_sidecar_reports_failed_total", "Engine reports that could not be read.");
+    telemetry::counter& admissions =
+        registry.make_counter("snipespar_sidecar_admissions_total",
+                              "Answers to gateways that asked to send a prompt to the engine.");
+    telemetry::counter& admissions_refused =
+        registry.make_counter("snipespar_sidecar_admissions_refused_total",
+                              "Calls whose prompt the engine could not take in time.");
     telemetry::counter& demands = registry.make_counter("snipespar_sidecar_demands_total",
                                                         "Messages received from gateways.");
 };
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -45,6 +45,8 @@
 constexpr auto whole_report_interval = milliseconds(1800);
 // A single report may be lost while the engine is healthy.
 constexpr int missed_report_limit = 2;
+// Shortest time between two rounds of admission.
+constexpr auto min_pace_interval = milliseconds(2);
 constexpr std::size_t max_report_bytes = 1024UL * 1024;
 
 // Whether the statuses differ only in the load.
@@ -66,14 +68,14 @@
             return found == now.adapters.end() || found->second != item.second;
         });
     return has_lost_model || has_lost_adapter || before.is_full != now.is_full ||
-           before.is_short_of_slots != now.is_short_of_slots;
+           before.is_short_of_slots != now.is_short_of_slots || before.is_paced != now.is_paced;
 }
 
 } // namespace
 
 sidecar_server::sidecar_server(asio::io_context& io, const cli::sidecar_settings& settings,
                                telemetry::logger& log)
-    : io_(io), settings_(settings), log_(log), start_(net::start_number()),
+    : io_(io), settings_(settings), log_(log), start_(net::start_number()), pace_timer_(io),
       datagrams_(io.get_executor()),
       engine_(settings.engine.ip, settings.engine.port, max_report_bytes), poll_timer_(io)
 {
@@ -211,20 +213,90 @@
 
 void sidecar_server::on_message(const control::message& content, const cli::endpoint& from)
 {
-    const auto* demand = std::get_if<control::adapter_demand>(&content);
-    if (demand == nullptr) {
+    if (const auto* demand = std::get_if<control::adapter_demand>(&content)) {
+        on_demand(*demand, from);
+    }
+    else if (const auto* request = std::get_if<control::admission_request>(&content)) {
+        on_admission(*request, from);
+    }
+    else if (const auto* pause = std::get_if<control::stream_pause>(&content)) {
+        const bool was_pacing = pacer_.is_pacing();
+        pacer_.on_pause(pause->gap, pause->target, steady_now());
+        if (pacer_.is_pacing() && !was_pacing) {
+            log_.info("pacing_started",
+                      {{"prompt_tokens", static_cast<std::uint64_t>(pacer_.limit().value_or(0))}});
+            publish();
+        }
+    }
+}
+
+void sidecar_server::on_admission(const control::admission_request& request,
+                                  const cli::endpoint& from)
+{
+    const admission_ticket ticket{request.gateway, request.call};
+    const auto now = steady_now();
+    switch (request.intent) {
+    case control::admission_request::purpose::sent:
+        return pacer_.on_sent(request.prompt_tokens, now);
+    case control::admission_request::purpose::begun:
+        return pacer_.on_begun(request.prompt_tokens, request.elapsed);
+    case control::admission_request::purpose::cancel:
+        pacer_.cancel(ticket);
+        break;
+    case control::admission_request::purpose::ask:
+        asking_gateways_[request.gateway] = from;
+        send_decision(pacer_.ask(ticket, request.prompt_tokens, request.urgency,
+                                 {request.aim_wait, request.max_wait}, now),
+                      from);
+        break;
+    }
+    pace();
+}
+
+void sidecar_server::send_decision(const admission_decision& decision, const cli::endpoint& to)
+{
+    metrics_.admissions.add();
+    if (decision.verdict == control::admission_answer::verdict::refused) {
+        metrics_.admissions_refused.add();
+    }
+    datagrams_.send(to, control::encode(control::admission_answer{
+                            decision.ticket.call, decision.verdict, decision.wait}));
+}
+
+// Answers the calls whose turn has come, and sets the timer for the next ones.
+void sidecar_server::pace()
+{
+    const auto now = steady_now();
+    for (const auto& decision : pacer_.decide(now)) {
+        const auto gateway = asking_gateways_.find(decision.ticket.gateway);
+        if (gateway != asking_gateways_.end()) {
+            send_decision(decision, gateway->second);
+        }
+    }
+    const auto next = pacer_.next_decision_at(now);
+    if (!next) {
         return;
     }
+    pace_timer_.expires_after(std::max<duration>(*next - now, min_pace_interval));
+    pace_timer_.async_wait([this](const auto& error) {
+        if (!error) {
+            pace();
+        }
+    });
+}
+
+void sidecar_server::on_demand(const control::adapter_demand& demand, const cli::endpoint& from)
+{
     const auto now = steady_now();
     metrics_.demands.add();
     const bool is_new = gateways_.find(from) == gateways_.end();
-    gateways_[from] = {demand->gateway, now};
-    planner_.on_demand(*demand, now);
+    gateways_[from] = {demand.gateway, now};
+    planner_.on_demand(demand, now);
     if (is_new) {
         published_at_ = {};
         broadcast_at_ = {};
         gateways_published_at_ = {};
-        log_.info("gateway_heard", {{"gateway", demand->gateway}, {"address", from.str()}});
+        log_.info("gateway_heard", {{"gateway", demand.gateway}, {"address", from.str()}});
     }
     if (planner_.has_outstanding_work() || is_new) {
         is_urgent_ = true;
@@ -239,9 +311,14 @@
     std::erase_if(gateways_, [&](const auto& item) {
         return now - item.second.last_demand_at > gateway_expiry;
     });
+    if (pacer_.waiting() == 0) {
+        // Lets an unused limit expire.
+        pacer_.decide(now);
+    }
     // An unresponsive engine is advertised as empty, so that calls waiting there go elsewhere.
     const bool is_lost = reports_missed_ >= missed_report_limit;
     auto status = is_lost ? gateway::engine_status{} : planner_.status();
+    status.is_paced = pacer_.is_pacing();
     const bool is_broadcast =
         withdraws(published_, status) || now - published_at_ >= publish_interval;
     const bool has_additions =
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -5,6 +5,7 @@
 #include "gateway/engine_status.h"
 #include "net/http_client.h"
 #include "sidecar/adapter_planner.h"
+#include "sidecar/prompt_pacer.h"
 #include "sidecar/sidecar_metrics.h"
 #include "telemetry/logger.h"
 
@@ -39,6 +40,10 @@
     boost::asio::awaitable<void> read_report();
     boost::asio::awaitable<void> give_orders();
     void on_message(const control::message& content, const cli::endpoint& from);
+    void on_demand(const control::adapter_demand& demand, const cli::endpoint& from);
+    void on_admission(const control::admission_request& request, const cli::endpoint& from);
+    void send_decision(const admission_decision& decision, const cli::endpoint& to);
+    void pace();
     void publish();
     void send_heartbeat(const gateway::engine_status& status);
 
@@ -48,6 +53,10 @@
     std::uint64_t start_;
     sidecar_metrics metrics_;
     adapter_planner planner_;
+    prompt_pacer pacer_;
+    boost::asio::steady_timer pace_timer_;
+    /// Address of each gateway that has asked for admission, by name.
+    std::map<std::string, cli::endpoint> asking_gateways_;
     control::datagram_socket datagrams_;
     net::http_client engine_;
     std::unique_ptr<telemetry::admin_server> admin_;
--- a/tests/control_message_test.cpp
+++ b/tests/control_message_test.cpp
@@ -46,8 +46,21 @@
         const sidecar_heartbeat heartbeat{"10.0.0.1:80", 4, 6, 5, 11, 2};
         const crash_findings findings{
             {{77, {{{upstream_id("i-1"), 5}, false, true, std::chrono::seconds(3)}}}}};
-        for (const auto& content : {message(demand), message(usage), message(report),
-                                    message(heartbeat), message(findings)}) {
+        report.status.is_paced = true;
+        const admission_request request{"g",
+                                        7,
+                                        admission_request::purpose::cancel,
+                                        1460,
+                                        3,
+                                        std::chrono::milliseconds(500),
+                                        std::chrono::milliseconds(900),
+                                        std::chrono::milliseconds(95)};
+        const admission_answer answer{7, admission_answer::verdict::queued,
+                                      std::chrono::milliseconds(40)};
+        const stream_pause pause{std::chrono::milliseconds(365), std::chrono::milliseconds(300)};
+        for (const auto& content :
+             {message(demand), message(usage), message(report), message(heartbeat),
+              message(findings), message(request), message(answer), message(pause)}) {
             const auto decoded = decode(encode(content));
             CPPUNIT_ASSERT(decoded.ok());
             CPPUNIT_ASSERT(*decoded == content);
