Team limits hold over frozen, restarted and many gateways

Cause: a gateway that had stood still refilled each team's bucket for the time of its standstill, and read the calls that waited before the reports of what others had admitted meanwhile; a fresh one began with a whole burst. Longer report intervals in large fleets let debts grow past the one burst that was kept. Change: after a standstill and at start a team has no whole burst; what others admitted meanwhile is a baseline, not a charge. A gateway reports at once when what it has not reported could matter if all gateways had as much.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -29,6 +29,8 @@
 
 // Resolution of timeouts.
 constexpr auto tick_interval = milliseconds(20);
+// A process that was not run for so long does not know what the others admitted meanwhile.
+constexpr auto standstill_time = milliseconds(700);
 // Interval of checks for idle connections and expired upstreams and peers.
 constexpr auto slow_tick_interval = milliseconds(250);
 // Adapters in use are reported to sidecars at this interval, new demand immediately.
@@ -206,6 +208,13 @@
 void gateway_server::tick()
 {
     const auto now = steady_now();
+    if (last_tick_at_ && now - *last_tick_at_ > standstill_time) {
+        context_.teams.on_resumed(now);
+        context_.log.warning(
+            "resumed_after_standstill",
+            {{"ms", std::chrono::duration_cast<milliseconds>(now - *last_tick_at_).count()}});
+    }
+    last_tick_at_ = now;
     const auto active = context_.exchanges;
     for (const auto& exchange : active) {
         exchange->on_tick(now);
@@ -589,8 +598,11 @@
 
 void gateway_server::send_usage(time_point now)
 {
-    auto stated = usage_reporter_.next(context_.teams.admitted(), context_.teams.has_busy_team(now),
-                                       context_.gateways, now);
+    auto urgency = context_.teams.has_busy_team(now) ? usage_urgency::busy : usage_urgency::none;
+    if (context_.teams.has_surge(usage_reporter_.stated(), context_.gateways)) {
+        urgency = usage_urgency::surge;
+    }
+    auto stated = usage_reporter_.next(context_.teams.admitted(), urgency, context_.gateways, now);
     if (!stated) {
         return;
     }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -98,6 +98,7 @@
     std::set<upstream_id> queued_demands_;
     std::uint64_t usage_sequence_ = 0;
     usage_reporter usage_reporter_;
+    std::optional<time_point> last_tick_at_;
     time_point slow_tick_at_;
     time_point demand_sent_at_;
     std::uint64_t demand_round_ = 0;
--- a/src/gateway/team_meter.h
+++ b/src/gateway/team_meter.h
@@ -36,6 +36,14 @@
     /// Returns the tokens of a call that was admitted and has not run.
     void refund(const team_id& team, std::uint64_t tokens, time_point now);
 
+    /// This process stood still until `now`, as when its host was frozen: what others admitted
+    /// meanwhile is not known, so that no team has more than its rate from now on.
+    void on_resumed(time_point now);
+
+    /// Whether the tokens admitted since the last report, as stated by it, could matter if every
+    /// gateway had as many unreported.
+    bool has_surge(const std::map<std::string, std::uint64_t>& stated, int gateways) const;
+
     /// Whether some team has used up more than half of its burst.
     bool has_busy_team(time_point now) const;
 
@@ -68,13 +76,15 @@
         time_point charged_until;
         /// Longest time between two of its reports.
         duration report_interval{};
+        /// Its next totals are not charged.
+        bool is_baseline_due = false;
         /// A team that is not in `teams` had no use at its last report.
         bool is_complete = false;
         std::map<std::string, peer_team> teams;
     };
 
     static void refill(bucket& item, time_point now);
-    static void charge(bucket& item, double tokens);
+    static void charge(bucket& item, double tokens, double lowest_level);
 
     std::uint64_t start_;
     std::map<std::string, bucket> buckets_;
--- a/src/gateway/usage_reporter.cpp
+++ b/src/gateway/usage_reporter.cpp
@@ -31,11 +31,15 @@
 }
 
 std::optional<usage_statement>
-usage_reporter::next(const std::map<std::string, std::uint64_t>& admitted, bool has_busy_team,
+usage_reporter::next(const std::map<std::string, std::uint64_t>& admitted, usage_urgency urgency,
                      int gateways, time_point now)
 {
-    const auto per_gateway = has_busy_team ? busy_interval_per_gateway : interval_per_gateway;
-    const auto interval = std::clamp<duration>(per_gateway * gateways, min_interval, max_interval);
+    const auto per_gateway =
+        urgency == usage_urgency::none ? interval_per_gateway : busy_interval_per_gateway;
+    const auto interval =
+        urgency == usage_urgency::surge
+            ? duration(min_interval)
+            : std::clamp<duration>(per_gateway * gateways, min_interval, max_interval);
     const bool has_changed = std::any_of(admitted.begin(), admitted.end(), [&](const auto& item) {
         const auto known = reported_.find(item.first);
         return known == reported_.end() || known->second.total != item.second;
@@ -45,6 +49,7 @@
         return std::nullopt;
     }
     sent_at_ = now;
+    stated_ = admitted;
     usage_statement stated;
     stated.is_complete = reports_++ % complete_report_rounds == 0;
     for (const auto& [team, total] : admitted) {
--- a/src/gateway/usage_reporter.h
+++ b/src/gateway/usage_reporter.h
@@ -18,6 +18,15 @@
     friend bool operator==(const usage_statement&, const usage_statement&) = default;
 };
 
+/// How quickly the other gateways need a report.
+enum class usage_urgency {
+    none,
+    /// The use of some team is near its limit.
+    busy,
+    /// The use of some team has grown so fast that its limit could be exceeded unnoticed.
+    surge,
+};
+
 /// Decides when a gateway reports its team usage to the other gateways, and which teams a report
 /// states.
 ///
@@ -26,10 +35,13 @@
 /// reports state all teams, for gateways that have just started.
 class usage_reporter {
 public:
-    /// Returns what to report now, or nothing if no report is due. `admitted`: total
-    /// tokens by team. `has_busy_team`: the use of some team is near its limit.
+    /// Returns what to report now, or nothing if no report is due. `admitted`: total tokens by
+    /// team.
     std::optional<usage_statement> next(const std::map<std::string, std::uint64_t>& admitted,
-                                        bool has_busy_team, int gateways, time_point now);
+                                        usage_urgency urgency, int gateways, time_point now);
+
+    /// Totals of the last report, also of the teams that it did not repeat.
+    const std::map<std::string, std::uint64_t>& stated() const { return stated_; }
 
     /// Makes the next report due immediately.
     void expedite() { sent_at_.reset(); }
@@ -47,6 +59,7 @@
     std::optional<time_point> sent_at_;
     std::uint64_t reports_ = 0;
     std::map<std::string, reported_total> reported_;
+    std::map<std::string, std::uint64_t> stated_;
 };
 
 } // namespace snipespar::gateway
