Pacing starts only where more prompts than usual came before a pause

Change: loads that passed without a pause are remembered; a pause counts only after a larger load, and the limit starts at the largest carried load or half of the one that paused. While it binds, each pause lowers it by a fifth.

--- a/src/control/admission_request.h
+++ b/src/control/admission_request.h
@@ -16,8 +16,6 @@
         sent,
         /// The call that asked is no longer sent.
         cancel,
-        /// The engine has read the call's prompt.
-        begun,
     };
 
     std::string gateway;
@@ -30,8 +28,6 @@
     /// How long the call can wait and still begin in time, and how long it can wait at all.
     duration aim_wait{};
     duration max_wait{};
-    /// For a call that has begun: the time since it was sent.
-    duration elapsed{};
 
     friend bool operator==(const admission_request&, const admission_request&) = default;
 };
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -117,7 +117,6 @@
     value["intent"] = static_cast<unsigned>(content.intent);
     value["tokens"] = content.prompt_tokens;
     value["urgency"] = static_cast<unsigned>(content.urgency);
-    value["elapsed_ms"] = to_ms(content.elapsed);
     value["aim_ms"] = to_ms(content.aim_wait);
     value["wait_ms"] = to_ms(content.max_wait);
     return value;
@@ -274,12 +273,11 @@
     return {
         .gateway = fields.text("gateway"),
         .call = fields.integer<std::uint64_t>("call"),
-        .intent = enumerator(fields, "intent", admission_request::purpose::begun),
+        .intent = enumerator(fields, "intent", admission_request::purpose::cancel),
         .prompt_tokens = fields.integer<std::uint32_t>("tokens"),
         .urgency = count(fields, "urgency"),
         .aim_wait = milliseconds(fields, "aim_ms"),
         .max_wait = milliseconds(fields, "wait_ms"),
-        .elapsed = milliseconds(fields, "elapsed_ms"),
     };
 }
 
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -293,8 +293,7 @@
                                                         .prompt_tokens = call_.prompt_tokens,
                                                         .urgency = urgency(),
                                                         .aim_wait = aim_wait(),
-                                                        .max_wait = max_wait,
-                                                        .elapsed = {}});
+                                                        .max_wait = max_wait});
 }
 
 // Time for which a prompt can wait and its stream still begin in time.
@@ -438,20 +437,6 @@
                        std::move(handler));
 }
 
-// Tells the sidecar how long the engine took to read the prompt.
-void call_exchange::tell_begun()
-{
-    context_.send_to_sidecar(
-        upstream_, control::admission_request{.gateway = context_.host,
-                                              .call = 0,
-                                              .intent = control::admission_request::purpose::begun,
-                                              .prompt_tokens = call_.prompt_tokens,
-                                              .urgency = 0,
-                                              .aim_wait = {},
-                                              .max_wait = {},
-                                              .elapsed = progress_at_ - sent_at_});
-}
-
 int call_exchange::urgency() const
 {
     const int route_level = std::min(route_->priority, route_urgency_levels - 1);
@@ -467,9 +452,6 @@
     if (!has_response_begun_) {
         has_response_begun_ = true;
         context_.upstreams.on_response_started(upstream_, call_.prompt_tokens, progress_at_);
-        if (service_->engine && call_.prompt_tokens > 0 && header.is_success()) {
-            tell_begun();
-        }
     }
     const bool is_usable = header.is_success() && header.is_sealed && !header.is_encoded;
     if (header.is_success() && !is_usable) {
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -67,7 +67,6 @@
     void dispatch(const upstream_id& upstream, time_point now);
     void ask_for_admission(control::admission_request::purpose intent, const upstream_id& upstream,
                            std::uint64_t number, duration max_wait);
-    void tell_begun();
     void take_step(admission_wait::step step, time_point now);
     void stop_asking();
     duration aim_wait() const;
--- a/src/sidecar/prompt_pacer.cpp
+++ b/src/sidecar/prompt_pacer.cpp
@@ -15,15 +15,17 @@
 constexpr int max_pause_factor = 3;
 // Two pauses within this time set the first limit; a single one may be an accident of the network.
 constexpr auto pause_evidence_time = milliseconds(2000);
-// Quantile of the measured reading rates that is taken for the engine's: the lower ones come from
-// prompts that waited there, the highest from prompts that it had kept.
-constexpr double read_rate_quantile = 0.75;
-constexpr std::size_t max_read_rates = 64;
-constexpr double lower_factor = 0.93;
+// The first limit is at least this part of the load that caused it.
+constexpr double first_limit_share = 0.5;
+// Span of a load before any pause has told a target.
+constexpr auto initial_window = milliseconds(400);
+// How long loads are remembered.
+constexpr auto load_lifetime = std::chrono::seconds(15);
+constexpr double lower_factor = 0.8;
 // Distance that the limit keeps from one at which streams paused.
 constexpr double ceiling_share = 0.95;
 // Prompts given before the limit was lowered are still read for so long.
-constexpr auto settling_time = milliseconds(1000);
+constexpr auto settling_time = milliseconds(800);
 // The limit rises by these shares a second while it binds and no stream pauses.
 constexpr double rise_per_s = 0.05;
 constexpr double rise_above_ceiling_per_s = 0.005;
@@ -47,45 +49,26 @@
     give(tokens, now);
 }
 
-void prompt_pacer::on_begun(std::uint64_t tokens, duration elapsed)
-{
-    if (elapsed <= duration{}) {
-        return;
-    }
-    read_rates_.push_back(static_cast<double>(tokens) / seconds(elapsed));
-    if (read_rates_.size() > max_read_rates) {
-        read_rates_.pop_front();
-    }
-}
-
-// Tokens a second that the engine reads when little else waits there.
-double prompt_pacer::read_per_s() const
-{
-    if (read_rates_.empty()) {
-        return 0;
-    }
-    std::vector<double> rates(read_rates_.begin(), read_rates_.end());
-    const auto rank =
-        static_cast<std::ptrdiff_t>(read_rate_quantile * static_cast<double>(rates.size() - 1));
-    std::nth_element(rates.begin(), rates.begin() + rank, rates.end());
-    return rates[static_cast<std::size_t>(rank)];
-}
-
 void prompt_pacer::on_pause(duration gap, duration target, time_point now)
 {
     if (target <= duration{} || gap > max_pause_factor * target) {
         return;
     }
     window_ = window_ == duration{} ? target : std::min(window_, target);
-    const double readable = std::max(read_per_s() * seconds(window_), lowest_limit());
     if (limit_) {
-        if (now - lowered_at_ > settling_time) {
+        // Prompts given before the limit was lowered are still read, and a pause while the limit
+        // does not bind has another cause.
+        if (now - lowered_at_ > settling_time && now - bound_at_ < settling_time) {
+            ceiling_ = *limit_ * ceiling_share;
             limit_ = std::max(*limit_ * lower_factor, lowest_limit());
-            ceiling_ = *limit_ / lower_factor * ceiling_share;
             lowered_at_ = now;
         }
         return;
     }
+    const auto [paused, carried] = loads_around_pause(now - gap - window_, now);
+    if (carried == 0 || paused <= carried) {
+        return;
+    }
     if (!first_pause_at_ || now - *first_pause_at_ > pause_evidence_time) {
         first_pause_at_ = now;
         return;
@@ -93,13 +76,30 @@
     if (now - *first_pause_at_ < window_) {
         return;
     }
-    limit_ = readable;
-    ceiling_ = readable;
+    limit_ = std::max(std::min(carried, first_limit_share * paused), lowest_limit());
+    ceiling_ = *limit_;
     lowered_at_ = now;
     adjusted_at_ = now;
     bound_at_ = now;
 }
 
+// The largest load within the span of a pause, and the largest one outside all such spans.
+std::pair<double, double> prompt_pacer::loads_around_pause(time_point from, time_point until)
+{
+    double paused = 0;
+    double carried = 0;
+    for (auto& load : loads_) {
+        if (load.at >= from && load.at <= until) {
+            load.has_paused = true;
+            paused = std::max(paused, load.tokens);
+        }
+        else if (!load.has_paused) {
+            carried = std::max(carried, load.tokens);
+        }
+    }
+    return {paused, carried};
+}
+
 admission_decision prompt_pacer::ask(const admission_ticket& ticket, std::uint64_t tokens,
                                      int urgency, admission_times times, time_point now)
 {
@@ -202,12 +202,16 @@
 {
     given_.push_back({now, tokens});
     forget(now);
+    if (!limit_) {
+        loads_.push_back({now, given_within_window(now), false});
+    }
 }
 
 double prompt_pacer::given_within_window(time_point now) const
 {
+    const auto window = window_ == duration{} ? duration(initial_window) : window_;
     double sum = 0;
-    for (auto item = given_.rbegin(); item != given_.rend() && now - item->at < window_; ++item) {
+    for (auto item = given_.rbegin(); item != given_.rend() && now - item->at < window; ++item) {
         sum += static_cast<double>(item->tokens);
     }
     return sum;
@@ -260,6 +264,7 @@
     }
     if (now - bound_at_ > unused_limit_lifetime) {
         limit_.reset();
+        loads_.clear();
         first_pause_at_.reset();
         return;
     }
@@ -275,6 +280,9 @@
     while (!given_.empty() && now - given_.front().at > kept) {
         given_.pop_front();
     }
+    while (!loads_.empty() && now - loads_.front().at > load_lifetime) {
+        loads_.pop_front();
+    }
     std::erase_if(granted_, [&](const auto& item) { return now - item.second > granted_lifetime; });
 }
 
--- a/src/sidecar/prompt_pacer.h
+++ b/src/sidecar/prompt_pacer.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace snipespar::sidecar {
@@ -48,8 +49,9 @@
 /// which arrive together delay each stream event by several chunks. The pattern that this answers:
 /// bursts of prompts on an engine with running streams, whose mean load the engine can carry.
 ///
-/// Without pauses nothing is limited. When streams pause for longer than they may, the tokens given
-/// within the time of one event are limited to what the engine reads in that time. The limit rises
+/// Without pauses nothing is limited. When streams pause for longer than they may, and more tokens
+/// than ever without a pause were given within the time of one event, these are limited to what
+/// passed without one. The limit rises
 /// while it binds without pauses, slowly above the last one at which streams paused. Calls beyond
 /// the limit wait, the most urgent first.
 class prompt_pacer {
@@ -57,9 +59,6 @@
     /// A call was sent to the engine without asking.
     void on_sent(std::uint64_t tokens, time_point now);
 
-    /// The engine has begun its response to a call, this long after the call was sent.
-    void on_begun(std::uint64_t tokens, duration elapsed);
-
     /// A stream paused for `gap`, where its route wants at most `target`.
     void on_pause(duration gap, duration target, time_point now);
 
@@ -89,6 +88,13 @@
         time_point at;
         std::uint64_t tokens = 0;
     };
+    /// Tokens given within one window that ends at a given call.
+    struct window_load {
+        time_point at;
+        double tokens = 0;
+        /// A stream paused about then.
+        bool has_paused = false;
+    };
     /// The most urgent first, then in order of arrival.
     struct queue_place {
         int urgency = 0;
@@ -107,7 +113,7 @@
 
     void give(std::uint64_t tokens, time_point now);
     double given_within_window(time_point now) const;
-    double read_per_s() const;
+    std::pair<double, double> loads_around_pause(time_point from, time_point until);
     queue::iterator next_waiting(time_point now);
     admission_decision finish(queue::iterator item, control::admission_answer::verdict outcome,
                               time_point now);
@@ -122,8 +128,8 @@
     /// The lowest limit at which streams paused, with some distance.
     double ceiling_ = 0;
     std::deque<given_tokens> given_;
-    /// Tokens a second of the latest calls, from their sending to the first event.
-    std::deque<double> read_rates_;
+    /// Loads before the limit was set.
+    std::deque<window_load> loads_;
     queue waiting_;
     std::map<admission_ticket, queue_place> places_;
     /// Tickets granted lately, so that a repeated question is not charged twice.
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -238,8 +238,6 @@
     switch (request.intent) {
     case control::admission_request::purpose::sent:
         return pacer_.on_sent(request.prompt_tokens, now);
-    case control::admission_request::purpose::begun:
-        return pacer_.on_begun(request.prompt_tokens, request.elapsed);
     case control::admission_request::purpose::cancel:
         pacer_.cancel(ticket);
         break;
--- a/tests/control_message_test.cpp
+++ b/tests/control_message_test.cpp
@@ -53,8 +53,7 @@
                                         1460,
                                         3,
                                         std::chrono::milliseconds(500),
-                                        std::chrono::milliseconds(900),
-                                        std::chrono::milliseconds(95)};
+                                        std::chrono::milliseconds(900)};
         const admission_answer answer{7, admission_answer::verdict::queued,
                                       std::chrono::milliseconds(40)};
         const stream_pause pause{std::chrono::milliseconds(365), std::chrono::milliseconds(300)};
--- a/tests/sidecar_prompt_pacer_test.cpp
+++ b/tests/sidecar_prompt_pacer_test.cpp
@@ -22,17 +22,18 @@
 constexpr std::uint64_t prompt = 1460;
 constexpr int urgency = 3;
 
-// Reports two pauses while `calls` prompts are given in each window.
+// One call fewer in each window is carried without a pause; with `calls` streams pause.
 prompt_pacer make_pacing(int calls)
 {
     prompt_pacer pacer;
-    auto now = start - seconds(2);
-    for (; now < start; now += target) {
-        for (int i = 0; i < calls; ++i) {
+    for (auto now = start - seconds(8); now < start; now += 2 * target) {
+        const bool is_burst = now >= start - seconds(2);
+        for (int i = is_burst ? 0 : 1; i < calls; ++i) {
             pacer.on_sent(prompt, now);
-            pacer.on_begun(prompt, milliseconds(95));
         }
-        pacer.on_pause(milliseconds(365), target, now + milliseconds(10));
+        if (is_burst) {
+            pacer.on_pause(milliseconds(365), target, now + milliseconds(370));
+        }
     }
     return pacer;
 }
@@ -59,9 +60,6 @@
     {
         const double read = std::min(prompt_tokens_, chunk);
         prompt_tokens_ -= read;
-        unfinished_ += read;
-        completed_ = static_cast<int>(unfinished_ / prompt);
-        unfinished_ -= static_cast<double>(completed_) * prompt;
         const double ms = step_ms + read / tokens_per_ms;
         steps_.push_back(ms);
         if (steps_.size() > steps_per_event) {
@@ -70,9 +68,6 @@
         return duration(static_cast<duration::rep>(ms * 1000));
     }
 
-    // Prompts whose last token the last step has read.
-    int completed() const { return completed_; }
-
     // Time between two events of a stream that sends one now.
     duration event_gap() const
     {
@@ -85,8 +80,6 @@
 
 private:
     double prompt_tokens_ = 0;
-    double unfinished_ = 0;
-    int completed_ = 0;
     std::deque<double> steps_;
 };
 
@@ -107,8 +100,6 @@
     chunked_engine engine;
     day_result day;
     std::map<std::uint64_t, time_point> asked;
-    // When each prompt that the engine is still reading was given to it.
-    std::deque<time_point> given;
     auto next_arrival = start;
     std::uint64_t call = 0;
     const auto end = start + seconds(length_s);
@@ -118,13 +109,11 @@
             ++day.calls;
             if (!is_paced) {
                 engine.add(prompt);
-                given.push_back(now);
                 continue;
             }
             const auto answer = ask(pacer, ++call, now);
             if (answer.verdict == verdict::granted) {
                 engine.add(prompt);
-                given.push_back(now);
                 day.waits.emplace_back(0);
             }
             else if (answer.verdict == verdict::queued) {
@@ -137,17 +126,12 @@
         for (const auto& decision : pacer.decide(now)) {
             if (decision.verdict == verdict::granted) {
                 engine.add(prompt);
-                given.push_back(now);
                 day.waits.push_back(now - asked[decision.ticket.call]);
             }
             else {
                 ++day.refused;
             }
         }
-        for (int i = 0; i < engine.completed() && !given.empty(); ++i) {
-            pacer.on_begun(prompt, now - given.front());
-            given.pop_front();
-        }
         const auto gap = engine.event_gap();
         ++day.windows;
         if (gap > target) {
@@ -165,6 +149,7 @@
     CPPUNIT_TEST_SUITE(sidecar_prompt_pacer_test);
     CPPUNIT_TEST(nothing_is_limited_without_pauses);
     CPPUNIT_TEST(single_or_very_long_pauses_set_no_limit);
+    CPPUNIT_TEST(pause_at_an_ordinary_load_sets_no_limit);
     CPPUNIT_TEST(calls_beyond_the_limit_wait_for_the_next_window);
     CPPUNIT_TEST(urgent_calls_go_first);
     CPPUNIT_TEST(call_that_is_late_anyway_lets_others_begin_in_time);
@@ -202,6 +187,21 @@
         CPPUNIT_ASSERT(!pacer.is_pacing());
     }
 
+    // Something else than prompts holds the engine up, such as a slow host.
+    void pause_at_an_ordinary_load_sets_no_limit()
+    {
+        prompt_pacer pacer;
+        for (auto now = start; now < start + seconds(8); now += target) {
+            for (int i = 0; i < 4; ++i) {
+                pacer.on_sent(prompt, now);
+            }
+            if (now > start + seconds(4)) {
+                pacer.on_pause(milliseconds(365), target, now + milliseconds(10));
+            }
+        }
+        CPPUNIT_ASSERT(!pacer.is_pacing());
+    }
+
     void calls_beyond_the_limit_wait_for_the_next_window()
     {
         auto pacer = make_pacing(4);
