--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -542,15 +542,16 @@
 
 void call_exchange::on_body(std::string_view bytes)
 {
-    progress_at_ = steady_now();
-    context_.upstreams.on_progress(upstream_, progress_at_);
+    const auto now = steady_now();
+    context_.upstreams.on_progress(upstream_, now);
     if (is_stream_open_ && header_->is_success()) {
         if (!first_byte_at_) {
-            first_byte_at_ = progress_at_;
+            first_byte_at_ = now;
             log_late_response();
         }
-        return forward_events(bytes);
+        return forward_events(bytes, now);
     }
+    progress_at_ = now;
     body_ += bytes;
 }
 
@@ -663,7 +664,8 @@
                               context_.is_draining ? "Connection: close\r\n" : ""));
 }
 
-void call_exchange::forward_events(std::string_view bytes)
+// Only whole events are progress: a stalled upstream may still send a byte now and then.
+void call_exchange::forward_events(std::string_view bytes, time_point now)
 {
     std::string forwarded;
     for (const auto& event : events_.feed(bytes)) {
@@ -684,6 +686,7 @@
     if (forwarded.empty()) {
         return;
     }
+    progress_at_ = now;
     if (last_event_at_) {
         note_gap(progress_at_ - *last_event_at_);
     }
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -79,7 +79,7 @@
     void on_ended();
     void on_failed(const absl::Status& status);
     void forward_stream_header();
-    void forward_events(std::string_view bytes);
+    void forward_events(std::string_view bytes, time_point now);
     void note_gap(duration gap);
     void end_stream();
     void forward_buffered(const buffered_response& response);
--- a/tests/gateway_usage_reporter_test.cpp
+++ b/tests/gateway_usage_reporter_test.cpp
@@ -88,13 +88,14 @@
         }
     }
 
-    // Four reports a second from each would be 268 and 2,196 a second at 68 and 550 gateways.
+    // Reports in ten seconds. Four a second from each would be 268 and 2,196 a second at 68 and 550
+    // gateways.
     void reports_received_grow_slower_than_the_fleet()
     {
-        CPPUNIT_ASSERT(run(26, usage_urgency::none).reports <= 26 * 10 * 2);
-        CPPUNIT_ASSERT(run(68, usage_urgency::none).reports <= 10 * 55);
-        CPPUNIT_ASSERT(run(68, usage_urgency::busy).reports <= 10 * 130);
-        CPPUNIT_ASSERT(run(550, usage_urgency::busy).reports <= 10 * 400);
+        CPPUNIT_ASSERT(run(26, usage_urgency::none).reports <= 520);
+        CPPUNIT_ASSERT(run(68, usage_urgency::none).reports <= 550);
+        CPPUNIT_ASSERT(run(68, usage_urgency::busy).reports <= 1300);
+        CPPUNIT_ASSERT(run(550, usage_urgency::busy).reports <= 4000);
         CPPUNIT_ASSERT(run(550, usage_urgency::none).totals <=
                        run(550, usage_urgency::none).reports * teams / 2);
     }
--- a/tests/process/gateway_path_test.cpp
+++ b/tests/process/gateway_path_test.cpp
@@ -2,6 +2,7 @@
 #include "process/support/wait_until.h"
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -10,6 +11,7 @@
 #include <future>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace snipespar::testing {
 
@@ -45,6 +47,10 @@
     CPPUNIT_TEST(overloaded_upstream_is_left_alone_as_long_as_it_asked);
     CPPUNIT_TEST(restored_store_is_followed_in_its_new_era);
     CPPUNIT_TEST(request_that_crashes_engines_is_contained);
+    CPPUNIT_TEST(late_second_copy_of_an_answer_reaches_no_other_caller);
+    CPPUNIT_TEST(calls_accepted_while_a_gateway_stops_are_answered);
+    CPPUNIT_TEST(stream_that_only_trickles_moves_to_another_engine);
+    CPPUNIT_TEST(running_stream_stays_when_its_sidecar_is_silent);
     CPPUNIT_TEST(terminated_gateway_completes_its_requests);
     CPPUNIT_TEST(disconnected_caller_cancels_the_work);
     CPPUNIT_TEST(sidecar_never_overfills_its_engine);
@@ -347,6 +353,114 @@
         }));
     }
 
+    void late_second_copy_of_an_answer_reaches_no_other_caller()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(set_faults(fleet.services[0], R"({"repeat_answers": true})"));
+        for (int i = 0; i < 60; ++i) {
+            const auto id = fmt::format("c{}", i);
+            const auto reply = send(fleet.gateways[0], fleet.make_call("/safe/x", id));
+            // A pause of the copy's length lets some of the copies arrive between two requests.
+            std::this_thread::sleep_for(std::chrono::milliseconds(i % 3 == 0 ? 10 : 0));
+            CPPUNIT_ASSERT_EQUAL(200U, reply.status);
+            CPPUNIT_ASSERT_EQUAL(fmt::format("{0}body of {0}", id), reply.body);
+        }
+    }
+
+    // The balancer sends new connections until it has noticed that the gateway is not ready.
+    void calls_accepted_while_a_gateway_stops_are_answered()
+    {
+        gateway_fleet fleet;
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        std::atomic<int> unanswered = 0;
+        std::atomic<int> sent = 0;
+        std::atomic<bool> is_over = false;
+        std::vector<std::future<void>> callers;
+        constexpr int caller_count = 8;
+        callers.reserve(caller_count);
+        for (int caller = 0; caller < caller_count; ++caller) {
+            callers.push_back(std::async(std::launch::async, [&, caller] {
+                while (!is_over) {
+                    const auto id = fmt::format("t{}-{}", caller, ++sent);
+                    const auto status =
+                        send(fleet.gateways[0], fleet.make_call("/unsafe/x", id)).status;
+                    unanswered += status == 200 ? 0 : 1;
+                }
+            }));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        fleet.gateways[0].process->signal(SIGTERM);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+        is_over = true;
+        for (auto& caller : callers) {
+            caller.get();
+        }
+        CPPUNIT_ASSERT(sent > 50);
+        CPPUNIT_ASSERT_EQUAL(0, unanswered.load());
+        CPPUNIT_ASSERT(fleet.gateways[0].process->wait() == 0);
+    }
+
+    void stream_that_only_trickles_moves_to_another_engine()
+    {
+        gateway_fleet fleet;
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(fleet.change_config([](nlohmann::json& config) {
+            config["routes"][0]["gap_aim_ms"] = 300;
+            config["routes"][0]["path_prefix"] = "/stream/slow/";
+        }));
+        CPPUNIT_ASSERT(wait_until([&] {
+            return send(fleet.gateways[0], fleet.make_call("/stream/x", "w")).status == 404;
+        }));
+        // Only the engine that gets the stream first trickles.
+        const auto has_run = [&](const fleet_member& engine) {
+            return fleet.runs(engine).dump().find("\"s1\"") != std::string::npos;
+        };
+        for (const auto& engine : fleet.engines) {
+            CPPUNIT_ASSERT(set_faults(engine, R"({"trickle": true})"));
+        }
+        auto reply = std::async(std::launch::async, [&] {
+            return send(fleet.gateways[0], fleet.make_call("/stream/slow/", "s1"));
+        });
+        CPPUNIT_ASSERT(
+            wait_until([&] { return has_run(fleet.engines[0]) || has_run(fleet.engines[1]); }));
+        const std::size_t other = has_run(fleet.engines[0]) ? 1 : 0;
+        CPPUNIT_ASSERT(set_faults(fleet.engines[other], R"({"trickle": false})"));
+        const auto stream = reply.get();
+        CPPUNIT_ASSERT_EQUAL(expected_stream("s1", slow_events), stream.body);
+        CPPUNIT_ASSERT(has_run(fleet.engines[other]));
+    }
+
+    void running_stream_stays_when_its_sidecar_is_silent()
+    {
+        gateway_fleet fleet;
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT_EQUAL(200U,
+                             send(fleet.gateways[0], fleet.make_call("/stream/x", "w")).status);
+        auto reply = std::async(std::launch::async, [&] {
+            return send(fleet.gateways[0], fleet.make_call("/stream/slow/", "s1"));
+        });
+        const auto count_runs = [&] {
+            int runs = 0;
+            for (const auto& engine : fleet.engines) {
+                const auto record = fleet.runs(engine);
+                for (const auto& run : record["runs"]) {
+                    runs += run["id"] == "s1" ? 1 : 0;
+                }
+            }
+            return runs;
+        };
+        CPPUNIT_ASSERT(wait_until([&] { return count_runs() == 1; }));
+        for (const auto& sidecar : fleet.sidecars) {
+            sidecar.process->signal(SIGSTOP);
+        }
+        CPPUNIT_ASSERT_EQUAL(expected_stream("s1", slow_events), reply.get().body);
+        CPPUNIT_ASSERT_EQUAL(1, count_runs());
+        for (const auto& sidecar : fleet.sidecars) {
+            sidecar.process->signal(SIGCONT);
+        }
+    }
+
     void terminated_gateway_completes_its_requests()
     {
         gateway_fleet fleet;
--- a/tests/process/support/child_process.h
+++ b/tests/process/support/child_process.h
@@ -42,8 +42,8 @@
     /// Sends SIGKILL and waits for the process to exit.
     void kill();
 
-    /// Waits for the process to exit and for the rest of its output. Returns the exit code, or 128 plus the number of the signal
-    /// that ended it; nullopt if it still runs after `limit`.
+    /// Waits for the process to exit and for the rest of its output. Returns the exit code, or 128
+    /// plus the number of the signal that ended it; nullopt if it still runs after `limit`.
     std::optional<int> wait(std::chrono::milliseconds limit = wait_limit);
 
     bool running();
--- a/tools/users_platform_stand_in/worker.cpp
+++ b/tools/users_platform_stand_in/worker.cpp
@@ -18,6 +18,7 @@
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr int slow_factor = 10;
+constexpr int events_before_trickle = 3;
 
 std::string text(const request& message, const char* name)
 {
@@ -119,7 +120,14 @@
         co_await pause.async_wait(as_result);
         auto answer = json_answer(200, text(message, "Request-Id") + message.body());
         answer.set("Response-Seal", seal(options_.id, text(message, "Request-Id")));
-        is_open = co_await send(socket, message, marked(std::move(answer)));
+        answer = marked(std::move(answer));
+        is_open = co_await send(socket, message, answer);
+        if (repeats_answers_ && is_open) {
+            // Late: the next request may be on its way on this connection.
+            pause.expires_after(options_.event_pause);
+            co_await pause.async_wait(as_result);
+            is_open = co_await send(socket, message, std::move(answer));
+        }
     }
     --running_;
     co_return is_open;
@@ -138,7 +146,9 @@
     const auto events = options_.events * (is_slow_target(message) ? slow_factor : 1);
     asio::steady_timer pause(context_);
     for (; number <= events; ++number) {
-        const auto event = fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
+        const bool is_stalled = trickles_ && number > events_before_trickle;
+        const auto event = is_stalled ? std::string(":")
+                                      : fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
         bytes += fmt::format("{:x}\r\n{}\r\n", event.size(), event);
         const auto [error, count] =
             co_await asio::async_write(socket, asio::buffer(bytes), as_result);
@@ -146,6 +156,8 @@
             co_return false;
         }
         bytes.clear();
+        // A stalled stream never ends.
+        number -= is_stalled ? 1 : 0;
         pause.expires_after(options_.event_pause);
         co_await pause.async_wait(as_result);
     }
@@ -207,6 +219,8 @@
     }
     is_leaving_ = body.value("leaving", is_leaving_);
     crash_on_ = body.value("crash_on", crash_on_);
+    trickles_ = body.value("trickle", trickles_);
+    repeats_answers_ = body.value("repeat_answers", repeats_answers_);
     shed_until_ = std::chrono::steady_clock::now() +
                   std::chrono::milliseconds(body.value("shed_ms", std::int64_t{0}));
     return json_answer(200, "{}");
--- a/tools/users_platform_stand_in/worker.h
+++ b/tools/users_platform_stand_in/worker.h
@@ -27,7 +27,8 @@
 /// A worker of the users' platform: runs plain requests and streams, and records its runs, which
 /// `GET /runs` returns. `POST /faults` with `{"leaving": BOOL, "shed_ms": NUMBER, "crash_on":
 /// TEXT}` makes it announce its stop in all its answers, turn away requests with a Retry-After for
-/// that long, or end when it begins to run a request whose body contains the text. The requests
+/// that long, or end when it begins to run a request whose body contains the text; send single
+/// bytes instead of events after the third one; or send each plain answer twice. The requests
 /// turned away are counted in `GET /runs`.
 ///
 /// A stream has `events` events whose data is the request id and the number; a plain response is
@@ -63,6 +64,8 @@
     /// Orders that exceeded the number of adapter slots.
     int overfull_orders_ = 0;
     bool is_leaving_ = false;
+    bool trickles_ = false;
+    bool repeats_answers_ = false;
     std::string crash_on_;
     std::chrono::steady_clock::time_point shed_until_;
     /// Requests turned away with a Retry-After.
