--- a/src/sidecar/prompt_pacer.cpp
+++ b/src/sidecar/prompt_pacer.cpp
@@ -15,7 +15,7 @@
 constexpr int max_pause_factor = 3;
 // Two pauses within this time set the first limit; a single one may be an accident of the network.
 constexpr auto pause_evidence_time = milliseconds(2000);
-// The first limit is at least this part of the load that caused it.
+// The first limit is at most this part of the load that caused it.
 constexpr double first_limit_share = 0.5;
 // Span of a load before any pause has told a target.
 constexpr auto initial_window = milliseconds(400);
