Tests that fail: answers of a silent upstream are given up

Callers of a sound upstream that falls silent for a second get a broken stream or a 502 although nobody else can take the request over. Two process tests show it; the stand-in can fall silent.

--- a/tools/users_platform_stand_in/worker.cpp
+++ b/tools/users_platform_stand_in/worker.cpp
@@ -1,5 +1,6 @@
 #include "worker.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -19,6 +20,7 @@
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 constexpr int slow_factor = 10;
 constexpr int events_before_trickle = 3;
+constexpr int events_before_silence = 3;
 
 std::string text(const request& message, const char* name)
 {
@@ -118,7 +120,12 @@
         asio::steady_timer pause(context_, options_.event_pause *
                                                (is_slow_target(message) ? slow_factor : 1));
         co_await pause.async_wait(as_result);
+        if (silence_.count() > 0) {
+            pause.expires_after(silence_);
+            co_await pause.async_wait(as_result);
+        }
         auto answer = json_answer(200, text(message, "Request-Id") + message.body());
+        answer.body().resize(std::max(answer.body().size(), min_answer_bytes_), '.');
         answer.set("Response-Seal", seal(options_.id, text(message, "Request-Id")));
         answer = marked(std::move(answer));
         is_open = co_await send(socket, message, answer);
@@ -158,7 +165,8 @@
         bytes.clear();
         // A stalled stream never ends.
         number -= is_stalled ? 1 : 0;
-        pause.expires_after(options_.event_pause);
+        const bool falls_silent = number == events_before_silence && silence_.count() > 0;
+        pause.expires_after(falls_silent ? silence_ : options_.event_pause);
         co_await pause.async_wait(as_result);
     }
     bytes += "0\r\n\r\n";
@@ -221,6 +229,8 @@
     crash_on_ = body.value("crash_on", crash_on_);
     trickles_ = body.value("trickle", trickles_);
     repeats_answers_ = body.value("repeat_answers", repeats_answers_);
+    silence_ = std::chrono::milliseconds(body.value("pause_ms", std::int64_t{silence_.count()}));
+    min_answer_bytes_ = body.value("answer_bytes", min_answer_bytes_);
     shed_until_ = std::chrono::steady_clock::now() +
                   std::chrono::milliseconds(body.value("shed_ms", std::int64_t{0}));
     return json_answer(200, "{}");
--- a/tools/users_platform_stand_in/worker.h
+++ b/tools/users_platform_stand_in/worker.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -28,8 +29,10 @@
 /// `GET /runs` returns. `POST /faults` with `{"leaving": BOOL, "shed_ms": NUMBER, "crash_on":
 /// TEXT}` makes it announce its stop in all its answers, turn away requests with a Retry-After for
 /// that long, or end when it begins to run a request whose body contains the text; send single
-/// bytes instead of events after the third one; or send each plain answer twice. The requests
-/// turned away are counted in `GET /runs`.
+/// bytes instead of events after the third one; or send each plain answer twice. With `pause_ms` it
+/// falls silent for that long after the third event of a stream and before a plain answer, and
+/// `answer_bytes` pads plain answers to that size. The requests turned away are counted in `GET
+/// /runs`.
 ///
 /// A stream has `events` events whose data is the request id and the number; a plain response is
 /// the request id and the request's body. Targets that contain `/slow/` take ten times as long.
@@ -66,6 +69,8 @@
     bool is_leaving_ = false;
     bool trickles_ = false;
     bool repeats_answers_ = false;
+    std::chrono::milliseconds silence_{};
+    std::size_t min_answer_bytes_ = 0;
     std::string crash_on_;
     std::chrono::steady_clock::time_point shed_until_;
     /// Requests turned away with a Retry-After.
