Tests that fail: a stopping gateway exits over answers and accepted calls

Callers lose the end of an answer that is not written yet, and a call on a connection that only the kernel has accepted gets no answer. Two process tests show it; raw_caller reads and writes step by step.

--- a/tests/process/gateway_delivery_test.cpp
+++ b/tests/process/gateway_delivery_test.cpp
@@ -1,16 +1,39 @@
 #include "process/support/gateway_fleet.h"
+#include "process/support/raw_caller.h"
 #include "process/support/wait_until.h"
 
+#include <chrono>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
 #include <fmt/format.h>
 #include <string>
+#include <thread>
 
 namespace snipespar::testing {
 
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr int short_events = 8;
+// Several times what the buffers of the two sockets hold.
+constexpr std::size_t large_answer_bytes = 12UL * 1024 * 1024;
+// Longer than the gateway waits for the load balancer to notice its stop, shorter than its grace.
+constexpr milliseconds past_notice_time{4000};
+// The caller reads so much at a time, often enough to count as alive.
+constexpr std::size_t slow_read_bytes = 64UL * 1024;
+constexpr milliseconds slow_read_interval{500};
+
+std::string to_text(const http_call& call)
+{
+    std::string text = fmt::format("{} {} HTTP/1.1\r\nContent-Length: {}\r\n", call.method,
+                                   call.target, call.body.size());
+    for (const auto& [name, value] : call.headers) {
+        text += fmt::format("{}: {}\r\n", name, value);
+    }
+    return text + "\r\n" + call.body;
+}
 
 bool set_faults(const fleet_member& upstream, const std::string& faults)
 {
@@ -18,17 +41,77 @@
     return reply.ok() && reply->status == 200;
 }
 
+int calls_in_flight(const fleet_member& gateway)
+{
+    const auto status = send_call(gateway.admin, {"GET", "/status", {}, {}});
+    return status.ok() ? nlohmann::json::parse(status->body)["in_flight"].get<int>() : -1;
+}
+
+bool is_not_ready(const fleet_member& gateway)
+{
+    const auto ready = send_call(gateway.admin, {"GET", "/ready", {}, {}});
+    return ready.ok() && ready->status == 503;
+}
+
 } // namespace
 
 /// An accepted request gets its whole answer: gateways that stop, upstreams that are silent for a
 /// while and callers that are slow.
 class gateway_delivery_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(gateway_delivery_test);
+    CPPUNIT_TEST(answer_not_written_yet_is_not_cut_by_a_stop);
+    CPPUNIT_TEST(call_in_the_listen_queue_of_a_stopping_gateway_is_answered);
     CPPUNIT_TEST(stream_of_a_silent_engine_goes_on_when_no_other_can_take_it);
     CPPUNIT_TEST(call_at_a_silent_upstream_is_answered_when_no_other_can_take_it);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a stopping gateway that exits while an answer waits for its caller to read.
+    void answer_not_written_yet_is_not_cut_by_a_stop()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(set_faults(fleet.services[0],
+                                  fmt::format(R"({{"answer_bytes": {}}})", large_answer_bytes)));
+        const auto& gateway = fleet.gateways.front();
+        raw_caller caller(gateway.address);
+        CPPUNIT_ASSERT(caller.send(to_text(fleet.make_call("/unsafe/x", "l1"))));
+        CPPUNIT_ASSERT(wait_until([&] {
+            return !fleet.runs(fleet.services[0])["runs"].empty() && calls_in_flight(gateway) == 0;
+        }));
+        gateway.process->signal(SIGTERM);
+        std::string answer;
+        for (milliseconds waited{0}; waited < past_notice_time; waited += slow_read_interval) {
+            std::this_thread::sleep_for(slow_read_interval);
+            answer += caller.read_some(slow_read_bytes);
+        }
+        answer += caller.read_to_end();
+        CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
+        const auto head_bytes = answer.find("\r\n\r\n") + 4;
+        CPPUNIT_ASSERT_EQUAL(large_answer_bytes, answer.size() - head_bytes);
+        CPPUNIT_ASSERT(gateway.process->wait() == 0);
+    }
+
+    // Guards against a stopping gateway that closes its listener over connections that it has not
+    // accepted yet.
+    void call_in_the_listen_queue_of_a_stopping_gateway_is_answered()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        gateway.process->signal(SIGTERM);
+        CPPUNIT_ASSERT(wait_until([&] { return is_not_ready(gateway); }));
+        std::this_thread::sleep_for(milliseconds(2000));
+        gateway.process->signal(SIGSTOP);
+        raw_caller caller(gateway.address);
+        CPPUNIT_ASSERT(caller.is_connected());
+        CPPUNIT_ASSERT(caller.send(to_text(fleet.make_call("/unsafe/x", "q1"))));
+        std::this_thread::sleep_for(milliseconds(1000));
+        gateway.process->signal(SIGCONT);
+        CPPUNIT_ASSERT(caller.read_to_end().starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT(gateway.process->wait() == 0);
+    }
+
     // Guards against a stream that is broken off because its engine was silent for a second.
     void stream_of_a_silent_engine_goes_on_when_no_other_can_take_it()
     {
