Test that fails: a refusal is lost under the reset of its connection

A caller that still sends a body which the gateway refuses gets a reset, and may never read the refusal.

--- a/tests/process/gateway_delivery_test.cpp
+++ b/tests/process/gateway_delivery_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST_SUITE(gateway_delivery_test);
     CPPUNIT_TEST(answer_not_written_yet_is_not_cut_by_a_stop);
     CPPUNIT_TEST(call_in_the_listen_queue_of_a_stopping_gateway_is_answered);
+    CPPUNIT_TEST(refusal_reaches_a_caller_that_is_still_sending);
     CPPUNIT_TEST(stream_of_a_silent_engine_goes_on_when_no_other_can_take_it);
     CPPUNIT_TEST(call_at_a_silent_upstream_is_answered_when_no_other_can_take_it);
     CPPUNIT_TEST_SUITE_END();
@@ -112,6 +113,18 @@
         CPPUNIT_ASSERT(gateway.process->wait() == 0);
     }
 
+    // Guards against a connection that is reset under its refusal because bytes were left unread.
+    void refusal_reaches_a_caller_that_is_still_sending()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        auto call = fleet.make_call("/unsafe/x", "b1");
+        call.body = std::string(std::size_t{4} * 1024 * 1024, 'x');
+        raw_caller caller(fleet.gateways.front().address);
+        CPPUNIT_ASSERT(caller.send(to_text(call)));
+        CPPUNIT_ASSERT(caller.read_to_end().starts_with("HTTP/1.1 413"));
+    }
+
     // Guards against a stream that is broken off because its engine was silent for a second.
     void stream_of_a_silent_engine_goes_on_when_no_other_can_take_it()
     {
