Requests leave a silent upstream only for one that can take them

Callers saw streams break and calls end with 502 beside changes of the configuration, at upstreams that were sound and silent for a second. Cause: a request was taken away from its silent upstream before another one was chosen; if none could take it (adapter not resident, batch full, none left) it was given up. Now the next upstream is chosen first, every 100 ms, and the request moves only if it can be sent there at once; an engine that could load the adapter is asked to, meanwhile. Otherwise the request stays until its upstream goes on or its time limit.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -41,6 +41,8 @@
 constexpr int stall_factor = 3;
 constexpr auto min_first_event_stall = milliseconds(1500);
 constexpr auto min_gap_stall = milliseconds(900);
+// Interval of searches for an upstream that can take over from a silent one.
+constexpr auto search_interval = milliseconds(100);
 // Divisor of the time limit: a repeatable request leaves a stalled upstream while half of its time
 // remains.
 constexpr int stall_limit_divisor = 2;
@@ -184,6 +186,26 @@
     if (runs_ > 0 && context_.crashes.is_refused(fingerprint(), now)) {
         return give_up("crashes_upstreams");
     }
+    const auto destination = choose_upstream(now);
+    if (const auto* target = std::get_if<send_to>(&destination)) {
+        return dispatch(target->upstream, now);
+    }
+    if (const auto* target = std::get_if<wait_for_adapter>(&destination)) {
+        return wait_for_load(target->upstream, now);
+    }
+    const auto& none = std::get<no_upstream>(destination);
+    if (none.opens_at) {
+        opens_at_ = none.opens_at;
+    }
+    if (refused_admissions_ > 0) {
+        return give_up("prompt_backlog");
+    }
+    give_up(none.is_overloaded ? "upstreams_full" : "no_upstream");
+}
+
+// Returns where the call can go now, and requests the replicas that its adapter should get.
+placement call_exchange::choose_upstream(time_point now)
+{
     const placement_query query{service_->name,
                                 service_->engine ? adapter_key() : std::string(),
                                 call_.model,
@@ -200,20 +222,38 @@
             context_.send_demand(replica);
         }
     }
-    if (const auto* target = std::get_if<send_to>(&chosen.destination)) {
-        return dispatch(target->upstream, now);
+    return chosen.destination;
+}
+
+// Moves the call to another upstream if one can take it at once. A silent upstream may be sound and
+// go on, so that the call stays there until its time limit otherwise.
+void call_exchange::leave_silent_upstream(time_point now)
+{
+    if (now < next_search_at_) {
+        return;
     }
-    if (const auto* target = std::get_if<wait_for_adapter>(&chosen.destination)) {
-        return wait_for_load(target->upstream, now);
+    next_search_at_ = now + search_interval;
+    const auto destination = choose_upstream(now);
+    if (const auto* loader = std::get_if<wait_for_adapter>(&destination)) {
+        if (context_.upstreams.on_replica_requested(loader->upstream, adapter_key(), now)) {
+            context_.send_demand(loader->upstream);
+        }
     }
-    const auto& none = std::get<no_upstream>(chosen.destination);
-    if (none.opens_at) {
-        opens_at_ = none.opens_at;
+    const auto* target = std::get_if<send_to>(&destination);
+    if (target == nullptr) {
+        return;
     }
-    if (refused_admissions_ > 0) {
-        return give_up("prompt_backlog");
+    context_.log.info("attempt_failed", {{"request", call_.request_id},
+                                         {"upstream", upstream_.str()},
+                                         {"cause", "silent"},
+                                         {"sends", sends_},
+                                         {"runs", runs_},
+                                         {"answering", has_response_begun_}});
+    if (is_stream_open_) {
+        context_.metrics.resumed_streams.add();
     }
-    give_up(none.is_overloaded ? "upstreams_full" : "no_upstream");
+    release_upstream(call_result::failure, false);
+    dispatch(target->upstream, now);
 }
 
 void call_exchange::wait_for_load(const upstream_id& upstream, time_point now)
@@ -911,7 +951,7 @@
     }
     if (channel_ != nullptr && route_->is_repeatable() && now - progress_at_ > stall_timeout() &&
         can_try_again(now) && context_.retries[service_->name].available() >= 1) {
-        on_attempt_failed("silent");
+        leave_silent_upstream(now);
     }
 }
 
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -6,6 +6,7 @@
 #include "gateway/answer_header.h"
 #include "gateway/call.h"
 #include "gateway/event_splitter.h"
+#include "gateway/upstream_selector.h"
 #include "gateway/upstream_table.h"
 #include "snipespar/ids.h"
 #include "snipespar/time.h"
@@ -59,6 +60,8 @@
 
     bool resolve();
     void try_next_upstream();
+    placement choose_upstream(time_point now);
+    void leave_silent_upstream(time_point now);
     void wait_for_load(const upstream_id& upstream, time_point now);
     void stop_waiting();
     /// Whether the upstream, known to be reporting, can still load the adapter.
@@ -134,6 +137,8 @@
     /// Staleness of the status from which the upstream was chosen.
     duration status_age_{};
     time_point progress_at_;
+    /// When another upstream is next looked for while the current one is silent.
+    time_point next_search_at_;
     bool has_response_begun_ = false;
     std::optional<answer_header> header_;
     std::string body_;
