A stopping gateway exits once all answers are written

Callers lost the end of the last answer of a stopping gateway, and calls that it had not accepted yet. Cause: the exit was decided by the requests in progress, which end when their last bytes are handed to the connection, not when they are written; and the process could exit before it had closed its listener. stop_plan now decides: first the listener is closed, after all queued connections have been accepted, then the process waits until every connection is closed. A forced stop logs what it cuts.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -904,6 +904,18 @@
     context_.exchanges.erase(shared_from_this());
 }
 
+void call_exchange::log_cut() const
+{
+    context_.log.warning(
+        "call_cut",
+        {{"request", call_.request_id},
+         {"upstream", upstream_.str()},
+         {"sends", sends_},
+         {"runs", runs_},
+         {"after_ms",
+          std::chrono::duration_cast<milliseconds>(steady_now() - arrived_at_).count()}});
+}
+
 duration call_exchange::stall_timeout() const
 {
     if (route_->kind == call_kind::stream) {
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -45,6 +45,9 @@
     /// Checks the timeouts.
     void on_tick(time_point now);
 
+    /// Logs that the process exits before the exchange has ended.
+    void log_cut() const;
+
     /// The sidecar of an engine has answered whether the call may be sent.
     void on_admission(const control::admission_answer& answer);
 
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -55,11 +55,8 @@
                                                              milliseconds(200)};
 // Minimum interval between refreshes of the configuration when other gateways have a newer version.
 constexpr auto config_refresh_interval = milliseconds(1000);
-// Time until the load balancer has noticed that this gateway is not ready and sends no new
-// connections.
-constexpr auto balancer_notice_time = milliseconds(2500);
-// Idle connections are closed this long after the drain begins, as requests in flight still arrive.
-constexpr auto idle_close_delay = milliseconds(1000);
+// Requests named in the log when a forced stop cuts them off.
+constexpr int max_logged_cuts = 50;
 // Share of the fleet's retry budget that is divided among the gateways; the rest covers gateways
 // that restart with a full budget.
 constexpr double retry_budget_share = 0.6;
@@ -192,17 +189,78 @@
 void gateway_server::accept()
 {
     acceptor_.async_accept([this](const auto& error, tcp::socket socket) {
-        if (!acceptor_.is_open()) {
-            return;
+        // Accepted just before the listener was closed, perhaps.
+        if (!error) {
+            add_connection(std::move(socket));
+        }
+        if (acceptor_.is_open()) {
+            accept();
         }
+    });
+}
+
+void gateway_server::add_connection(tcp::socket socket)
+{
+    const auto connection = std::make_shared<caller_connection>(std::move(socket), context_);
+    connections_.push_back(connection);
+    connection->start();
+}
+
+// Closing the listener resets the connections that the kernel has established and nobody has
+// accepted, so these are accepted first.
+void gateway_server::close_listener()
+{
+    boost::system::error_code error;
+    std::ignore = acceptor_.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(io_);
+        std::ignore = acceptor_.accept(socket, error);
         if (!error) {
-            const auto connection =
-                std::make_shared<caller_connection>(std::move(socket), context_);
-            connections_.push_back(connection);
-            connection->start();
+            add_connection(std::move(socket));
         }
-        accept();
+    }
+    if (error != asio::error::would_block && error != asio::error::try_again) {
+        context_.log.warning("accept_failed", {{"reason", error.message()}});
+    }
+    std::ignore = acceptor_.close(error);
+}
+
+void gateway_server::take_stop_step(time_point now)
+{
+    std::erase_if(connections_, [](const auto& item) {
+        const auto connection = item.lock();
+        return connection == nullptr || connection->is_closed();
     });
+    const stop_progress progress{static_cast<int>(context_.exchanges.size()),
+                                 static_cast<int>(connections_.size())};
+    switch (stop_.next(progress, now)) {
+    case stop_step::serve:
+        return;
+    case stop_step::close_listener:
+        return close_listener();
+    case stop_step::exit:
+        context_.log.info("stopped", {{"role", "gateway"}, {"forced", false}});
+        std::exchange(drained_, {})();
+    }
+}
+
+void gateway_server::log_unfinished() const
+{
+    int logged = 0;
+    for (const auto& exchange : context_.exchanges) {
+        if (++logged > max_logged_cuts) {
+            break;
+        }
+        exchange->log_cut();
+    }
+    std::size_t unsent_bytes = 0;
+    for (const auto& item : connections_) {
+        const auto connection = item.lock();
+        unsent_bytes += connection == nullptr ? 0 : connection->unsent_bytes();
+    }
+    context_.log.warning("stop_cuts", {{"calls", context_.exchanges.size()},
+                                       {"connections", connections_.size()},
+                                       {"unsent_bytes", unsent_bytes}});
 }
 
 void gateway_server::tick()
@@ -223,11 +281,8 @@
         slow_tick_at_ = now;
         slow_tick(now);
     }
-    if (drained_ && context_.exchanges.empty() && now - drain_began_ >= balancer_notice_time) {
-        const auto done = std::exchange(drained_, {});
-        context_.log.info("stopped", {{"role", "gateway"}, {"forced", false}});
-        done();
-        return;
+    if (drained_) {
+        take_stop_step(now);
     }
     tick_timer_.expires_after(tick_interval);
     tick_timer_.async_wait([this](const auto& error) {
@@ -246,7 +301,7 @@
             continue;
         }
         connection->on_tick(now);
-        if (context_.is_draining && now - drain_began_ >= idle_close_delay) {
+        if (stop_.closes_idle_connections(now)) {
             connection->close_if_idle(now);
         }
         ++item;
@@ -279,20 +334,17 @@
     send_usage(now);
     context_.crashes.on_tick(now);
     announce_crashes();
-    if (context_.is_draining && now - drain_began_ >= balancer_notice_time && acceptor_.is_open()) {
-        boost::system::error_code ignored;
-        std::ignore = acceptor_.close(ignored);
-    }
 }
 
 void gateway_server::drain(std::function<void()> done)
 {
+    const auto now = steady_now();
     context_.is_draining = true;
-    drain_began_ = steady_now();
+    stop_.begin(now);
     drained_ = std::move(done);
     context_.log.info("draining", {{"in_flight", context_.exchanges.size()}});
     usage_reporter_.expedite();
-    send_usage(drain_began_);
+    send_usage(now);
 }
 
 telemetry::readiness gateway_server::readiness() const
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -5,6 +5,7 @@
 #include "control/message.h"
 #include "gateway/gateway_context.h"
 #include "gateway/peer_directory.h"
+#include "gateway/stop_plan.h"
 #include "gateway/usage_reporter.h"
 #include "platform/object_watch.h"
 #include "telemetry/admin_handlers.h"
@@ -41,9 +42,13 @@
     /// Binds the addresses and starts. Fails when one cannot be bound.
     absl::Status start();
 
-    /// Stops accepting new work; `done` is called once all requests have ended.
+    /// Stops accepting new work; `done` is called once all answers are written and all connections
+    /// are closed.
     void drain(std::function<void()> done);
 
+    /// Logs the requests and answers that an exit at this moment cuts off.
+    void log_unfinished() const;
+
 private:
     platform::object_watch
     make_watch(const std::string& kind, platform::object_watch_timing timing,
@@ -51,6 +56,9 @@
                void (gateway_server::*changed)(const platform::watched_object&));
     absl::Status listen();
     void accept();
+    void add_connection(boost::asio::ip::tcp::socket socket);
+    void close_listener();
+    void take_stop_step(time_point now);
     void tick();
     void slow_tick(time_point now);
     telemetry::readiness readiness() const;
@@ -103,7 +111,7 @@
     time_point demand_sent_at_;
     std::uint64_t demand_round_ = 0;
     time_point config_refreshed_at_;
-    time_point drain_began_;
+    stop_plan stop_;
     std::function<void()> drained_;
 };
 
--- a/src/gateway/run_gateway.cpp
+++ b/src/gateway/run_gateway.cpp
@@ -35,6 +35,7 @@
     }
     boost::asio::steady_timer deadline(io);
     const auto force = [&] {
+        server.log_unfinished();
         log.warning("stopped", {{"role", "gateway"}, {"forced", true}});
         // Requests in progress still refer to the server, so it must not be destroyed.
         std::_Exit(static_cast<int>(cli::exit_code::ok));
