Connections are shut down in order after their last answer

A caller that still sent a refused body, or had sent more than was read, got a reset, under which the answer could be lost. Cause: the connection was closed with unread input. Now only the sending side is closed; what still arrives is dropped until the caller closes, for at most 2 s and 16 MiB.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -26,6 +26,10 @@
 constexpr std::size_t max_pipelined_bytes = 64UL * 1024;
 // A connection without a request for less is not closed by a stopping gateway.
 constexpr auto min_idle_time = std::chrono::milliseconds(500);
+// After the last answer the caller gets this long to read it and close, and may send this many
+// further bytes, such as the rest of a refused body.
+constexpr auto linger_time = std::chrono::milliseconds(2000);
+constexpr std::size_t max_discarded_bytes = 16UL * 1024 * 1024;
 
 } // namespace
 
@@ -72,6 +76,9 @@
     if (error) {
         return on_disconnected();
     }
+    if (closes_at_) {
+        return discard(count);
+    }
     input_.append(read_buffer_.data(), count);
     if (exchange_ == nullptr && !is_closing_) {
         parse();
@@ -183,7 +190,7 @@
                               return self->write();
                           }
                           if (self->is_closing_) {
-                              self->close();
+                              self->shut_down();
                           }
                       });
 }
@@ -196,7 +203,7 @@
     if (closes) {
         is_closing_ = true;
         if (!is_writing_) {
-            close();
+            shut_down();
         }
         return;
     }
@@ -224,6 +231,33 @@
     close();
 }
 
+// A close with unread input resets the connection, which may destroy the answer on its way. So only
+// the sending side is closed, and the input is dropped until the caller closes too.
+void caller_connection::shut_down()
+{
+    if (is_closed_ || closes_at_) {
+        return;
+    }
+    closes_at_ = steady_now() + linger_time;
+    input_.clear();
+    boost::system::error_code error;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    if (error) {
+        return close();
+    }
+    read();
+}
+
+void caller_connection::discard(std::size_t count)
+{
+    discarded_bytes_ += count;
+    if (discarded_bytes_ > max_discarded_bytes) {
+        context_.log.info("caller_cut", {{"cause", "sends_on_after_its_answer"}});
+        return close();
+    }
+    read();
+}
+
 void caller_connection::close()
 {
     if (!is_closed_) {
@@ -239,6 +273,12 @@
     if (is_closed_ || exchange_ != nullptr) {
         return;
     }
+    if (closes_at_) {
+        if (now >= *closes_at_) {
+            close();
+        }
+        return;
+    }
     const caller_limits limits = context_.config ? context_.config->limits() : caller_limits{};
     if (request_started_at_) {
         // A body is limited by the idle timeout.
@@ -260,7 +300,7 @@
     boost::system::error_code error;
     // The request of a fresh connection is most likely on its way.
     const bool is_idle = exchange_ == nullptr && !request_started_at_ && !is_writing_ &&
-                         input_.empty() && now - idle_since_ >= min_idle_time;
+                         !closes_at_ && input_.empty() && now - idle_since_ >= min_idle_time;
     if (is_idle && socket_.available(error) == 0) {
         close();
     }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -54,6 +54,8 @@
     void refuse_bad_request(const boost::system::error_code& error);
     void send_refusal(const refusal& refused, const std::string& request_id);
     void write();
+    void shut_down();
+    void discard(std::size_t count);
     void close();
     void on_disconnected();
 
@@ -71,6 +73,10 @@
     bool is_reading_ = false;
     bool is_writing_ = false;
     bool is_closing_ = false;
+    /// Set once the last answer is written: what still arrives is dropped until the caller closes,
+    /// or until then at the latest.
+    std::optional<time_point> closes_at_;
+    std::size_t discarded_bytes_ = 0;
     bool is_closed_ = false;
     bool is_continue_sent_ = false;
 };
