Logs name the shared prompt parts of failed attempts

Calls now carry the hashes of their shared parts, at most 32, and attempt_failed names the first eight. No decision uses them yet.

Measured: unit test shared_prompt_parts_are_decoded passes.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace snipespar::gateway {
 
@@ -31,6 +32,8 @@
     std::uint64_t session = 0;
     /// Token count of those parts.
     std::uint64_t shared_tokens = 0;
+    /// Hash of each of those parts, in their order.
+    std::vector<std::uint64_t> shared_parts;
     /// Number of the last event that the caller received, if it resumes a stream.
     std::optional<std::uint64_t> last_event;
     /// Header lines that are forwarded unchanged, each with its line end.
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -162,6 +162,17 @@
     return hash;
 }
 
+// The parts that the prompt shares with others, as the log names them.
+std::string call_exchange::shared_parts_text() const
+{
+    constexpr std::size_t max_logged_parts = 8;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(call_.shared_parts.size(), max_logged_parts); ++i) {
+        text += fmt::format("{}{:08x}", i == 0 ? "" : ",", call_.shared_parts[i] >> 32U);
+    }
+    return text;
+}
+
 std::string call_exchange::adapter_key() const
 {
     return call_.adapter.empty() ? std::string() : call_.model + "/" + call_.adapter;
@@ -675,7 +686,8 @@
                                          {"cause", std::string(cause)},
                                          {"sends", sends_},
                                          {"runs", runs_},
-                                         {"answering", has_response_begun_}});
+                                         {"answering", has_response_begun_},
+                                         {"parts", shared_parts_text()}});
     if (is_stream_open_) {
         return resume_on_another_upstream(cause);
     }
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -102,6 +102,7 @@
     void log_paused_stream();
     void finish();
     std::uint64_t fingerprint() const;
+    std::string shared_parts_text() const;
     std::string adapter_key() const;
     std::uint64_t min_version(time_point now) const;
     duration stall_timeout() const;
--- a/src/platform/call_codec.cpp
+++ b/src/platform/call_codec.cpp
@@ -136,6 +136,9 @@
     return absl::OkStatus();
 }
 
+// Far more than the prompts of any service have; bounds what a caller can make a gateway keep.
+constexpr std::size_t max_shared_parts = 32;
+
 // The last part belongs to the request alone; the parts before it are shared, the nearest one with
 // the other requests of the session.
 void read_shared_prompt_parts(std::string_view prompt, gateway::call& call)
@@ -148,6 +151,10 @@
     call.session = stable_hash(shared);
     for (const auto part : absl::StrSplit(to_absl(shared), ',')) {
         const auto colon = part.rfind(':');
+        if (call.shared_parts.size() < max_shared_parts) {
+            const auto id = part.substr(0, colon);
+            call.shared_parts.push_back(stable_hash({id.data(), id.size()}));
+        }
         std::uint64_t tokens = 0;
         // Parts only affect the choice of an engine, so an unparsable one counts as no tokens.
         if (colon != absl::string_view::npos && absl::SimpleAtoi(part.substr(colon + 1), &tokens)) {
--- a/tests/platform_call_codec_test.cpp
+++ b/tests/platform_call_codec_test.cpp
@@ -39,6 +39,7 @@
 class platform_call_codec_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(platform_call_codec_test);
     CPPUNIT_TEST(call_is_decoded);
+    CPPUNIT_TEST(shared_prompt_parts_are_decoded);
     CPPUNIT_TEST(invalid_fields_are_named);
     CPPUNIT_TEST(caller_cannot_set_reserved_fields);
     CPPUNIT_TEST(hop_by_hop_fields_are_not_forwarded);
@@ -65,6 +66,26 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{800}, call->shared_tokens);
     }
 
+    // The same part has the same hash in other prompts; the last one is the request's own.
+    void shared_prompt_parts_are_decoded()
+    {
+        const auto decode = [](const std::string& parts) {
+            auto request = sample();
+            request.set("Prompt-Prefix", parts);
+            return decode_call(std::move(request))->shared_parts;
+        };
+        const auto first = decode("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.size());
+        CPPUNIT_ASSERT(first[0] != first[1]);
+        CPPUNIT_ASSERT(decode("91bd3f06:12,aa:1") == std::vector<std::uint64_t>{first[1]});
+        CPPUNIT_ASSERT(decode("5c1e07a2:800").empty());
+        std::string many;
+        for (int i = 0; i < 200; ++i) {
+            many += std::to_string(i) + ":1,";
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{32}, decode(many + "ff:1").size());
+    }
+
     void invalid_fields_are_named()
     {
         const std::map<std::string, std::string> faulty{{"Deadline-Ms", "soon"},
