Test that fails: a prompt part crashes engine after engine

Twenty requests, no two alike, share a part that crashes each engine that begins to answer; sound requests between them share the other part. The users' bound is three requests after the fifth crash.

--- a/tests/process/gateway_path_test.cpp
+++ b/tests/process/gateway_path_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(overloaded_upstream_is_left_alone_as_long_as_it_asked);
     CPPUNIT_TEST(restored_store_is_followed_in_its_new_era);
     CPPUNIT_TEST(request_that_crashes_engines_is_contained);
+    CPPUNIT_TEST(prompt_part_that_crashes_engines_is_contained);
     CPPUNIT_TEST(late_second_copy_of_an_answer_reaches_no_other_caller);
     CPPUNIT_TEST(calls_accepted_while_a_gateway_stops_are_answered);
     CPPUNIT_TEST(stream_that_only_trickles_moves_to_another_engine);
@@ -354,6 +355,45 @@
         }));
     }
 
+    // Guards against evidence of crashes that is kept by whole request: no two of these are alike.
+    void prompt_part_that_crashes_engines_is_contained()
+    {
+        constexpr std::size_t engines = 12;
+        // The users' bound: three more after the fifth.
+        constexpr std::ptrdiff_t most_crashes = 8;
+        gateway_fleet fleet({.engines = engines, .services = 0});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        for (const auto& engine : fleet.engines) {
+            CPPUNIT_ASSERT(set_faults(engine, R"({"crash_on_part": "bad0"})"));
+        }
+        for (const auto& gateway : fleet.gateways) {
+            CPPUNIT_ASSERT(wait_until([&] {
+                const auto status = send_call(gateway.admin, {"GET", "/status", {}, {}});
+                return nlohmann::json::parse(status->body)["gateways"] == 2;
+            }));
+        }
+        const auto send_with = [&](int number, const std::string& parts) {
+            auto call = fleet.make_call("/stream/x", fmt::format("p{}", number));
+            call.headers["Model"] = "base";
+            call.headers["Prompt-Prefix"] = fmt::format("{},{:x}:20", parts, 4096 + number);
+            return send(fleet.gateways[static_cast<std::size_t>(number) % 2], call).status;
+        };
+        const auto crashed = [&] {
+            return std::count_if(fleet.engines.begin(), fleet.engines.end(),
+                                 [](const auto& engine) { return !engine.process->running(); });
+        };
+        for (int number = 0; number < 60; number += 3) {
+            send_with(number, "5c1e:80,bad0:20");
+            send_with(number + 1, "5c1e:80,50d1:20");
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        CPPUNIT_ASSERT(crashed() <= most_crashes);
+        // Requests that share the other part, key and adapter are served by both gateways.
+        for (const int number : {101, 102}) {
+            CPPUNIT_ASSERT(wait_until([&] { return send_with(number, "5c1e:80,50d1:20") == 200; }));
+        }
+    }
+
     void late_second_copy_of_an_answer_reaches_no_other_caller()
     {
         gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
--- a/tools/users_platform_stand_in/worker.cpp
+++ b/tools/users_platform_stand_in/worker.cpp
@@ -163,6 +163,10 @@
             co_return false;
         }
         bytes.clear();
+        if (!crash_on_part_.empty() &&
+            text(message, "Prompt-Prefix").find(crash_on_part_ + ":") != std::string::npos) {
+            std::_Exit(EXIT_FAILURE);
+        }
         // A stalled stream never ends.
         number -= is_stalled ? 1 : 0;
         const bool falls_silent = number == events_before_silence && silence_.count() > 0;
@@ -227,6 +231,7 @@
     }
     is_leaving_ = body.value("leaving", is_leaving_);
     crash_on_ = body.value("crash_on", crash_on_);
+    crash_on_part_ = body.value("crash_on_part", crash_on_part_);
     trickles_ = body.value("trickle", trickles_);
     repeats_answers_ = body.value("repeat_answers", repeats_answers_);
     silence_ = std::chrono::milliseconds(body.value("pause_ms", std::int64_t{silence_.count()}));
--- a/tools/users_platform_stand_in/worker.h
+++ b/tools/users_platform_stand_in/worker.h
@@ -31,7 +31,8 @@
 /// that long, or end when it begins to run a request whose body contains the text; send single
 /// bytes instead of events after the third one; or send each plain answer twice. With `pause_ms` it
 /// falls silent for that long after the third event of a stream and before a plain answer, and
-/// `answer_bytes` pads plain answers to that size. The requests turned away are counted in `GET
+/// `answer_bytes` pads plain answers to that size; with `crash_on_part` it ends after the first
+/// event of a stream whose prompt has that part. The requests turned away are counted in `GET
 /// /runs`.
 ///
 /// A stream has `events` events whose data is the request id and the number; a plain response is
@@ -72,6 +73,8 @@
     std::chrono::milliseconds silence_{};
     std::size_t min_answer_bytes_ = 0;
     std::string crash_on_;
+    /// Id of a prompt part.
+    std::string crash_on_part_;
     std::chrono::steady_clock::time_point shed_until_;
     /// Requests turned away with a Retry-After.
     int requests_shed_ = 0;
