Parts of prompts that crash engines are contained by all gateways

Callers of all generations saw failures for as long as requests with one bad part came: engine after engine ended under them. Cause: evidence was kept by whole request, and no two of these requests are alike. crash_guard now counts crashes for each shared part whose answer had begun as well. Complete answers clear parts, a crash counts only for the suspect that explains most crashes, and parts that always came together are told apart by a trial. Findings that were still to be sent are no longer replaced by a clearance; a restarted gateway is told what is refused by three others.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -128,9 +128,9 @@
         return false;
     }
     context_.retries[service_->name].on_request();
-    if (!context_.crashes.is_empty() && context_.crashes.is_refused(fingerprint(), steady_now())) {
-        refuse({503, "crashes_upstreams",
-                context_.crashes.refusal_time(fingerprint(), steady_now()), false});
+    if (!context_.crashes.is_empty() && is_refused_for_crashes()) {
+        refuse({503, "crashes_upstreams", context_.crashes.refusal_time(prints(), steady_now()),
+                false});
         return false;
     }
     if (service_->engine) {
@@ -149,6 +149,33 @@
     return true;
 }
 
+bool call_exchange::is_refused_for_crashes()
+{
+    const auto now = steady_now();
+    if (!context_.crashes.is_refused(prints(), now)) {
+        return false;
+    }
+    std::uniform_real_distribution<double> draw(0, 1);
+    const bool is_trial =
+        context_.crashes.begin_trial(prints(), context_.gateways, draw(context_.random), now);
+    if (is_trial) {
+        context_.log.info("crash_trial",
+                          {{"request", call_.request_id}, {"parts", shared_parts_text()}});
+    }
+    return !is_trial;
+}
+
+request_prints call_exchange::prints() const
+{
+    request_prints prints{fingerprint() & ~poison::part_flag, {}};
+    const auto service = stable_hash(service_->name);
+    prints.parts.reserve(call_.shared_parts.size());
+    for (const auto part : call_.shared_parts) {
+        prints.parts.push_back(combine_hash(service, part) | poison::part_flag);
+    }
+    return prints;
+}
+
 // Equal for every copy of the request that its team sends.
 std::uint64_t call_exchange::fingerprint() const
 {
@@ -194,7 +221,7 @@
     if (deadline_ - now < min_useful_time) {
         return give_up("no_time_left");
     }
-    if (runs_ > 0 && context_.crashes.is_refused(fingerprint(), now)) {
+    if (runs_ > 0 && context_.crashes.is_refused(prints(), now)) {
         return give_up("crashes_upstreams");
     }
     const auto destination = choose_upstream(now);
@@ -645,14 +672,23 @@
     }
     else if (const auto* state = context_.upstreams.find(upstream_)) {
         // A broken connection alone does not show whether the upstream has crashed.
-        context_.crashes.on_broken(fingerprint(), upstream_, state->entry.process_start_ms,
-                                   steady_now());
+        note_broken(*state);
         probe_connect(context_.executor, state->entry.address, connect_timeout,
                       [report = context_.report_upstream_ended, id = upstream_] { report(id); });
     }
     on_attempt_failed(to_std(status.message()));
 }
 
+// The response broke off: a part of the prompt can only be the cause if the response had begun.
+void call_exchange::note_broken(const upstream_state& state)
+{
+    auto suspects = prints();
+    if (!has_response_begun_) {
+        suspects.parts.clear();
+    }
+    context_.crashes.on_broken(suspects, upstream_, state.entry.process_start_ms, steady_now());
+}
+
 // The upstream refused to run the request.
 void call_exchange::on_not_run()
 {
@@ -803,8 +839,15 @@
         return;
     }
     const auto now = steady_now();
-    if (result == call_result::success && !context_.crashes.is_empty()) {
-        context_.crashes.on_completed(fingerprint(), now);
+    if (result == call_result::success && header_->is_success()) {
+        const auto* state = context_.upstreams.find(upstream_);
+        if (channel_->was_closed_by_upstream() && state != nullptr) {
+            // Without a length the end of a response and a crash look alike.
+            note_broken(*state);
+        }
+        else if (!context_.crashes.is_empty()) {
+            context_.crashes.on_completed(prints(), now);
+        }
     }
     const auto used = std::exchange(channel_, nullptr);
     const auto outstanding_tokens = has_response_begun_ ? 0 : call_.prompt_tokens;
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -6,6 +6,7 @@
 #include "gateway/answer_header.h"
 #include "gateway/call.h"
 #include "gateway/event_splitter.h"
+#include "gateway/request_prints.h"
 #include "gateway/upstream_selector.h"
 #include "gateway/upstream_table.h"
 #include "snipespar/ids.h"
@@ -101,6 +102,9 @@
     void log_late_response();
     void log_paused_stream();
     void finish();
+    bool is_refused_for_crashes();
+    void note_broken(const upstream_state& state);
+    request_prints prints() const;
     std::uint64_t fingerprint() const;
     std::string shared_parts_text() const;
     std::string adapter_key() const;
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -1,8 +1,8 @@
 #include "gateway/crash_guard.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
-#include <vector>
 
 namespace snipespar::gateway {
 
@@ -13,45 +13,110 @@
 constexpr auto confirmation_time = std::chrono::seconds(5);
 // Two crashes may be a coincidence: a request that left one crashed upstream may meet another.
 constexpr std::size_t crashes_to_refuse = 3;
+// A part is in flight more often than a request. The users' bound begins after the fifth crash.
+constexpr std::size_t crashes_to_refuse_part = 4;
 // Callers of such requests have given up by then.
 constexpr auto finding_lifetime = std::chrono::minutes(10);
 constexpr int max_repeats = 3;
+// About 45 bytes each: an announcement fits into one packet.
+constexpr std::size_t max_announced_crashes = 28;
+// Suspects of this many crashes are announced without waiting for the next tick.
+constexpr std::size_t urgent_crashes = 2;
+constexpr auto trial_interval = std::chrono::seconds(1);
+
+std::vector<poison::fingerprint> all_of(const request_prints& prints)
+{
+    auto list = prints.parts;
+    list.push_back(prints.request);
+    return list;
+}
 
 } // namespace
 
 crash_guard::crash_guard()
     : suspects_(poison::suspect_limits{.lifetime = finding_lifetime,
-                                       .crashes_to_refuse = crashes_to_refuse})
+                                       .crashes_to_refuse = crashes_to_refuse,
+                                       .has_parts = true,
+                                       .crashes_to_refuse_part = crashes_to_refuse_part})
+{
+}
+
+std::vector<poison::fingerprint> crash_guard::refused_among(const request_prints& prints,
+                                                            time_point now) const
 {
+    auto list = all_of(prints);
+    std::erase_if(list, [&](const auto print) {
+        return suspects_.suspicion_of(print, now) != poison::suspicion::refused;
+    });
+    return list;
 }
 
-bool crash_guard::is_refused(poison::fingerprint print, time_point now) const
+bool crash_guard::is_refused(const request_prints& prints, time_point now) const
 {
-    return suspects_.suspicion_of(print, now) == poison::suspicion::refused;
+    return !refused_among(prints, now).empty();
 }
 
-duration crash_guard::refusal_time(poison::fingerprint print, time_point now) const
+bool crash_guard::begin_trial(const request_prints& prints, int gateways, double draw,
+                              time_point now)
 {
-    return suspects_.remaining(print, now);
+    if ((last_trial_at_ && now - *last_trial_at_ < trial_interval) || draw * gateways >= 1) {
+        return false;
+    }
+    const auto carried = all_of(prints);
+    const auto refused = refused_among(prints, now);
+    const bool is_telling = std::ranges::all_of(refused, [&](const auto print) {
+        const auto rivals = suspects_.rivals(print, now);
+        return poison::is_part(print) && std::ranges::any_of(rivals, [&](const auto rival) {
+                   return poison::is_part(rival) && !std::ranges::count(carried, rival);
+               });
+    });
+    if (is_telling) {
+        last_trial_at_ = now;
+    }
+    return is_telling;
 }
 
-void crash_guard::on_broken(poison::fingerprint print, const upstream_id& upstream,
+duration crash_guard::refusal_time(const request_prints& prints, time_point now) const
+{
+    duration longest{};
+    for (const auto print : refused_among(prints, now)) {
+        longest = std::max(longest, suspects_.remaining(print, now));
+    }
+    return longest;
+}
+
+void crash_guard::on_broken(const request_prints& prints, const upstream_id& upstream,
                             std::uint64_t process_start_ms, time_point now)
 {
     auto& broken = broken_[upstream];
     if (broken.process_start_ms != process_start_ms) {
         broken = {process_start_ms, {}};
     }
-    broken.prints[print] = now;
+    for (const auto print : all_of(prints)) {
+        broken.prints[print] = now;
+    }
 }
 
-void crash_guard::on_completed(poison::fingerprint print, time_point now)
+void crash_guard::on_completed(const request_prints& prints, time_point now)
 {
-    for (auto& [upstream, broken] : broken_) {
-        broken.prints.erase(print);
+    for (const auto print : all_of(prints)) {
+        for (auto& [upstream, broken] : broken_) {
+            broken.prints.erase(print);
+        }
+        if (suspects_.open_crashes(print, now) > 0) {
+            clear(print, now);
+        }
+    }
+}
+
+void crash_guard::clear(poison::fingerprint print, time_point now)
+{
+    suspects_.on_clean_run_alone(print, now);
+    if (shared_.contains(print)) {
+        pending_[print] = max_repeats;
     }
-    if (suspects_.suspicion_of(print, now) != poison::suspicion::none) {
-        announcement_ = {suspects_.on_clean_run_alone(print, now), 0};
+    else {
+        pending_.erase(print);
     }
 }
 
@@ -65,16 +130,13 @@
     for (const auto& [print, at] : found->second.prints) {
         if (now - at < confirmation_time) {
             prints.push_back(print);
+            pending_[print] = max_repeats;
         }
     }
     if (!prints.empty()) {
         const poison::crash_id id{upstream, found->second.process_start_ms};
         // Other gateways may have had requests in flight there.
-        auto digest = suspects_.on_crash(id, prints, now, false);
-        if (announcement_) {
-            digest.insert(digest.end(), announcement_->digest.begin(), announcement_->digest.end());
-        }
-        announcement_ = {std::move(digest), 0};
+        suspects_.on_crash(id, prints, now, false);
     }
     broken_.erase(found);
     return !prints.empty();
@@ -83,16 +145,60 @@
 void crash_guard::merge(const poison::suspect_digest& digest, time_point now)
 {
     suspects_.merge(digest, now);
+    for (const auto& report : digest) {
+        shared_.insert(report.print);
+    }
 }
 
-poison::suspect_digest crash_guard::next_announcement()
+poison::suspect_digest crash_guard::announce(std::size_t min_crashes, time_point now)
 {
-    if (!announcement_) {
-        return {};
+    std::erase_if(pending_, [&](const auto& item) { return !suspects_.contains(item.first); });
+    std::vector<std::pair<std::size_t, poison::fingerprint>> candidates;
+    for (const auto& [print, repeats] : pending_) {
+        if (const auto open = suspects_.open_crashes(print, now); open >= min_crashes) {
+            candidates.emplace_back(open, print);
+        }
     }
-    auto digest = announcement_->digest;
-    if (++announcement_->repeats >= max_repeats) {
-        announcement_.reset();
+    // The strongest suspects first; the others follow with the next announcements.
+    std::ranges::sort(candidates, std::greater<>());
+    poison::suspect_digest digest;
+    std::size_t announced = 0;
+    for (const auto& [open, print] : candidates) {
+        auto report = suspects_.report(print, now);
+        announced += report.crashes.size();
+        if (announced > max_announced_crashes) {
+            break;
+        }
+        digest.push_back(std::move(report));
+        shared_.insert(print);
+        if (--pending_[print] <= 0) {
+            pending_.erase(print);
+        }
+    }
+    return digest;
+}
+
+poison::suspect_digest crash_guard::next_announcement(time_point now)
+{
+    return announce(0, now);
+}
+
+poison::suspect_digest crash_guard::urgent_announcement(time_point now)
+{
+    return announce(urgent_crashes, now);
+}
+
+poison::suspect_digest crash_guard::refused_findings(time_point now) const
+{
+    poison::suspect_digest digest;
+    std::size_t announced = 0;
+    for (const auto print : suspects_.refused(now)) {
+        auto report = suspects_.report(print, now);
+        announced += report.crashes.size();
+        if (announced > max_announced_crashes) {
+            break;
+        }
+        digest.push_back(std::move(report));
     }
     return digest;
 }
@@ -105,6 +211,7 @@
                       [&](const auto& item) { return now - item.second >= confirmation_time; });
     }
     std::erase_if(broken_, [](const auto& item) { return item.second.prints.empty(); });
+    std::erase_if(shared_, [&](const auto print) { return !suspects_.contains(print); });
 }
 
 } // namespace snipespar::gateway
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -1,39 +1,50 @@
 #pragma once
 
+#include "gateway/request_prints.h"
 #include "poison/suspect_digest.h"
 #include "poison/suspect_table.h"
 #include "snipespar/ids.h"
 #include "snipespar/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace snipespar::gateway {
 
-/// Recognizes requests that crash the upstreams that run them, so that no gateway sends them any
-/// more.
+/// Recognizes requests, and parts of prompts, that crash the upstreams that run them, so that no
+/// gateway sends them any more.
 ///
-/// A request counts against an upstream if its response broke off and the upstream's process ended
-/// within a few seconds of that. One that has done so at several upstreams is refused; a complete
-/// response clears it. Gateways share their findings.
+/// A request, with the shared parts of its prompt if its answer had begun, counts against an
+/// upstream if its response broke off and the upstream's process ended within a few seconds of
+/// that. What has been in flight at several crashes is refused. A complete response clears the
+/// request and its parts of all crashes so far, so that parts which sound requests carry are not
+/// refused however often they were near. A crash counts only for the suspect that explains most
+/// crashes. Gateways share their findings.
 class crash_guard {
 public:
     crash_guard();
 
     /// Whether the request must not be sent to any upstream.
-    bool is_refused(poison::fingerprint print, time_point now) const;
+    bool is_refused(const request_prints& prints, time_point now) const;
+
+    /// Whether a refused request may be sent all the same, to tell apart suspects that were in
+    /// flight at the same crashes: it carries some of them and not the others. Allowed once in a
+    /// while, and by about one of the `gateways`; `draw` is uniform from 0 to 1.
+    bool begin_trial(const request_prints& prints, int gateways, double draw, time_point now);
 
     /// Time for which the request will be refused.
-    duration refusal_time(poison::fingerprint print, time_point now) const;
+    duration refusal_time(const request_prints& prints, time_point now) const;
 
     /// The connection on which the request ran broke.
-    void on_broken(poison::fingerprint print, const upstream_id& upstream,
+    void on_broken(const request_prints& prints, const upstream_id& upstream,
                    std::uint64_t process_start_ms, time_point now);
 
     /// The request has received a complete response.
-    void on_completed(poison::fingerprint print, time_point now);
+    void on_completed(const request_prints& prints, time_point now);
 
     /// The process of this upstream has ended, or does not accept connections. Returns whether
     /// requests were in flight there.
@@ -42,8 +53,15 @@
     /// Takes over the findings of another gateway.
     void merge(const poison::suspect_digest& digest, time_point now);
 
-    /// Findings to send to all gateways; each is returned several times, as messages may be lost.
-    poison::suspect_digest next_announcement();
+    /// Findings to send to all gateways now; each is returned several times, as messages may be
+    /// lost.
+    poison::suspect_digest next_announcement(time_point now);
+
+    /// Those among them that cannot wait for the next tick: suspects of several crashes.
+    poison::suspect_digest urgent_announcement(time_point now);
+
+    /// What is refused, for a gateway that has just started.
+    poison::suspect_digest refused_findings(time_point now) const;
 
     /// Drops expired findings.
     void on_tick(time_point now);
@@ -57,14 +75,19 @@
         std::uint64_t process_start_ms = 0;
         std::map<poison::fingerprint, time_point> prints;
     };
-    struct announcement {
-        poison::suspect_digest digest;
-        int repeats = 0;
-    };
+
+    std::vector<poison::fingerprint> refused_among(const request_prints& prints,
+                                                   time_point now) const;
+    void clear(poison::fingerprint print, time_point now);
+    poison::suspect_digest announce(std::size_t min_crashes, time_point now);
 
     std::map<upstream_id, broken_connections> broken_;
     poison::suspect_table suspects_;
-    std::optional<announcement> announcement_;
+    /// Announcements still to be made, by fingerprint.
+    std::map<poison::fingerprint, int> pending_;
+    /// Fingerprints that other gateways know as suspects.
+    std::set<poison::fingerprint> shared_;
+    std::optional<time_point> last_trial_at_;
 };
 
 } // namespace snipespar::gateway
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -61,6 +61,13 @@
 // that restart with a full budget.
 constexpr double retry_budget_share = 0.6;
 constexpr int listen_backlog = 1024;
+// Gateways that tell a new one what crashes upstreams, and how often each of them does, as messages
+// may be lost.
+constexpr std::size_t informing_gateways = 3;
+constexpr int findings_repeats = 3;
+// A gateway that was silent for so long, and for several reports, is told again.
+constexpr auto min_informed_lifetime = std::chrono::seconds(2);
+constexpr int informed_report_intervals = 3;
 
 // Upstream entries change several times a second, and the platform charges each response to a watch
 // as a call: the pause between polls is as long as the bound allows.
@@ -333,7 +340,12 @@
     }
     send_usage(now);
     context_.crashes.on_tick(now);
-    announce_crashes();
+    const auto informed_lifetime = std::max<duration>(
+        min_informed_lifetime,
+        informed_report_intervals * usage_reporter::idle_interval(context_.gateways));
+    std::erase_if(informed_peers_,
+                  [&](const auto& item) { return now - item.second.seen_at > informed_lifetime; });
+    announce(context_.crashes.next_announcement(now));
 }
 
 void gateway_server::drain(std::function<void()> done)
@@ -580,6 +592,7 @@
         return;
     }
     peers_.on_seen(from, now);
+    inform_new_peer(usage, from, now);
     const auto known = context_.config == nullptr ? 0 : context_.config->version();
     if (usage.config_version > known && now - config_refreshed_at_ > config_refresh_interval) {
         config_refreshed_at_ = now;
@@ -675,19 +688,40 @@
 // Copies of the request may be on their way to other gateways, so that these are told at once.
 void gateway_server::on_upstream_ended(const upstream_id& upstream)
 {
-    if (context_.crashes.on_upstream_ended(upstream, steady_now())) {
+    const auto now = steady_now();
+    if (context_.crashes.on_upstream_ended(upstream, now)) {
         context_.log.warning("upstream_crashed", {{"upstream", upstream.str()}});
-        announce_crashes();
+        announce(context_.crashes.urgent_announcement(now));
     }
 }
 
-void gateway_server::announce_crashes()
+void gateway_server::announce(const poison::suspect_digest& findings)
 {
-    if (const auto findings = context_.crashes.next_announcement(); !findings.empty()) {
+    if (!findings.empty()) {
         send_to_peers(control::crash_findings{findings});
     }
 }
 
+// A gateway that has just started learns what is refused from those few gateways that rank first
+// for it, so that the number of answers does not grow with the fleet.
+void gateway_server::inform_new_peer(const control::gateway_usage& usage, const cli::endpoint& from,
+                                     time_point now)
+{
+    auto& informed = informed_peers_[from];
+    if (informed.start != usage.gateway_start) {
+        informed = {usage.gateway_start, findings_repeats, now};
+    }
+    informed.seen_at = now;
+    if (informed.messages_left == 0 ||
+        !peers_.is_among_first(from, usage.gateway_start, informing_gateways)) {
+        return;
+    }
+    --informed.messages_left;
+    if (const auto findings = context_.crashes.refused_findings(now); !findings.empty()) {
+        datagrams_.send(from, control::encode(control::crash_findings{findings}));
+    }
+}
+
 void gateway_server::send_to_peers(const control::message& content)
 {
     const auto bytes = control::encode(content);
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -81,10 +82,19 @@
     void send_demand(const upstream_id& upstream);
     void send_usage(time_point now);
     void on_upstream_ended(const upstream_id& upstream);
-    void announce_crashes();
+    void announce(const poison::suspect_digest& findings);
+    void inform_new_peer(const control::gateway_usage& usage, const cli::endpoint& from,
+                         time_point now);
     void send_to_peers(const control::message& content);
     void update_retry_budgets();
 
+    /// What another gateway has been told since its start.
+    struct informed_peer {
+        std::uint64_t start = 0;
+        int messages_left = 0;
+        time_point seen_at;
+    };
+
     boost::asio::io_context& io_;
     cli::gateway_settings settings_;
     std::uint64_t start_;
@@ -104,6 +114,7 @@
     std::uint64_t store_era_ = 0;
     bool is_registry_unreachable_ = false;
     std::set<upstream_id> queued_demands_;
+    std::map<cli::endpoint, informed_peer> informed_peers_;
     std::uint64_t usage_sequence_ = 0;
     usage_reporter usage_reporter_;
     std::optional<time_point> last_tick_at_;
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -1,5 +1,9 @@
 #include "gateway/peer_directory.h"
 
+#include "base/stable_hash.h"
+
+#include <algorithm>
+
 namespace snipespar::gateway {
 
 namespace {
@@ -31,4 +35,16 @@
     return list;
 }
 
+bool peer_directory::is_among_first(const cli::endpoint& except, std::uint64_t key,
+                                    std::size_t count) const
+{
+    const auto score = [key](const cli::endpoint& gateway) {
+        return rendezvous_score(key, stable_hash(gateway.str()), 1.0);
+    };
+    const auto own = score(self_);
+    const auto before = std::ranges::count_if(
+        peers_, [&](const auto& item) { return item.first != except && score(item.first) > own; });
+    return static_cast<std::size_t>(before) < count;
+}
+
 } // namespace snipespar::gateway
--- a/src/gateway/peer_directory.h
+++ b/src/gateway/peer_directory.h
@@ -3,6 +3,8 @@
 #include "cli/endpoint.h"
 #include "snipespar/time.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -25,6 +27,10 @@
 
     std::vector<cli::endpoint> all() const;
 
+    /// Whether this gateway is among the first `count` of all in the order of rendezvous hashing
+    /// for `key`. The gateway `except` takes no part.
+    bool is_among_first(const cli::endpoint& except, std::uint64_t key, std::size_t count) const;
+
     /// Number of gateways assumed to be running, including this one.
     int count() const { return static_cast<int>(peers_.size()) + 1; }
 
--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -127,6 +127,7 @@
             self->can_reuse_ = false;
             self->parser_->put_eof(parse_error);
             if (!parse_error && self->parser_->is_done()) {
+                self->was_closed_by_upstream_ = true;
                 self->forward_body();
                 return self->finish();
             }
--- a/src/gateway/upstream_channel.h
+++ b/src/gateway/upstream_channel.h
@@ -50,6 +50,9 @@
     /// unrequested data.
     void watch_idle(std::function<void()> closed);
 
+    /// Whether the response ended with the connection, as one without a length does.
+    bool was_closed_by_upstream() const { return was_closed_by_upstream_; }
+
     /// Seconds for which the upstream keeps an idle connection, 0 if not stated.
     unsigned keep_alive_s() const { return keep_alive_s_; }
     const cli::endpoint& upstream() const { return upstream_; }
@@ -88,6 +91,7 @@
     bool is_stale_response_ = false;
     bool can_reuse_ = true;
     bool is_closed_ = false;
+    bool was_closed_by_upstream_ = false;
     unsigned keep_alive_s_ = 0;
     /// Incremented for each exchange to recognize late completions of an earlier one.
     std::uint64_t exchange_number_ = 0;
--- a/src/poison/suspect_digest.h
+++ b/src/poison/suspect_digest.h
@@ -12,6 +12,15 @@
 /// Hash of a request's content; identical for every copy that its caller sends.
 using fingerprint = std::uint64_t;
 
+/// Set in the fingerprints of prompt parts and clear in those of whole requests, where both are
+/// kept in one table.
+constexpr fingerprint part_flag = fingerprint{1} << 63U;
+
+constexpr bool is_part(fingerprint print)
+{
+    return (print & part_flag) != 0;
+}
+
 /// Identifies one crash of one upstream.
 struct crash_id {
     upstream_id upstream;
--- a/src/poison/suspect_table.cpp
+++ b/src/poison/suspect_table.cpp
@@ -48,9 +48,15 @@
         crash_map crashes = before;
         for (const auto& item : reported.crashes) {
             const auto expires = now + std::min(item.remaining, limits_.lifetime);
-            if (expires <= now || (crashes.size() >= max_crashes && !crashes.contains(item.id))) {
+            if (expires <= now) {
                 continue;
             }
+            if (crashes.size() >= max_crashes && !crashes.contains(item.id)) {
+                make_room(reported.print, crashes);
+                if (crashes.size() >= max_crashes) {
+                    continue;
+                }
+            }
             auto [position, added] = crashes.try_emplace(item.id, crash{false, false, expires});
             auto& crash = position->second;
             crash.alone = crash.alone || item.alone;
@@ -99,22 +105,109 @@
         return counted;
     }
     const bool confirmed_cause = is_confirmed_cause(found->second, now);
+    const auto open = limits_.has_parts ? open_crashes(print, now) : 0;
     for (const auto& [id, crash] : found->second) {
         const bool counts = !crash.cleared && crash.expires > now;
-        if (counts && (confirmed_cause || !has_other_cause(id, print, now))) {
+        const bool is_explained = !confirmed_cause && has_other_cause(id, print, now);
+        if (counts && !is_explained &&
+            !(limits_.has_parts && has_stronger_suspect(id, print, open, now))) {
             counted.push_back(id);
         }
     }
     return counted;
 }
 
+std::size_t suspect_table::open_crashes(fingerprint print, time_point now) const
+{
+    const auto found = suspects_.find(print);
+    if (found == suspects_.end()) {
+        return 0;
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(found->second, [now](const auto& item) {
+        return !item.second.cleared && item.second.expires > now;
+    }));
+}
+
+bool suspect_table::has_stronger_suspect(const crash_id& id, fingerprint print, std::size_t open,
+                                         time_point now) const
+{
+    const auto found = in_flight_.find(id);
+    return found != in_flight_.end() &&
+           std::ranges::any_of(found->second, [&](const fingerprint other) {
+               const auto others = suspects_.find(other);
+               if (other == print || others == suspects_.end()) {
+                   return false;
+               }
+               const auto crash = others->second.find(id);
+               if (crash == others->second.end() || crash->second.cleared) {
+                   return false;
+               }
+               const auto other_open = open_crashes(other, now);
+               return other_open > open ||
+                      (other_open == open && !is_part(other) && is_part(print));
+           });
+}
+
+std::set<fingerprint> suspect_table::rivals(fingerprint print, time_point now) const
+{
+    std::set<fingerprint> found;
+    const auto own = suspects_.find(print);
+    if (own == suspects_.end()) {
+        return found;
+    }
+    const auto open = open_crashes(print, now);
+    for (const auto& [id, crash] : own->second) {
+        const auto others = in_flight_.find(id);
+        if (crash.cleared || crash.expires <= now || others == in_flight_.end()) {
+            continue;
+        }
+        for (const auto other : others->second) {
+            if (other != print && open_crashes(other, now) == open) {
+                found.insert(other);
+            }
+        }
+    }
+    return found;
+}
+
+std::vector<fingerprint> suspect_table::refused(time_point now) const
+{
+    std::vector<fingerprint> list;
+    for (const auto& [print, crashes] : suspects_) {
+        if (suspicion_of(print, now) == suspicion::refused) {
+            list.push_back(print);
+        }
+    }
+    return list;
+}
+
+suspect_report suspect_table::report(fingerprint print, time_point now) const
+{
+    const auto found = suspects_.find(print);
+    return found == suspects_.end() ? suspect_report{print, {}}
+                                    : make_report(print, found->second, now);
+}
+
+std::size_t suspect_table::threshold(fingerprint print) const
+{
+    return limits_.has_parts && is_part(print) ? limits_.crashes_to_refuse_part
+                                               : limits_.crashes_to_refuse;
+}
+
 suspicion suspect_table::suspicion_of(fingerprint print, time_point now) const
 {
+    if (limits_.has_parts) {
+        // Most fingerprints have little evidence, which needs no comparison with that of others.
+        const auto open = open_crashes(print, now);
+        if (open < threshold(print)) {
+            return open == 0 ? suspicion::none : suspicion::suspect;
+        }
+    }
     const auto crashes = attributable_crashes(print, now);
     if (crashes.empty()) {
         return suspicion::none;
     }
-    return crashes.size() >= limits_.crashes_to_refuse ? suspicion::refused : suspicion::suspect;
+    return crashes.size() >= threshold(print) ? suspicion::refused : suspicion::suspect;
 }
 
 bool suspect_table::crashed_at(fingerprint print, const upstream_id& upstream, time_point now) const
@@ -171,6 +264,23 @@
     std::erase_if(in_flight_, [](const auto& entry) { return entry.second.empty(); });
 }
 
+// Drops the cleared crash that expires first, if there is one: a fingerprint that was cleared may
+// cause crashes later.
+void suspect_table::make_room(fingerprint print, crash_map& crashes)
+{
+    auto oldest = crashes.end();
+    for (auto item = crashes.begin(); item != crashes.end(); ++item) {
+        if (item->second.cleared &&
+            (oldest == crashes.end() || item->second.expires < oldest->second.expires)) {
+            oldest = item;
+        }
+    }
+    if (oldest != crashes.end()) {
+        in_flight_[oldest->first].erase(print);
+        crashes.erase(oldest);
+    }
+}
+
 void suspect_table::evict_weakest()
 {
     while (suspects_.size() > limits_.max_fingerprints) {
--- a/src/poison/suspect_table.h
+++ b/src/poison/suspect_table.h
@@ -29,6 +29,12 @@
     std::size_t max_fingerprints = 4096;
     /// Crashes attributed to a request from which on it is refused.
     std::size_t crashes_to_refuse = 2;
+    /// Whether requests and prompt parts are kept together. Crashes are then attributed to the
+    /// fingerprint that explains most of them, and no longer to others in flight there; a request
+    /// precedes a part that explains as many.
+    bool has_parts = false;
+    /// Crashes attributed to a prompt part from which on it is refused.
+    std::size_t crashes_to_refuse_part = 4;
 
     friend bool operator==(const suspect_limits&, const suspect_limits&) = default;
 };
@@ -61,6 +67,21 @@
     /// Time until the fingerprint is no longer refused or suspected; zero if it is neither.
     duration remaining(fingerprint print, time_point now) const;
 
+    /// Crashes of the fingerprint that have not expired and were not cleared, whatever explains
+    /// them.
+    std::size_t open_crashes(fingerprint print, time_point now) const;
+
+    /// Other fingerprints with as many open crashes that were in flight at one of these.
+    std::set<fingerprint> rivals(fingerprint print, time_point now) const;
+
+    bool contains(fingerprint print) const { return suspects_.contains(print); }
+
+    /// Fingerprints that are refused.
+    std::vector<fingerprint> refused(time_point now) const;
+
+    /// The crashes of one fingerprint, for other processes.
+    suspect_report report(fingerprint print, time_point now) const;
+
     /// Returns the whole table, for a newly linked process.
     suspect_digest digest(time_point now) const;
 
@@ -81,8 +102,12 @@
 
     std::vector<crash_id> attributable_crashes(fingerprint print, time_point now) const;
     bool has_other_cause(const crash_id& id, fingerprint print, time_point now) const;
+    bool has_stronger_suspect(const crash_id& id, fingerprint print, std::size_t open,
+                              time_point now) const;
+    std::size_t threshold(fingerprint print) const;
     static bool is_confirmed_cause(const crash_map& crashes, time_point now);
     suspect_report make_report(fingerprint print, const crash_map& crashes, time_point now) const;
+    void make_room(fingerprint print, crash_map& crashes);
     void evict_weakest();
 
     suspect_limits limits_;
--- a/tests/gateway_crash_guard_test.cpp
+++ b/tests/gateway_crash_guard_test.cpp
@@ -13,8 +13,11 @@
 using std::chrono::seconds;
 
 constexpr time_point start{seconds(50)};
-constexpr poison::fingerprint crasher = 7;
-constexpr poison::fingerprint harmless = 8;
+const request_prints crasher{7, {}};
+const request_prints harmless{8, {}};
+constexpr poison::fingerprint bad_part = poison::part_flag | 21;
+constexpr poison::fingerprint common_part = poison::part_flag | 22;
+constexpr poison::fingerprint rare_part = poison::part_flag | 23;
 
 upstream_id id(int number)
 {
@@ -29,6 +32,16 @@
     guard.on_upstream_ended(id(number), now + milliseconds(400));
 }
 
+// The process of an upstream ends under these requests.
+void crash_under(crash_guard& guard, int number, const std::vector<request_prints>& requests,
+                 time_point now)
+{
+    for (const auto& prints : requests) {
+        guard.on_broken(prints, id(number), 1, now);
+    }
+    guard.on_upstream_ended(id(number), now);
+}
+
 } // namespace
 
 class gateway_crash_guard_test : public CppUnit::TestFixture {
@@ -38,6 +51,13 @@
     CPPUNIT_TEST(harmless_request_is_cleared_by_its_response);
     CPPUNIT_TEST(crashes_seen_by_several_gateways_add_up);
     CPPUNIT_TEST(findings_expire);
+    CPPUNIT_TEST(part_is_refused_though_no_two_requests_are_alike);
+    CPPUNIT_TEST(part_that_sound_requests_carry_is_not_refused);
+    CPPUNIT_TEST(part_in_flight_beside_the_cause_is_not_refused);
+    CPPUNIT_TEST(request_that_crashes_by_itself_does_not_condemn_its_parts);
+    CPPUNIT_TEST(cleared_part_is_refused_after_later_crashes);
+    CPPUNIT_TEST(trial_tells_parts_apart_that_always_came_together);
+    CPPUNIT_TEST(clearance_reaches_other_gateways);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -51,7 +71,7 @@
         crash(guard, 3, start);
         CPPUNIT_ASSERT(guard.is_refused(crasher, start + seconds(1)));
         CPPUNIT_ASSERT(guard.refusal_time(crasher, start + seconds(1)) > seconds(60));
-        CPPUNIT_ASSERT(!guard.is_refused(99, start + seconds(1)));
+        CPPUNIT_ASSERT(!guard.is_refused({99, {}}, start + seconds(1)));
     }
 
     void broken_connection_to_a_living_upstream_is_no_crash()
@@ -90,14 +110,14 @@
             guards[static_cast<std::size_t>(i)].on_upstream_ended(id(i), start);
         }
         for (auto& from : guards) {
-            CPPUNIT_ASSERT(!from.next_announcement().empty());
-            const auto digest = from.next_announcement();
+            CPPUNIT_ASSERT(!from.next_announcement(start).empty());
+            const auto digest = from.next_announcement(start);
             for (auto& to : guards) {
                 to.merge(digest, start);
                 to.merge(digest, start);
             }
-            CPPUNIT_ASSERT(!from.next_announcement().empty());
-            CPPUNIT_ASSERT(from.next_announcement().empty());
+            CPPUNIT_ASSERT(!from.next_announcement(start).empty());
+            CPPUNIT_ASSERT(from.next_announcement(start).empty());
         }
         for (const auto& guard : guards) {
             CPPUNIT_ASSERT(guard.is_refused(crasher, start));
@@ -114,6 +134,106 @@
         guard.on_tick(start + std::chrono::minutes(11));
         CPPUNIT_ASSERT(guard.is_empty());
     }
+
+    // Guards against evidence that is kept by whole request only.
+    void part_is_refused_though_no_two_requests_are_alike()
+    {
+        crash_guard guard;
+        for (int i = 0; i < 4; ++i) {
+            CPPUNIT_ASSERT(!guard.is_refused({1000, {common_part, bad_part}}, start));
+            crash_under(guard, i, {{poison::fingerprint(100 + i), {common_part, bad_part}}}, start);
+            guard.on_completed({poison::fingerprint(200 + i), {common_part}}, start);
+        }
+        CPPUNIT_ASSERT(guard.is_refused({1000, {common_part, bad_part}}, start));
+        CPPUNIT_ASSERT(!guard.is_refused({1000, {common_part}}, start));
+    }
+
+    void part_that_sound_requests_carry_is_not_refused()
+    {
+        crash_guard guard;
+        for (int i = 0; i < 40; ++i) {
+            crash_under(guard, i, {{poison::fingerprint(100 + i), {common_part}}}, start);
+            if (i % 3 == 2) {
+                guard.on_completed({poison::fingerprint(200 + i), {common_part}}, start);
+            }
+            CPPUNIT_ASSERT(!guard.is_refused({1000, {common_part}}, start));
+        }
+    }
+
+    // Its requests met most of the crashes, and none of them has ended well since.
+    void part_in_flight_beside_the_cause_is_not_refused()
+    {
+        crash_guard guard;
+        for (int i = 0; i < 6; ++i) {
+            std::vector<request_prints> requests{{poison::fingerprint(100 + i), {bad_part}}};
+            if (i != 2) {
+                requests.push_back({poison::fingerprint(200 + i), {rare_part}});
+            }
+            crash_under(guard, i, requests, start);
+        }
+        CPPUNIT_ASSERT(guard.is_refused({1000, {bad_part}}, start));
+        CPPUNIT_ASSERT(!guard.is_refused({1000, {rare_part}}, start));
+    }
+
+    void request_that_crashes_by_itself_does_not_condemn_its_parts()
+    {
+        crash_guard guard;
+        for (int i = 0; i < 4; ++i) {
+            crash_under(guard, i, {{7, {rare_part}}}, start);
+        }
+        CPPUNIT_ASSERT(guard.is_refused({7, {rare_part}}, start));
+        CPPUNIT_ASSERT(!guard.is_refused({1000, {rare_part}}, start));
+    }
+
+    void cleared_part_is_refused_after_later_crashes()
+    {
+        crash_guard guard;
+        for (int i = 0; i < 20; ++i) {
+            crash_under(guard, i, {{poison::fingerprint(100 + i), {rare_part}}}, start);
+            if (i < 16) {
+                guard.on_completed({1000, {rare_part}}, start);
+            }
+        }
+        CPPUNIT_ASSERT(guard.is_refused({1001, {rare_part}}, start));
+    }
+
+    void trial_tells_parts_apart_that_always_came_together()
+    {
+        crash_guard guard;
+        for (int i = 0; i < 4; ++i) {
+            crash_under(guard, i, {{poison::fingerprint(100 + i), {bad_part, rare_part}}}, start);
+        }
+        const request_prints sound{1000, {rare_part}};
+        CPPUNIT_ASSERT(guard.is_refused(sound, start));
+        // Not by a request that carries both, and by about one gateway only.
+        CPPUNIT_ASSERT(!guard.begin_trial({1001, {bad_part, rare_part}}, 1, 0, start));
+        CPPUNIT_ASSERT(!guard.begin_trial(sound, 5, 0.3, start));
+        CPPUNIT_ASSERT(guard.begin_trial(sound, 5, 0.1, start));
+        CPPUNIT_ASSERT(!guard.begin_trial(sound, 5, 0.1, start + milliseconds(500)));
+        guard.on_completed(sound, start + milliseconds(600));
+        CPPUNIT_ASSERT(!guard.is_refused(sound, start + milliseconds(600)));
+        CPPUNIT_ASSERT(guard.is_refused({1002, {bad_part}}, start + milliseconds(600)));
+        // Nothing is left to tell apart.
+        CPPUNIT_ASSERT(!guard.begin_trial({1002, {bad_part}}, 1, 0, start + seconds(5)));
+    }
+
+    // Guards against a clearance that replaces findings which are still to be sent.
+    void clearance_reaches_other_gateways()
+    {
+        crash_guard guard;
+        crash_guard other;
+        for (int i = 0; i < 2; ++i) {
+            crash_under(guard, i, {{100, {bad_part, rare_part}}}, start);
+        }
+        other.merge(guard.next_announcement(start), start);
+        guard.on_completed({101, {rare_part}}, start);
+        other.merge(guard.next_announcement(start), start);
+        for (int i = 2; i < 4; ++i) {
+            crash_under(other, i, {{poison::fingerprint(100 + i), {bad_part, rare_part}}}, start);
+        }
+        CPPUNIT_ASSERT(other.is_refused({1000, {bad_part}}, start));
+        CPPUNIT_ASSERT(!other.is_refused({1000, {rare_part}}, start));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_crash_guard_test);
