--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -41,6 +41,8 @@
 constexpr int stall_factor = 3;
 constexpr auto min_first_event_stall = milliseconds(1500);
 constexpr auto min_gap_stall = milliseconds(900);
+// Interval of searches for an upstream that can take over from a silent one.
+constexpr auto search_interval = milliseconds(100);
 // Divisor of the time limit: a repeatable request leaves a stalled upstream while half of its time
 // remains.
 constexpr int stall_limit_divisor = 2;
@@ -126,9 +128,9 @@
         return false;
     }
     context_.retries[service_->name].on_request();
-    if (!context_.crashes.is_empty() && context_.crashes.is_refused(fingerprint(), steady_now())) {
-        refuse({503, "crashes_upstreams",
-                context_.crashes.refusal_time(fingerprint(), steady_now()), false});
+    if (!context_.crashes.is_empty() && is_refused_for_crashes()) {
+        refuse({503, "crashes_upstreams", context_.crashes.refusal_time(prints(), steady_now()),
+                false});
         return false;
     }
     if (service_->engine) {
@@ -147,6 +149,33 @@
     return true;
 }
 
+bool call_exchange::is_refused_for_crashes()
+{
+    const auto now = steady_now();
+    if (!context_.crashes.is_refused(prints(), now)) {
+        return false;
+    }
+    std::uniform_real_distribution<double> draw(0, 1);
+    const bool is_trial =
+        context_.crashes.begin_trial(prints(), context_.gateways, draw(context_.random), now);
+    if (is_trial) {
+        context_.log.info("crash_trial",
+                          {{"request", call_.request_id}, {"parts", shared_parts_text()}});
+    }
+    return !is_trial;
+}
+
+request_prints call_exchange::prints() const
+{
+    request_prints prints{fingerprint() & ~poison::part_flag, {}};
+    const auto service = stable_hash(service_->name);
+    prints.parts.reserve(call_.shared_parts.size());
+    for (const auto part : call_.shared_parts) {
+        prints.parts.push_back(combine_hash(service, part) | poison::part_flag);
+    }
+    return prints;
+}
+
 // Equal for every copy of the request that its team sends.
 std::uint64_t call_exchange::fingerprint() const
 {
@@ -160,6 +189,17 @@
     return hash;
 }
 
+// The parts that the prompt shares with others, as the log names them.
+std::string call_exchange::shared_parts_text() const
+{
+    constexpr std::size_t max_logged_parts = 8;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(call_.shared_parts.size(), max_logged_parts); ++i) {
+        text += fmt::format("{}{:08x}", i == 0 ? "" : ",", call_.shared_parts[i] >> 32U);
+    }
+    return text;
+}
+
 std::string call_exchange::adapter_key() const
 {
     return call_.adapter.empty() ? std::string() : call_.model + "/" + call_.adapter;
@@ -181,9 +221,29 @@
     if (deadline_ - now < min_useful_time) {
         return give_up("no_time_left");
     }
-    if (runs_ > 0 && context_.crashes.is_refused(fingerprint(), now)) {
+    if (runs_ > 0 && context_.crashes.is_refused(prints(), now)) {
         return give_up("crashes_upstreams");
     }
+    const auto destination = choose_upstream(now);
+    if (const auto* target = std::get_if<send_to>(&destination)) {
+        return dispatch(target->upstream, now);
+    }
+    if (const auto* target = std::get_if<wait_for_adapter>(&destination)) {
+        return wait_for_load(target->upstream, now);
+    }
+    const auto& none = std::get<no_upstream>(destination);
+    if (none.opens_at) {
+        opens_at_ = none.opens_at;
+    }
+    if (refused_admissions_ > 0) {
+        return give_up("prompt_backlog");
+    }
+    give_up(none.is_overloaded ? "upstreams_full" : "no_upstream");
+}
+
+// Returns where the call can go now, and requests the replicas that its adapter should get.
+placement call_exchange::choose_upstream(time_point now)
+{
     const placement_query query{service_->name,
                                 service_->engine ? adapter_key() : std::string(),
                                 call_.model,
@@ -200,20 +260,38 @@
             context_.send_demand(replica);
         }
     }
-    if (const auto* target = std::get_if<send_to>(&chosen.destination)) {
-        return dispatch(target->upstream, now);
+    return chosen.destination;
+}
+
+// Moves the call to another upstream if one can take it at once. A silent upstream may be sound and
+// go on, so that the call stays there until its time limit otherwise.
+void call_exchange::leave_silent_upstream(time_point now)
+{
+    if (now < next_search_at_) {
+        return;
     }
-    if (const auto* target = std::get_if<wait_for_adapter>(&chosen.destination)) {
-        return wait_for_load(target->upstream, now);
+    next_search_at_ = now + search_interval;
+    const auto destination = choose_upstream(now);
+    if (const auto* loader = std::get_if<wait_for_adapter>(&destination)) {
+        if (context_.upstreams.on_replica_requested(loader->upstream, adapter_key(), now)) {
+            context_.send_demand(loader->upstream);
+        }
     }
-    const auto& none = std::get<no_upstream>(chosen.destination);
-    if (none.opens_at) {
-        opens_at_ = none.opens_at;
+    const auto* target = std::get_if<send_to>(&destination);
+    if (target == nullptr) {
+        return;
     }
-    if (refused_admissions_ > 0) {
-        return give_up("prompt_backlog");
+    context_.log.info("attempt_failed", {{"request", call_.request_id},
+                                         {"upstream", upstream_.str()},
+                                         {"cause", "silent"},
+                                         {"sends", sends_},
+                                         {"runs", runs_},
+                                         {"answering", has_response_begun_}});
+    if (is_stream_open_) {
+        context_.metrics.resumed_streams.add();
     }
-    give_up(none.is_overloaded ? "upstreams_full" : "no_upstream");
+    release_upstream(call_result::failure, false);
+    dispatch(target->upstream, now);
 }
 
 void call_exchange::wait_for_load(const upstream_id& upstream, time_point now)
@@ -594,14 +672,23 @@
     }
     else if (const auto* state = context_.upstreams.find(upstream_)) {
         // A broken connection alone does not show whether the upstream has crashed.
-        context_.crashes.on_broken(fingerprint(), upstream_, state->entry.process_start_ms,
-                                   steady_now());
+        note_broken(*state);
         probe_connect(context_.executor, state->entry.address, connect_timeout,
                       [report = context_.report_upstream_ended, id = upstream_] { report(id); });
     }
     on_attempt_failed(to_std(status.message()));
 }
 
+// The response broke off: a part of the prompt can only be the cause if the response had begun.
+void call_exchange::note_broken(const upstream_state& state)
+{
+    auto suspects = prints();
+    if (!has_response_begun_) {
+        suspects.parts.clear();
+    }
+    context_.crashes.on_broken(suspects, upstream_, state.entry.process_start_ms, steady_now());
+}
+
 // The upstream refused to run the request.
 void call_exchange::on_not_run()
 {
@@ -635,7 +722,8 @@
                                          {"cause", std::string(cause)},
                                          {"sends", sends_},
                                          {"runs", runs_},
-                                         {"answering", has_response_begun_}});
+                                         {"answering", has_response_begun_},
+                                         {"parts", shared_parts_text()}});
     if (is_stream_open_) {
         return resume_on_another_upstream(cause);
     }
@@ -751,8 +839,15 @@
         return;
     }
     const auto now = steady_now();
-    if (result == call_result::success && !context_.crashes.is_empty()) {
-        context_.crashes.on_completed(fingerprint(), now);
+    if (result == call_result::success && header_->is_success()) {
+        const auto* state = context_.upstreams.find(upstream_);
+        if (channel_->was_closed_by_upstream() && state != nullptr) {
+            // Without a length the end of a response and a crash look alike.
+            note_broken(*state);
+        }
+        else if (!context_.crashes.is_empty()) {
+            context_.crashes.on_completed(prints(), now);
+        }
     }
     const auto used = std::exchange(channel_, nullptr);
     const auto outstanding_tokens = has_response_begun_ ? 0 : call_.prompt_tokens;
@@ -864,6 +959,18 @@
     context_.exchanges.erase(shared_from_this());
 }
 
+void call_exchange::log_cut() const
+{
+    context_.log.warning(
+        "call_cut",
+        {{"request", call_.request_id},
+         {"upstream", upstream_.str()},
+         {"sends", sends_},
+         {"runs", runs_},
+         {"after_ms",
+          std::chrono::duration_cast<milliseconds>(steady_now() - arrived_at_).count()}});
+}
+
 duration call_exchange::stall_timeout() const
 {
     if (route_->kind == call_kind::stream) {
@@ -911,7 +1018,7 @@
     }
     if (channel_ != nullptr && route_->is_repeatable() && now - progress_at_ > stall_timeout() &&
         can_try_again(now) && context_.retries[service_->name].available() >= 1) {
-        on_attempt_failed("silent");
+        leave_silent_upstream(now);
     }
 }
 
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -6,6 +6,8 @@
 #include "gateway/answer_header.h"
 #include "gateway/call.h"
 #include "gateway/event_splitter.h"
+#include "gateway/request_prints.h"
+#include "gateway/upstream_selector.h"
 #include "gateway/upstream_table.h"
 #include "snipespar/ids.h"
 #include "snipespar/time.h"
@@ -44,6 +46,9 @@
     /// Checks the timeouts.
     void on_tick(time_point now);
 
+    /// Logs that the process exits before the exchange has ended.
+    void log_cut() const;
+
     /// The sidecar of an engine has answered whether the call may be sent.
     void on_admission(const control::admission_answer& answer);
 
@@ -59,6 +64,8 @@
 
     bool resolve();
     void try_next_upstream();
+    placement choose_upstream(time_point now);
+    void leave_silent_upstream(time_point now);
     void wait_for_load(const upstream_id& upstream, time_point now);
     void stop_waiting();
     /// Whether the upstream, known to be reporting, can still load the adapter.
@@ -95,7 +102,11 @@
     void log_late_response();
     void log_paused_stream();
     void finish();
+    bool is_refused_for_crashes();
+    void note_broken(const upstream_state& state);
+    request_prints prints() const;
     std::uint64_t fingerprint() const;
+    std::string shared_parts_text() const;
     std::string adapter_key() const;
     std::uint64_t min_version(time_point now) const;
     duration stall_timeout() const;
@@ -134,6 +145,8 @@
     /// Staleness of the status from which the upstream was chosen.
     duration status_age_{};
     time_point progress_at_;
+    /// When another upstream is next looked for while the current one is silent.
+    time_point next_search_at_;
     bool has_response_begun_ = false;
     std::optional<answer_header> header_;
     std::string body_;
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -55,15 +55,19 @@
                                                              milliseconds(200)};
 // Minimum interval between refreshes of the configuration when other gateways have a newer version.
 constexpr auto config_refresh_interval = milliseconds(1000);
-// Time until the load balancer has noticed that this gateway is not ready and sends no new
-// connections.
-constexpr auto balancer_notice_time = milliseconds(2500);
-// Idle connections are closed this long after the drain begins, as requests in flight still arrive.
-constexpr auto idle_close_delay = milliseconds(1000);
+// Requests named in the log when a forced stop cuts them off.
+constexpr int max_logged_cuts = 50;
 // Share of the fleet's retry budget that is divided among the gateways; the rest covers gateways
 // that restart with a full budget.
 constexpr double retry_budget_share = 0.6;
 constexpr int listen_backlog = 1024;
+// Gateways that tell a new one what crashes upstreams, and how often each of them does, as messages
+// may be lost.
+constexpr std::size_t informing_gateways = 3;
+constexpr int findings_repeats = 3;
+// A gateway that was silent for so long, and for several reports, is told again.
+constexpr auto min_informed_lifetime = std::chrono::seconds(2);
+constexpr int informed_report_intervals = 3;
 
 // Upstream entries change several times a second, and the platform charges each response to a watch
 // as a call: the pause between polls is as long as the bound allows.
@@ -192,17 +196,78 @@
 void gateway_server::accept()
 {
     acceptor_.async_accept([this](const auto& error, tcp::socket socket) {
-        if (!acceptor_.is_open()) {
-            return;
+        // Accepted just before the listener was closed, perhaps.
+        if (!error) {
+            add_connection(std::move(socket));
+        }
+        if (acceptor_.is_open()) {
+            accept();
         }
+    });
+}
+
+void gateway_server::add_connection(tcp::socket socket)
+{
+    const auto connection = std::make_shared<caller_connection>(std::move(socket), context_);
+    connections_.push_back(connection);
+    connection->start();
+}
+
+// Closing the listener resets the connections that the kernel has established and nobody has
+// accepted, so these are accepted first.
+void gateway_server::close_listener()
+{
+    boost::system::error_code error;
+    std::ignore = acceptor_.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(io_);
+        std::ignore = acceptor_.accept(socket, error);
         if (!error) {
-            const auto connection =
-                std::make_shared<caller_connection>(std::move(socket), context_);
-            connections_.push_back(connection);
-            connection->start();
+            add_connection(std::move(socket));
         }
-        accept();
+    }
+    if (error != asio::error::would_block && error != asio::error::try_again) {
+        context_.log.warning("accept_failed", {{"reason", error.message()}});
+    }
+    std::ignore = acceptor_.close(error);
+}
+
+void gateway_server::take_stop_step(time_point now)
+{
+    std::erase_if(connections_, [](const auto& item) {
+        const auto connection = item.lock();
+        return connection == nullptr || connection->is_closed();
     });
+    const stop_progress progress{static_cast<int>(context_.exchanges.size()),
+                                 static_cast<int>(connections_.size())};
+    switch (stop_.next(progress, now)) {
+    case stop_step::serve:
+        return;
+    case stop_step::close_listener:
+        return close_listener();
+    case stop_step::exit:
+        context_.log.info("stopped", {{"role", "gateway"}, {"forced", false}});
+        std::exchange(drained_, {})();
+    }
+}
+
+void gateway_server::log_unfinished() const
+{
+    int logged = 0;
+    for (const auto& exchange : context_.exchanges) {
+        if (++logged > max_logged_cuts) {
+            break;
+        }
+        exchange->log_cut();
+    }
+    std::size_t unsent_bytes = 0;
+    for (const auto& item : connections_) {
+        const auto connection = item.lock();
+        unsent_bytes += connection == nullptr ? 0 : connection->unsent_bytes();
+    }
+    context_.log.warning("stop_cuts", {{"calls", context_.exchanges.size()},
+                                       {"connections", connections_.size()},
+                                       {"unsent_bytes", unsent_bytes}});
 }
 
 void gateway_server::tick()
@@ -223,11 +288,8 @@
         slow_tick_at_ = now;
         slow_tick(now);
     }
-    if (drained_ && context_.exchanges.empty() && now - drain_began_ >= balancer_notice_time) {
-        const auto done = std::exchange(drained_, {});
-        context_.log.info("stopped", {{"role", "gateway"}, {"forced", false}});
-        done();
-        return;
+    if (drained_) {
+        take_stop_step(now);
     }
     tick_timer_.expires_after(tick_interval);
     tick_timer_.async_wait([this](const auto& error) {
@@ -246,7 +308,7 @@
             continue;
         }
         connection->on_tick(now);
-        if (context_.is_draining && now - drain_began_ >= idle_close_delay) {
+        if (stop_.closes_idle_connections(now)) {
             connection->close_if_idle(now);
         }
         ++item;
@@ -278,21 +340,23 @@
     }
     send_usage(now);
     context_.crashes.on_tick(now);
-    announce_crashes();
-    if (context_.is_draining && now - drain_began_ >= balancer_notice_time && acceptor_.is_open()) {
-        boost::system::error_code ignored;
-        std::ignore = acceptor_.close(ignored);
-    }
+    const auto informed_lifetime = std::max<duration>(
+        min_informed_lifetime,
+        informed_report_intervals * usage_reporter::idle_interval(context_.gateways));
+    std::erase_if(informed_peers_,
+                  [&](const auto& item) { return now - item.second.seen_at > informed_lifetime; });
+    announce(context_.crashes.next_announcement(now));
 }
 
 void gateway_server::drain(std::function<void()> done)
 {
+    const auto now = steady_now();
     context_.is_draining = true;
-    drain_began_ = steady_now();
+    stop_.begin(now);
     drained_ = std::move(done);
     context_.log.info("draining", {{"in_flight", context_.exchanges.size()}});
     usage_reporter_.expedite();
-    send_usage(drain_began_);
+    send_usage(now);
 }
 
 telemetry::readiness gateway_server::readiness() const
@@ -528,6 +592,7 @@
         return;
     }
     peers_.on_seen(from, now);
+    inform_new_peer(usage, from, now);
     const auto known = context_.config == nullptr ? 0 : context_.config->version();
     if (usage.config_version > known && now - config_refreshed_at_ > config_refresh_interval) {
         config_refreshed_at_ = now;
@@ -623,19 +688,40 @@
 // Copies of the request may be on their way to other gateways, so that these are told at once.
 void gateway_server::on_upstream_ended(const upstream_id& upstream)
 {
-    if (context_.crashes.on_upstream_ended(upstream, steady_now())) {
+    const auto now = steady_now();
+    if (context_.crashes.on_upstream_ended(upstream, now)) {
         context_.log.warning("upstream_crashed", {{"upstream", upstream.str()}});
-        announce_crashes();
+        announce(context_.crashes.urgent_announcement(now));
     }
 }
 
-void gateway_server::announce_crashes()
+void gateway_server::announce(const poison::suspect_digest& findings)
 {
-    if (const auto findings = context_.crashes.next_announcement(); !findings.empty()) {
+    if (!findings.empty()) {
         send_to_peers(control::crash_findings{findings});
     }
 }
 
+// A gateway that has just started learns what is refused from those few gateways that rank first
+// for it, so that the number of answers does not grow with the fleet.
+void gateway_server::inform_new_peer(const control::gateway_usage& usage, const cli::endpoint& from,
+                                     time_point now)
+{
+    auto& informed = informed_peers_[from];
+    if (informed.start != usage.gateway_start) {
+        informed = {usage.gateway_start, findings_repeats, now};
+    }
+    informed.seen_at = now;
+    if (informed.messages_left == 0 ||
+        !peers_.is_among_first(from, usage.gateway_start, informing_gateways)) {
+        return;
+    }
+    --informed.messages_left;
+    if (const auto findings = context_.crashes.refused_findings(now); !findings.empty()) {
+        datagrams_.send(from, control::encode(control::crash_findings{findings}));
+    }
+}
+
 void gateway_server::send_to_peers(const control::message& content)
 {
     const auto bytes = control::encode(content);
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -5,6 +5,7 @@
 #include "control/message.h"
 #include "gateway/gateway_context.h"
 #include "gateway/peer_directory.h"
+#include "gateway/stop_plan.h"
 #include "gateway/usage_reporter.h"
 #include "platform/object_watch.h"
 #include "telemetry/admin_handlers.h"
@@ -16,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -41,9 +43,13 @@
     /// Binds the addresses and starts. Fails when one cannot be bound.
     absl::Status start();
 
-    /// Stops accepting new work; `done` is called once all requests have ended.
+    /// Stops accepting new work; `done` is called once all answers are written and all connections
+    /// are closed.
     void drain(std::function<void()> done);
 
+    /// Logs the requests and answers that an exit at this moment cuts off.
+    void log_unfinished() const;
+
 private:
     platform::object_watch
     make_watch(const std::string& kind, platform::object_watch_timing timing,
@@ -51,6 +57,9 @@
                void (gateway_server::*changed)(const platform::watched_object&));
     absl::Status listen();
     void accept();
+    void add_connection(boost::asio::ip::tcp::socket socket);
+    void close_listener();
+    void take_stop_step(time_point now);
     void tick();
     void slow_tick(time_point now);
     telemetry::readiness readiness() const;
@@ -73,10 +82,19 @@
     void send_demand(const upstream_id& upstream);
     void send_usage(time_point now);
     void on_upstream_ended(const upstream_id& upstream);
-    void announce_crashes();
+    void announce(const poison::suspect_digest& findings);
+    void inform_new_peer(const control::gateway_usage& usage, const cli::endpoint& from,
+                         time_point now);
     void send_to_peers(const control::message& content);
     void update_retry_budgets();
 
+    /// What another gateway has been told since its start.
+    struct informed_peer {
+        std::uint64_t start = 0;
+        int messages_left = 0;
+        time_point seen_at;
+    };
+
     boost::asio::io_context& io_;
     cli::gateway_settings settings_;
     std::uint64_t start_;
@@ -96,6 +114,7 @@
     std::uint64_t store_era_ = 0;
     bool is_registry_unreachable_ = false;
     std::set<upstream_id> queued_demands_;
+    std::map<cli::endpoint, informed_peer> informed_peers_;
     std::uint64_t usage_sequence_ = 0;
     usage_reporter usage_reporter_;
     std::optional<time_point> last_tick_at_;
@@ -103,7 +122,7 @@
     time_point demand_sent_at_;
     std::uint64_t demand_round_ = 0;
     time_point config_refreshed_at_;
-    time_point drain_began_;
+    stop_plan stop_;
     std::function<void()> drained_;
 };
 
--- /dev/null
+++ b/tests/process/gateway_delivery_test.cpp
@@ -0,0 +1,177 @@
+#include "process/support/gateway_fleet.h"
+#include "process/support/raw_caller.h"
+#include "process/support/wait_until.h"
+
+#include <chrono>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <fmt/format.h>
+#include <string>
+#include <thread>
+
+namespace snipespar::testing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int short_events = 8;
+// Several times what the buffers of the two sockets hold.
+constexpr std::size_t large_answer_bytes = 12UL * 1024 * 1024;
+// Longer than the gateway waits for the load balancer to notice its stop, shorter than its grace.
+constexpr milliseconds past_notice_time{4000};
+// The caller reads so much at a time, often enough to count as alive.
+constexpr std::size_t slow_read_bytes = 64UL * 1024;
+constexpr milliseconds slow_read_interval{500};
+
+std::string to_text(const http_call& call)
+{
+    std::string text = fmt::format("{} {} HTTP/1.1\r\nContent-Length: {}\r\n", call.method,
+                                   call.target, call.body.size());
+    for (const auto& [name, value] : call.headers) {
+        text += fmt::format("{}: {}\r\n", name, value);
+    }
+    return text + "\r\n" + call.body;
+}
+
+bool set_faults(const fleet_member& upstream, const std::string& faults)
+{
+    const auto reply = send_call(upstream.address, {"POST", "/faults", {}, faults});
+    return reply.ok() && reply->status == 200;
+}
+
+int calls_in_flight(const fleet_member& gateway)
+{
+    const auto status = send_call(gateway.admin, {"GET", "/status", {}, {}});
+    return status.ok() ? nlohmann::json::parse(status->body)["in_flight"].get<int>() : -1;
+}
+
+bool is_not_ready(const fleet_member& gateway)
+{
+    const auto ready = send_call(gateway.admin, {"GET", "/ready", {}, {}});
+    return ready.ok() && ready->status == 503;
+}
+
+} // namespace
+
+/// An accepted request gets its whole answer: gateways that stop, upstreams that are silent for a
+/// while and callers that are slow.
+class gateway_delivery_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(gateway_delivery_test);
+    CPPUNIT_TEST(answer_not_written_yet_is_not_cut_by_a_stop);
+    CPPUNIT_TEST(call_in_the_listen_queue_of_a_stopping_gateway_is_answered);
+    CPPUNIT_TEST(refusal_reaches_a_caller_that_is_still_sending);
+    CPPUNIT_TEST(stream_of_a_silent_engine_goes_on_when_no_other_can_take_it);
+    CPPUNIT_TEST(call_at_a_silent_upstream_is_answered_when_no_other_can_take_it);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a stopping gateway that exits while an answer waits for its caller to read.
+    void answer_not_written_yet_is_not_cut_by_a_stop()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(set_faults(fleet.services[0],
+                                  fmt::format(R"({{"answer_bytes": {}}})", large_answer_bytes)));
+        const auto& gateway = fleet.gateways.front();
+        raw_caller caller(gateway.address);
+        CPPUNIT_ASSERT(caller.send(to_text(fleet.make_call("/unsafe/x", "l1"))));
+        CPPUNIT_ASSERT(wait_until([&] {
+            return !fleet.runs(fleet.services[0])["runs"].empty() && calls_in_flight(gateway) == 0;
+        }));
+        gateway.process->signal(SIGTERM);
+        std::string answer;
+        for (milliseconds waited{0}; waited < past_notice_time; waited += slow_read_interval) {
+            std::this_thread::sleep_for(slow_read_interval);
+            answer += caller.read_some(slow_read_bytes);
+        }
+        answer += caller.read_to_end();
+        CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
+        const auto head_bytes = answer.find("\r\n\r\n") + 4;
+        CPPUNIT_ASSERT_EQUAL(large_answer_bytes, answer.size() - head_bytes);
+        CPPUNIT_ASSERT(gateway.process->wait() == 0);
+    }
+
+    // Guards against a stopping gateway that closes its listener over connections that it has not
+    // accepted yet.
+    void call_in_the_listen_queue_of_a_stopping_gateway_is_answered()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        gateway.process->signal(SIGTERM);
+        CPPUNIT_ASSERT(wait_until([&] { return is_not_ready(gateway); }));
+        std::this_thread::sleep_for(milliseconds(2000));
+        gateway.process->signal(SIGSTOP);
+        raw_caller caller(gateway.address);
+        CPPUNIT_ASSERT(caller.is_connected());
+        CPPUNIT_ASSERT(caller.send(to_text(fleet.make_call("/unsafe/x", "q1"))));
+        std::this_thread::sleep_for(milliseconds(1000));
+        gateway.process->signal(SIGCONT);
+        CPPUNIT_ASSERT(caller.read_to_end().starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT(gateway.process->wait() == 0);
+    }
+
+    // Guards against a connection that is reset under its refusal because bytes were left unread.
+    void refusal_reaches_a_caller_that_is_still_sending()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        auto call = fleet.make_call("/unsafe/x", "b1");
+        call.body = std::string(std::size_t{4} * 1024 * 1024, 'x');
+        raw_caller caller(fleet.gateways.front().address);
+        CPPUNIT_ASSERT(caller.send(to_text(call)));
+        CPPUNIT_ASSERT(caller.read_to_end().starts_with("HTTP/1.1 413"));
+    }
+
+    // Guards against a stream that is broken off because its engine was silent for a second.
+    void stream_of_a_silent_engine_goes_on_when_no_other_can_take_it()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 1, .services = 0});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(fleet.change_config([](nlohmann::json& config) {
+            config["routes"][0]["gap_aim_ms"] = 300;
+            config["routes"][0]["path_prefix"] = "/stream/new/";
+        }));
+        const auto& gateway = fleet.gateways.front();
+        CPPUNIT_ASSERT(wait_until(
+            [&] { return send(gateway, fleet.make_call("/stream/new/x", "w")).status == 200; }));
+        CPPUNIT_ASSERT(set_faults(fleet.engines[0], R"({"pause_ms": 1600})"));
+        const auto stream = send(gateway, fleet.make_call("/stream/new/x", "s1"));
+        CPPUNIT_ASSERT_EQUAL(200U, stream.status);
+        std::string expected;
+        for (int number = 1; number <= short_events; ++number) {
+            expected += fmt::format("id: {0}\ndata: s1 {0}\n\n", number);
+        }
+        CPPUNIT_ASSERT_EQUAL(expected, stream.body);
+    }
+
+    // Guards against an answer that is replaced by a failure because its upstream was silent.
+    void call_at_a_silent_upstream_is_answered_when_no_other_can_take_it()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(fleet.change_config([](nlohmann::json& config) {
+            config["routes"][2]["target_latency_ms"] = 100;
+            config["routes"][2]["path_prefix"] = "/safe/new/";
+        }));
+        const auto& gateway = fleet.gateways.front();
+        CPPUNIT_ASSERT(wait_until(
+            [&] { return send(gateway, fleet.make_call("/safe/new/x", "w")).status == 200; }));
+        CPPUNIT_ASSERT(set_faults(fleet.services[0], R"({"pause_ms": 1200})"));
+        CPPUNIT_ASSERT_EQUAL(200U, send(gateway, fleet.make_call("/safe/new/x", "s1")).status);
+    }
+
+private:
+    // An unreachable gateway gives status 0.
+    static http_reply send(const fleet_member& gateway, const http_call& call)
+    {
+        auto reply = send_call(gateway.address, call);
+        return reply.ok() ? *std::move(reply) : http_reply{};
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_delivery_test);
+
+} // namespace snipespar::testing
