--- /dev/null
+++ b/tests/process/gateway_faulty_answers_test.cpp
@@ -0,0 +1,174 @@
+#include "process/support/gateway_fleet.h"
+#include "process/support/wait_until.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <string>
+
+namespace snipespar::testing {
+
+namespace {
+
+constexpr int stream_events = 8;
+// What an upstream may send of something endless before its connection is closed: the gateway's
+// bound on an answer, and what the buffers of the two sockets hold.
+constexpr std::uint64_t most_endless_bytes = 40ULL * 1024 * 1024;
+// Memory of the smallest hosts.
+constexpr long most_memory_kb = 160L * 1024;
+
+#if defined(__has_feature)
+#if __has_feature(address_sanitizer) || __has_feature(thread_sanitizer)
+#define SNIPESPAR_TEST_HAS_SANITIZER 1
+#endif
+#endif
+#ifdef SNIPESPAR_TEST_HAS_SANITIZER
+// Sanitizers keep freed memory and shadows of their own.
+constexpr bool is_memory_comparable = false;
+#else
+constexpr bool is_memory_comparable = true;
+#endif
+
+// Largest resident size of the process so far, in kB.
+long peak_memory_kb(const child_process& process)
+{
+    std::ifstream status(fmt::format("/proc/{}/status", process.id()));
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with("VmHWM:")) {
+            return std::stol(line.substr(line.find_first_of("0123456789")));
+        }
+    }
+    return 0;
+}
+
+bool set_faults(const fleet_member& upstream, const std::string& faults)
+{
+    const auto reply = send_call(upstream.address, {"POST", "/faults", {}, faults});
+    return reply.ok() && reply->status == 200;
+}
+
+// An unreachable gateway gives status 0.
+http_reply send(const fleet_member& gateway, const http_call& call)
+{
+    auto reply = send_call(gateway.address, call);
+    return reply.ok() ? *std::move(reply) : http_reply{};
+}
+
+std::string expected_stream(const std::string& id)
+{
+    std::string text;
+    for (int number = 1; number <= stream_events; ++number) {
+        text += fmt::format("id: {0}\ndata: {1} {0}\n\n", number, id);
+    }
+    return text;
+}
+
+} // namespace
+
+/// Upstreams whose answers have no length, break off or never end.
+class gateway_faulty_answers_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(gateway_faulty_answers_test);
+    CPPUNIT_TEST(answers_without_a_length_are_delivered_whole);
+    CPPUNIT_TEST(answer_without_a_length_that_is_reset_is_not_complete);
+    CPPUNIT_TEST(stream_that_ends_inside_an_event_goes_on_elsewhere);
+    CPPUNIT_TEST(endless_head_is_cut);
+    CPPUNIT_TEST(endless_bytes_that_are_no_answer_are_cut);
+    CPPUNIT_TEST(endless_interim_answers_are_cut);
+    CPPUNIT_TEST(endless_answer_of_another_request_is_cut);
+    CPPUNIT_TEST(endless_body_is_cut);
+    CPPUNIT_TEST(endless_event_is_cut);
+    CPPUNIT_TEST(endless_chunk_header_is_cut);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void answers_without_a_length_are_delivered_whole()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 1, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        CPPUNIT_ASSERT(set_faults(fleet.services[0], R"({"unframed": true})"));
+        CPPUNIT_ASSERT(set_faults(fleet.engines[0], R"({"unframed": true})"));
+        const auto plain = send(gateway, fleet.make_call("/unsafe/x", "u1"));
+        CPPUNIT_ASSERT_EQUAL(200U, plain.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("u1body of u1"), plain.body);
+        const auto stream = send(gateway, fleet.make_call("/stream/x", "s1"));
+        CPPUNIT_ASSERT_EQUAL(200U, stream.status);
+        CPPUNIT_ASSERT_EQUAL(expected_stream("s1"), stream.body);
+    }
+
+    void answer_without_a_length_that_is_reset_is_not_complete()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(
+            set_faults(fleet.services[0], R"({"unframed": true, "reset_in_body": true})"));
+        CPPUNIT_ASSERT_EQUAL(502U,
+                             send(fleet.gateways[0], fleet.make_call("/unsafe/x", "u1")).status);
+    }
+
+    void stream_that_ends_inside_an_event_goes_on_elsewhere()
+    {
+        gateway_fleet fleet({.gateways = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(set_faults(fleet.engines[0], R"({"unframed": true, "cut_in_event": true})"));
+        for (int i = 0; fleet.runs(fleet.engines[0])["runs"].empty(); ++i) {
+            CPPUNIT_ASSERT(i < 100);
+            auto call = fleet.make_call("/stream/x", fmt::format("s{}", i));
+            call.headers["Model"] = "base";
+            const auto stream = send(fleet.gateways[0], call);
+            CPPUNIT_ASSERT_EQUAL(expected_stream(fmt::format("s{}", i)), stream.body);
+        }
+    }
+
+    void endless_head_is_cut() { check_endless_answer("head"); }
+    void endless_bytes_that_are_no_answer_are_cut() { check_endless_answer("rubbish"); }
+
+    // Guards against answers that end at once, belong to nobody and never stop coming.
+    void endless_interim_answers_are_cut() { check_endless_answer("interim"); }
+
+    // Guards against the body of an answer to another request that is kept in memory.
+    void endless_answer_of_another_request_is_cut() { check_endless_answer("stale"); }
+
+    // Guards against a buffered answer without a bound.
+    void endless_body_is_cut() { check_endless_answer("body"); }
+
+    // Guards against an event without a bound.
+    void endless_event_is_cut() { check_endless_answer("event"); }
+
+    void endless_chunk_header_is_cut() { check_endless_answer("chunk"); }
+
+private:
+    // One of two upstreams sends something endless. Its calls are answered by the other one, its
+    // connection is closed soon and little of it is kept.
+    static void check_endless_answer(const std::string& kind)
+    {
+        const bool is_stream = kind == "event";
+        gateway_fleet fleet(
+            {.gateways = 1, .engines = is_stream ? 2U : 0U, .services = is_stream ? 0U : 2U});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& upstream = is_stream ? fleet.engines[0] : fleet.services[0];
+        CPPUNIT_ASSERT(set_faults(upstream, fmt::format(R"({{"endless": "{}"}})", kind)));
+        const auto record = [&] { return fleet.runs(upstream); };
+        for (int i = 0; record()["runs"].empty(); ++i) {
+            CPPUNIT_ASSERT(i < 100);
+            auto call = fleet.make_call(is_stream ? "/stream/x" : "/safe/x", fmt::format("e{}", i));
+            if (is_stream) {
+                call.headers["Model"] = "base";
+            }
+            CPPUNIT_ASSERT_EQUAL(200U, send(fleet.gateways[0], call).status);
+        }
+        CPPUNIT_ASSERT(wait_until([&] { return record()["endless_open"] == 0; }));
+        const auto sent = record()["endless_bytes"].get<std::uint64_t>();
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} bytes", sent), sent <= most_endless_bytes);
+        const auto memory = peak_memory_kb(*fleet.gateways[0].process);
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} kB", memory),
+                               !is_memory_comparable || memory <= most_memory_kb);
+        CPPUNIT_ASSERT(fleet.gateways[0].process->running());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_faulty_answers_test);
+
+} // namespace snipespar::testing
--- a/tools/users_platform_stand_in/worker.cpp
+++ b/tools/users_platform_stand_in/worker.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fmt/format.h>
+#include <tuple>
 #include <utility>
 
 namespace users_platform_stand_in {
@@ -21,6 +22,10 @@
 constexpr int slow_factor = 10;
 constexpr int events_before_trickle = 3;
 constexpr int events_before_silence = 3;
+constexpr int events_before_cut = 3;
+constexpr std::size_t endless_block_bytes = 64UL * 1024;
+// Ends what is endless if the peer reads all of it.
+constexpr std::uint64_t max_endless_bytes = 1024ULL * 1024 * 1024;
 
 std::string text(const request& message, const char* name)
 {
@@ -62,7 +67,9 @@
         co_return co_await send(socket, message,
                                 json_answer(200, json{{"runs", runs_},
                                                       {"overfull_orders", overfull_orders_},
-                                                      {"requests_shed", requests_shed_}}
+                                                      {"requests_shed", requests_shed_},
+                                                      {"endless_bytes", endless_bytes_},
+                                                      {"endless_open", endless_open_}}
                                                      .dump()));
     }
     if (target == "/faults") {
@@ -113,7 +120,15 @@
     }
     ++running_;
     bool is_open = true;
-    if (options_.is_engine) {
+    if (!endless_.empty()) {
+        co_await send_endless(socket, message);
+        is_open = false;
+    }
+    else if (is_unframed_ && !options_.is_engine) {
+        co_await send_unframed(socket, message);
+        is_open = false;
+    }
+    else if (options_.is_engine) {
         is_open = co_await stream(socket, message);
     }
     else {
@@ -140,6 +155,71 @@
     co_return is_open;
 }
 
+asio::awaitable<void> worker::send_endless(asio::ip::tcp::socket& socket, const request& message)
+{
+    const auto id = text(message, "Request-Id");
+    const auto head = [&](const std::string& request_id, const std::string& rest) {
+        return fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: {}\r\n{}",
+                           request_id, seal(options_.id, request_id), rest);
+    };
+    const std::string filler(endless_block_bytes, 'x');
+    std::string first = head(id, "\r\n");
+    std::string block = filler;
+    if (endless_ == "head") {
+        first = head(id, "");
+        block = "X-Fill: " + filler + "\r\n";
+    }
+    else if (endless_ == "rubbish") {
+        first.clear();
+    }
+    else if (endless_ == "interim") {
+        first.clear();
+        block.clear();
+        while (block.size() < endless_block_bytes) {
+            block += "HTTP/1.1 100 Continue\r\n\r\n";
+        }
+    }
+    else if (endless_ == "stale") {
+        first = head("another", "\r\n");
+    }
+    else if (endless_ == "event") {
+        first = head(id, "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ");
+    }
+    else if (endless_ == "chunk") {
+        first = head(id, "Transfer-Encoding: chunked\r\n\r\n1;");
+    }
+    ++endless_open_;
+    auto [error, count] = co_await asio::async_write(socket, asio::buffer(first), as_result);
+    while (!error && endless_bytes_ < max_endless_bytes) {
+        const auto [block_error, sent] =
+            co_await asio::async_write(socket, asio::buffer(block), as_result);
+        endless_bytes_ += sent;
+        error = block_error;
+    }
+    --endless_open_;
+}
+
+// Sends an answer without a length, which ends with its connection.
+asio::awaitable<void> worker::send_unframed(asio::ip::tcp::socket& socket, const request& message)
+{
+    const auto id = text(message, "Request-Id");
+    std::string bytes = fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: {}\r\n"
+                                    "Connection: close\r\n\r\n{}{}",
+                                    id, seal(options_.id, id), id, message.body());
+    if (resets_in_body_) {
+        bytes.pop_back();
+    }
+    std::ignore = co_await asio::async_write(socket, asio::buffer(bytes), as_result);
+    if (resets_in_body_) {
+        // The peer has read what it got before the reset arrives.
+        asio::steady_timer pause(context_, options_.event_pause);
+        co_await pause.async_wait(as_result);
+        boost::system::error_code ignored;
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+}
+
 asio::awaitable<bool> worker::stream(asio::ip::tcp::socket& socket, const request& message)
 {
     const auto id = text(message, "Request-Id");
@@ -147,19 +227,25 @@
     int number = after.empty() ? 1 : std::stoi(after) + 1;
     std::string bytes =
         fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: {}\r\n"
-                    "Content-Type: text/event-stream\r\n{}"
-                    "Transfer-Encoding: chunked\r\n\r\n",
-                    id, seal(options_.id, id), is_leaving_ ? "Server-Leaving: 1\r\n" : "");
+                    "Content-Type: text/event-stream\r\n{}{}\r\n",
+                    id, seal(options_.id, id), is_leaving_ ? "Server-Leaving: 1\r\n" : "",
+                    is_unframed_ ? "Connection: close\r\n" : "Transfer-Encoding: chunked\r\n");
     const auto events = options_.events * (is_slow_target(message) ? slow_factor : 1);
     asio::steady_timer pause(context_);
     for (; number <= events; ++number) {
         const bool is_stalled = trickles_ && number > events_before_trickle;
         const auto event = is_stalled ? std::string(":")
                                       : fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
-        bytes += fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+        const bool is_cut = is_unframed_ && cuts_in_event_ && number > events_before_cut;
+        if (is_cut) {
+            bytes += event.substr(0, event.size() / 2);
+        }
+        else {
+            bytes += is_unframed_ ? event : fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+        }
         const auto [error, count] =
             co_await asio::async_write(socket, asio::buffer(bytes), as_result);
-        if (error) {
+        if (error || is_cut) {
             co_return false;
         }
         bytes.clear();
@@ -173,6 +259,9 @@
         pause.expires_after(falls_silent ? silence_ : options_.event_pause);
         co_await pause.async_wait(as_result);
     }
+    if (is_unframed_) {
+        co_return false;
+    }
     bytes += "0\r\n\r\n";
     const auto [error, count] = co_await asio::async_write(socket, asio::buffer(bytes), as_result);
     co_return !error && message.keep_alive();
@@ -231,6 +320,10 @@
     }
     is_leaving_ = body.value("leaving", is_leaving_);
     crash_on_ = body.value("crash_on", crash_on_);
+    is_unframed_ = body.value("unframed", is_unframed_);
+    cuts_in_event_ = body.value("cut_in_event", cuts_in_event_);
+    resets_in_body_ = body.value("reset_in_body", resets_in_body_);
+    endless_ = body.value("endless", endless_);
     crash_on_part_ = body.value("crash_on_part", crash_on_part_);
     trickles_ = body.value("trickle", trickles_);
     repeats_answers_ = body.value("repeat_answers", repeats_answers_);
--- a/tools/users_platform_stand_in/worker.h
+++ b/tools/users_platform_stand_in/worker.h
@@ -51,6 +51,10 @@
     /// Adds what the worker states in each of its answers.
     response marked(response answer) const;
     boost::asio::awaitable<bool> run(boost::asio::ip::tcp::socket& socket, const request& message);
+    boost::asio::awaitable<void> send_endless(boost::asio::ip::tcp::socket& socket,
+                                              const request& message);
+    boost::asio::awaitable<void> send_unframed(boost::asio::ip::tcp::socket& socket,
+                                               const request& message);
     boost::asio::awaitable<bool> stream(boost::asio::ip::tcp::socket& socket,
                                         const request& message);
     bool is_resident(const std::string& model) const;
@@ -72,6 +76,13 @@
     bool repeats_answers_ = false;
     std::chrono::milliseconds silence_{};
     std::size_t min_answer_bytes_ = 0;
+    bool is_unframed_ = false;
+    bool cuts_in_event_ = false;
+    bool resets_in_body_ = false;
+    /// What does not end; empty for nothing.
+    std::string endless_;
+    std::uint64_t endless_bytes_ = 0;
+    int endless_open_ = 0;
     std::string crash_on_;
     /// Id of a prompt part.
     std::string crash_on_part_;
