Answers of other requests are dropped up to a bound

An upstream that went on sending interim answers, or the body of an answer to another request, was listened to until the time limit, and the body was kept in memory. What belongs to no request of this exchange is now dropped as it comes, and after 1 MiB of it the attempt has failed.

--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -20,6 +20,8 @@
 
 // Response headers are small; a larger one indicates a faulty upstream.
 constexpr std::uint32_t max_response_header_bytes = 32 * 1024;
+// Responses to earlier requests and interim ones that are dropped during one exchange.
+constexpr std::size_t max_dropped_bytes = 1024UL * 1024;
 
 } // namespace
 
@@ -41,6 +43,7 @@
     is_written_ = false;
     has_response_ = false;
     is_stale_response_ = false;
+    dropped_bytes_ = 0;
     ++exchange_number_;
     if (is_connected_) {
         write();
@@ -82,13 +85,18 @@
                           });
 }
 
-void upstream_channel::write()
+void upstream_channel::reset_parser()
 {
     parser_.emplace();
     parser_->header_limit(max_response_header_bytes);
     parser_->body_limit(boost::none);
     parser_->eager(true);
     parser_->skip(is_head_request_);
+}
+
+void upstream_channel::write()
+{
+    reset_parser();
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(head_), asio::buffer(body_)};
     asio::async_write(socket_, buffers,
                       [self = shared_from_this(), number = exchange_number_](const auto& error,
@@ -171,6 +179,14 @@
     if (!is_busy_ || is_closed_) {
         return false;
     }
+    if (is_stale_response_) {
+        parser_->get().body().clear();
+        dropped_bytes_ += used;
+        if (dropped_bytes_ > max_dropped_bytes) {
+            error = http::error::body_limit;
+            return false;
+        }
+    }
     if (has_response_) {
         forward_body();
     }
@@ -183,11 +199,7 @@
     if (is_stale_response_) {
         is_stale_response_ = false;
         const bool can_continue = parser_->get().keep_alive();
-        parser_.emplace();
-        parser_->header_limit(max_response_header_bytes);
-        parser_->body_limit(boost::none);
-        parser_->eager(true);
-        parser_->skip(is_head_request_);
+        reset_parser();
         if (!can_continue) {
             error = asio::error::make_error_code(asio::error::connection_aborted);
         }
--- a/src/gateway/upstream_channel.h
+++ b/src/gateway/upstream_channel.h
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -67,6 +68,7 @@
     bool parse(boost::system::error_code& error);
     bool handle_header();
     void forward_body();
+    void reset_parser();
     void finish();
     void fail(const absl::Status& status);
     void close();
@@ -89,6 +91,8 @@
     bool has_response_ = false;
     /// The response being read belongs to an earlier exchange.
     bool is_stale_response_ = false;
+    /// Bytes of such responses that were dropped during this exchange.
+    std::size_t dropped_bytes_ = 0;
     bool can_reuse_ = true;
     bool is_closed_ = false;
     bool was_closed_by_upstream_ = false;
