Unparsed bytes of an answer have a bound

The header of a chunk that never ended was kept in memory until the time limit. Bytes of which the parser can use nothing now end the attempt from 64 KiB on; the client for short calls (reports, orders, the store) has a bound too.

--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint32_t max_response_header_bytes = 32 * 1024;
 // Responses to earlier requests and interim ones that are dropped during one exchange.
 constexpr std::size_t max_dropped_bytes = 1024UL * 1024;
+// Received bytes that the parser cannot use before more arrive, such as the header of a chunk.
+constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
 
 } // namespace
 
@@ -170,6 +172,9 @@
     if (error == http::error::need_more) {
         error = {};
     }
+    if (!error && used == 0 && input_.size() > max_unparsed_bytes) {
+        error = http::error::header_limit;
+    }
     if (error) {
         return false;
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -31,8 +31,14 @@
 // A long poll may wait much longer for its response than a server takes to accept a connection.
 constexpr auto connect_timeout = std::chrono::seconds(1);
 
+// Received bytes beyond a body: a header, or the header of a chunk.
+constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
+
 struct connection {
-    explicit connection(const asio::any_io_executor& executor) : stream(executor) {}
+    connection(const asio::any_io_executor& executor, std::size_t max_buffered_bytes)
+        : stream(executor), buffer(max_buffered_bytes)
+    {
+    }
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
@@ -82,7 +88,8 @@
         if (error) {
             co_return absl::InvalidArgumentError("not an IP address: " + address_);
         }
-        auto opened = std::make_unique<connection>(co_await asio::this_coro::executor);
+        auto opened = std::make_unique<connection>(co_await asio::this_coro::executor,
+                                                   max_body_bytes_ + max_unparsed_bytes);
         opened->stream.expires_at(
             std::min(deadline, std::chrono::steady_clock::now() + connect_timeout));
         const asio::ip::tcp::endpoint server(address, port_);
