Answers that are kept until they are complete have a bound

A plain answer without an end was kept in memory until the time limit; several of them end the process on a small host. An answer above 16 MiB, or above 64 MiB together with all others, ends the attempt as a failure of its upstream (cause=answer_too_large), so that a repeatable request goes to another one.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -60,6 +60,11 @@
 constexpr auto pause_report_interval = milliseconds(200);
 constexpr int route_urgency_levels = 3;
 constexpr int lowest_urgency = 9;
+// Largest response that is kept until it is complete, so that another upstream may still answer.
+constexpr std::size_t max_buffered_bytes = 16UL * 1024 * 1024;
+// All such responses together while some of them are large.
+constexpr std::size_t max_total_buffered_bytes = 64UL * 1024 * 1024;
+constexpr std::size_t large_response_bytes = 1024UL * 1024;
 // Bytes that a caller may leave unread before its stream is aborted.
 constexpr std::size_t max_unsent_bytes = 1024UL * 1024;
 // How long the previous version of an adapter may be used after a newer one was announced. The
@@ -631,6 +636,22 @@
     }
     progress_at_ = now;
     body_ += bytes;
+    if (body_.size() > large_response_bytes && exceeds_buffer_limits()) {
+        body_ = {};
+        on_attempt_failed("answer_too_large");
+    }
+}
+
+bool call_exchange::exceeds_buffer_limits() const
+{
+    if (body_.size() > max_buffered_bytes) {
+        return true;
+    }
+    std::size_t total = 0;
+    for (const auto& exchange : context_.exchanges) {
+        total += exchange->buffered_bytes();
+    }
+    return total > max_total_buffered_bytes;
 }
 
 void call_exchange::on_ended()
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -46,6 +46,9 @@
     /// Checks the timeouts.
     void on_tick(time_point now);
 
+    /// Bytes of a response that is kept until it is complete.
+    std::size_t buffered_bytes() const { return body_.size(); }
+
     /// Logs that the process exits before the exchange has ended.
     void log_cut() const;
 
@@ -83,6 +86,7 @@
     void on_header(const answer_header& header);
     void note_upstream_state(const answer_header& header);
     void on_body(std::string_view bytes);
+    bool exceeds_buffer_limits() const;
     void on_ended();
     void on_failed(const absl::Status& status);
     void forward_stream_header();
