Events of a stream have a bound

An event without an end was kept in memory until the time limit. Above 1 MiB it ends the attempt as a failure of its upstream (cause=event_too_large), and the stream goes on elsewhere after its last whole event.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -793,6 +793,9 @@
         forwarded += event.bytes;
     }
     if (forwarded.empty()) {
+        if (events_.is_too_large()) {
+            on_attempt_failed("event_too_large");
+        }
         return;
     }
     progress_at_ = now;
--- a/tests/gateway_event_splitter_test.cpp
+++ b/tests/gateway_event_splitter_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST_SUITE(gateway_event_splitter_test);
     CPPUNIT_TEST(whole_events_come_out_unchanged);
     CPPUNIT_TEST(part_of_an_event_is_kept);
+    CPPUNIT_TEST(event_without_an_end_is_noticed);
     CPPUNIT_TEST(any_cut_gives_the_same_events);
     CPPUNIT_TEST(number_is_read_behind_other_lines);
     CPPUNIT_TEST_SUITE_END();
@@ -39,6 +40,21 @@
         CPPUNIT_ASSERT(!splitter.has_partial());
     }
 
+    // Guards against an event without a bound.
+    void event_without_an_end_is_noticed()
+    {
+        event_splitter splitter;
+        const std::string block(64UL * 1024, 'x');
+        CPPUNIT_ASSERT(splitter.feed("id: 1\ndata: ").empty());
+        for (int i = 0; i < 16; ++i) {
+            CPPUNIT_ASSERT(!splitter.is_too_large());
+            CPPUNIT_ASSERT(splitter.feed(block).empty());
+        }
+        CPPUNIT_ASSERT(splitter.is_too_large());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, splitter.feed("\n\n").size());
+        CPPUNIT_ASSERT(!splitter.is_too_large());
+    }
+
     // Each event is returned once and complete, however the upstream's writes are split.
     void any_cut_gives_the_same_events()
     {
