Test that fails: a stream is broken off when no engine can take it at once

A stream whose engine ends is broken off if no other engine can take it over at that moment, although its caller waits for seconds.

--- a/tests/process/gateway_path_test.cpp
+++ b/tests/process/gateway_path_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(configuration_survives_a_lost_history);
     CPPUNIT_TEST(watch_lost_by_an_unresponsive_store_is_detected);
     CPPUNIT_TEST(stream_is_resumed_on_another_engine);
+    CPPUNIT_TEST(broken_stream_waits_for_an_engine_that_can_take_it);
     CPPUNIT_TEST(unsafe_call_is_not_repeated);
     CPPUNIT_TEST(draining_upstream_gets_no_work);
     CPPUNIT_TEST(upstream_that_announces_its_stop_in_an_answer_gets_no_work);
@@ -185,6 +186,33 @@
         CPPUNIT_ASSERT_EQUAL(expected_stream("s1", slow_events), stream.body);
     }
 
+    // Guards against a stream that is broken off because no engine can take it at that moment.
+    void broken_stream_waits_for_an_engine_that_can_take_it()
+    {
+        gateway_fleet fleet({.gateways = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        auto& later = fleet.engines[1];
+        CPPUNIT_ASSERT(fleet.withdraw(later));
+        CPPUNIT_ASSERT(wait_until([&] {
+            const auto status = send_call(gateway.admin, {"GET", "/status", {}, {}});
+            return nlohmann::json::parse(status->body)["upstreams"].size() == 3;
+        }));
+        auto reply = std::async(std::launch::async, [&] {
+            return send(gateway, fleet.make_call("/stream/slow/", "s1"));
+        });
+        CPPUNIT_ASSERT(wait_until([&] {
+            return fleet.runs(fleet.engines[0]).dump().find("\"s1\"") != std::string::npos;
+        }));
+        fleet.engines[0].process->kill();
+        CPPUNIT_ASSERT(gateway.process->wait_for_output("attempt_failed"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        CPPUNIT_ASSERT(fleet.announce(later, "llm", false));
+        const auto stream = reply.get();
+        CPPUNIT_ASSERT_EQUAL(200U, stream.status);
+        CPPUNIT_ASSERT_EQUAL(expected_stream("s1", slow_events), stream.body);
+    }
+
     void unsafe_call_is_not_repeated()
     {
         gateway_fleet fleet;
