--- a/tests/process/support/raw_caller.cpp
+++ b/tests/process/support/raw_caller.cpp
@@ -51,7 +51,7 @@
 std::string raw_caller::read_to_end()
 {
     std::string received;
-    std::array<char, 64 * 1024> chunk{};
+    std::array<char, 64UL * 1024> chunk{};
     boost::system::error_code error;
     while (!error) {
         const auto count = socket_.read_some(asio::buffer(chunk), error);
