Broken streams wait until they can go on

Callers of streams whose engine ended or spoiled its answer saw them break at once when no other engine could take over at that moment: retry allowance used up, adapter not loaded, engines full. They had time left. A stream that has begun now waits until then, or until its caller presumably leaves, at most to its time limit; resume_queue orders the waiting streams by what they have delivered, and one goes on for each retry of the allowance. The bound on retries holds. Not done: first attempts do not yet give way to waiting streams at an engine.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -43,6 +43,13 @@
 constexpr auto min_gap_stall = milliseconds(900);
 // Interval of searches for an upstream that can take over from a silent one.
 constexpr auto search_interval = milliseconds(100);
+// Interval at which a broken stream tries to go on.
+constexpr auto resume_interval = milliseconds(50);
+// Callers leave a stream after a gap of this length, this multiple of the target latency or of the
+// target gap, whichever is longest.
+constexpr auto min_caller_patience = milliseconds(2000);
+constexpr int patience_latency_factor = 4;
+constexpr int patience_gap_factor = 8;
 // Divisor of the time limit: a repeatable request leaves a stalled upstream while half of its time
 // remains.
 constexpr int stall_limit_divisor = 2;
@@ -243,7 +250,7 @@
     if (refused_admissions_ > 0) {
         return give_up("prompt_backlog");
     }
-    give_up(none.is_overloaded ? "upstreams_full" : "no_upstream");
+    give_up_for_now(none.is_overloaded ? "upstreams_full" : "no_upstream");
 }
 
 // Returns where the call can go now, and requests the replicas that its adapter should get.
@@ -305,7 +312,7 @@
         wait_deadline_ = now + max_load_wait;
     }
     if (++waits_ > max_waits || now >= *wait_deadline_) {
-        return give_up("adapter_not_loaded");
+        return give_up_for_now("adapter_not_loaded");
     }
     context_.metrics.adapter_waits.add();
     pending_upstream_ = upstream;
@@ -461,7 +468,7 @@
     }
     if (!context_.retries[service_->name].try_take()) {
         context_.metrics.retries_denied.add();
-        give_up("retry_budget_used_up");
+        give_up_for_now("retry_budget_used_up");
         return false;
     }
     context_.metrics.retries.add();
@@ -903,6 +910,61 @@
     refuse({503, std::string(cause), retry_delay(), false});
 }
 
+// The call cannot go on at the moment. A stream that has begun waits while its caller does; other
+// calls are refused at once, so that their callers can try another gateway.
+void call_exchange::give_up_for_now(std::string_view cause)
+{
+    const auto now = steady_now();
+    const auto until = std::min(patience_end(), deadline_ - min_useful_time);
+    if (is_stream_open_ && now < until && can_try_again(now)) {
+        return wait_to_resume(cause, until, now);
+    }
+    give_up(cause);
+}
+
+void call_exchange::wait_to_resume(std::string_view cause, time_point until, time_point now)
+{
+    resume_ =
+        resume_wait{++context_.last_resumption, std::string(cause), until, now + resume_interval};
+    context_.resumptions[service_->name].add(resume_->number, last_event_.value_or(0));
+}
+
+// Starts over with all upstreams but the one that failed last.
+void call_exchange::try_to_resume(time_point now)
+{
+    if (now >= resume_->until) {
+        const auto cause = resume_->cause;
+        stop_waiting_to_resume();
+        return give_up(cause);
+    }
+    const auto places = static_cast<std::size_t>(context_.retries[service_->name].available());
+    if (now < resume_->next_try_at || !context_.resumptions[service_->name].is_among_first(
+                                          resume_->number, last_event_.value_or(0), places)) {
+        return;
+    }
+    stop_waiting_to_resume();
+    excluded_ = {upstream_};
+    waits_ = 0;
+    wait_deadline_.reset();
+    try_next_upstream();
+}
+
+void call_exchange::stop_waiting_to_resume()
+{
+    if (resume_) {
+        context_.resumptions[service_->name].remove(resume_->number, last_event_.value_or(0));
+        resume_.reset();
+    }
+}
+
+time_point call_exchange::patience_end() const
+{
+    const auto patience =
+        std::max({duration(min_caller_patience), patience_latency_factor * route_->target_latency,
+                  patience_gap_factor * route_->target_gap});
+    return last_event_at_.value_or(sent_at_) + patience;
+}
+
 // Delay after which a refused caller may retry.
 duration call_exchange::retry_delay()
 {
@@ -971,6 +1033,7 @@
     }
     is_done_ = true;
     stop_waiting();
+    stop_waiting_to_resume();
     if (admission_) {
         ask_for_admission(control::admission_request::purpose::cancel, admission_->upstream(),
                           admission_->number(), {});
@@ -1022,6 +1085,9 @@
         }
         return give_up("time_limit");
     }
+    if (resume_) {
+        return try_to_resume(now);
+    }
     if (!pending_upstream_.empty()) {
         const auto* state = context_.upstreams.find(pending_upstream_);
         const bool is_unavailable = state == nullptr || !upstream_table::is_open(*state, now) ||
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -65,6 +65,15 @@
         std::string body;
     };
 
+    /// A stream that broke off and cannot go on at the moment.
+    struct resume_wait {
+        std::uint64_t number = 0;
+        std::string cause;
+        /// Its caller has most likely left then.
+        time_point until;
+        time_point next_try_at;
+    };
+
     bool resolve();
     void try_next_upstream();
     placement choose_upstream(time_point now);
@@ -100,6 +109,11 @@
     void release_upstream(call_result result, bool keeps_channel);
     bool can_try_again(time_point now) const;
     void give_up(std::string_view cause);
+    void give_up_for_now(std::string_view cause);
+    void wait_to_resume(std::string_view cause, time_point until, time_point now);
+    void try_to_resume(time_point now);
+    void stop_waiting_to_resume();
+    time_point patience_end() const;
     duration retry_delay();
     void refuse(const refusal& refused);
     void abort_response(std::string_view cause);
@@ -172,6 +186,7 @@
     event_splitter events_;
     std::optional<std::uint64_t> last_event_;
     bool is_stream_open_ = false;
+    std::optional<resume_wait> resume_;
     bool is_done_ = false;
 };
 
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include "gateway/crash_guard.h"
 #include "gateway/fleet_config.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/resume_queue.h"
 #include "gateway/team_meter.h"
 #include "gateway/upstream_selector.h"
 #include "gateway/upstream_table.h"
@@ -61,6 +62,9 @@
     crash_guard crashes;
     /// By service.
     std::map<std::string, route::retry_budget> retries;
+    /// Broken streams that wait for another upstream, by service.
+    std::map<std::string, resume_queue> resumptions;
+    std::uint64_t last_resumption = 0;
     /// By `model/adapter`.
     std::map<std::string, announced_version, std::less<>> versions;
     channel_pool channels;
--- /dev/null
+++ b/src/gateway/resume_queue.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <set>
+
+namespace snipespar::gateway {
+
+/// Streams that broke off and wait until they can go on at another upstream. Those that have
+/// delivered most go first: their callers lose most.
+class resume_queue {
+public:
+    /// A stream that has delivered so many events waits; `number` identifies it.
+    void add(std::uint64_t number, std::uint64_t delivered);
+
+    /// The stream has gone on or ended. Does nothing if it does not wait.
+    void remove(std::uint64_t number, std::uint64_t delivered);
+
+    /// Whether the waiting stream is among the first `places`.
+    bool is_among_first(std::uint64_t number, std::uint64_t delivered, std::size_t places) const;
+
+    std::size_t size() const { return waiting_.size(); }
+
+private:
+    struct waiting_stream {
+        std::uint64_t delivered = 0;
+        std::uint64_t number = 0;
+
+        friend bool operator==(const waiting_stream&, const waiting_stream&) = default;
+        friend bool operator<(const waiting_stream& left, const waiting_stream& right)
+        {
+            return left.delivered != right.delivered ? left.delivered > right.delivered
+                                                     : left.number < right.number;
+        }
+    };
+
+    std::set<waiting_stream> waiting_;
+};
+
+} // namespace snipespar::gateway
