A loss of all engines condemns no part of a prompt

Found by reading before the landing: after a loss of power every common part had been in flight at more than four crashes, was refused by all gateways, and nothing could clear it any more. A gateway now remembers the parts of complete answers; for these crashes within a second count once, and a refused one is tried about every ten seconds. Of more crashes than are kept those closest together are dropped.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -179,13 +179,18 @@
 
 request_prints call_exchange::prints() const
 {
-    request_prints prints{fingerprint() & ~poison::part_flag, {}};
+    return {fingerprint() & ~poison::part_flag, part_prints()};
+}
+
+std::vector<poison::fingerprint> call_exchange::part_prints() const
+{
     const auto service = stable_hash(service_->name);
-    prints.parts.reserve(call_.shared_parts.size());
+    std::vector<poison::fingerprint> parts;
+    parts.reserve(call_.shared_parts.size());
     for (const auto part : call_.shared_parts) {
-        prints.parts.push_back(combine_hash(service, part) | poison::part_flag);
+        parts.push_back(combine_hash(service, part) | poison::part_flag);
     }
-    return prints;
+    return parts;
 }
 
 // Equal for every copy of the request that its team sends.
@@ -876,8 +881,11 @@
             // Without a length the end of a response and a crash look alike.
             note_broken(*state);
         }
-        else if (!context_.crashes.is_empty()) {
-            context_.crashes.on_completed(prints(), now);
+        else {
+            context_.crashes.on_sound(part_prints(), now);
+            if (!context_.crashes.is_empty()) {
+                context_.crashes.on_completed(prints(), now);
+            }
         }
     }
     const auto used = std::exchange(channel_, nullptr);
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -19,6 +19,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace snipespar::gateway {
 
@@ -123,6 +124,7 @@
     bool is_refused_for_crashes();
     void note_broken(const upstream_state& state);
     request_prints prints() const;
+    std::vector<poison::fingerprint> part_prints() const;
     std::uint64_t fingerprint() const;
     std::string shared_parts_text() const;
     std::string adapter_key() const;
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -22,7 +22,14 @@
 constexpr std::size_t max_announced_crashes = 28;
 // Suspects of this many crashes are announced without waiting for the next tick.
 constexpr std::size_t urgent_crashes = 2;
-constexpr auto trial_interval = std::chrono::seconds(1);
+constexpr auto comparison_interval = std::chrono::seconds(1);
+// A part that was sound and crashes engines now is tried seldom: each trial may cost an engine.
+constexpr auto retrial_interval = std::chrono::seconds(10);
+// Engines that end within this time may have lost their power together.
+constexpr auto common_cause_time = std::chrono::seconds(1);
+// Parts of complete responses are remembered for one to two of these periods.
+constexpr auto sound_period = std::chrono::minutes(10);
+constexpr std::size_t max_sound_parts = 8192;
 
 std::vector<poison::fingerprint> all_of(const request_prints& prints)
 {
@@ -46,11 +53,29 @@
 {
     auto list = all_of(prints);
     std::erase_if(list, [&](const auto print) {
-        return suspects_.suspicion_of(print, now) != poison::suspicion::refused;
+        if (suspects_.suspicion_of(print, now) != poison::suspicion::refused) {
+            return true;
+        }
+        return was_sound(print) &&
+               suspects_.open_crashes_apart(print, common_cause_time, now) < crashes_to_refuse_part;
     });
     return list;
 }
 
+bool crash_guard::was_sound(poison::fingerprint part) const
+{
+    return sound_.contains(part) || sound_before_.contains(part);
+}
+
+void crash_guard::on_sound(const std::vector<poison::fingerprint>& parts, time_point now)
+{
+    if (now - sound_since_ > sound_period || sound_.size() >= max_sound_parts) {
+        sound_before_ = std::exchange(sound_, {});
+        sound_since_ = now;
+    }
+    sound_.insert(parts.begin(), parts.end());
+}
+
 bool crash_guard::is_refused(const request_prints& prints, time_point now) const
 {
     return !refused_among(prints, now).empty();
@@ -59,21 +84,26 @@
 bool crash_guard::begin_trial(const request_prints& prints, int gateways, double draw,
                               time_point now)
 {
-    if ((last_trial_at_ && now - *last_trial_at_ < trial_interval) || draw * gateways >= 1) {
-        return false;
-    }
     const auto carried = all_of(prints);
     const auto refused = refused_among(prints, now);
+    const bool were_sound =
+        std::ranges::all_of(refused, [&](const auto print) { return was_sound(print); });
     const bool is_telling = std::ranges::all_of(refused, [&](const auto print) {
         const auto rivals = suspects_.rivals(print, now);
         return poison::is_part(print) && std::ranges::any_of(rivals, [&](const auto rival) {
                    return poison::is_part(rival) && !std::ranges::count(carried, rival);
                });
     });
-    if (is_telling) {
-        last_trial_at_ = now;
+    if (!were_sound && !is_telling) {
+        return false;
+    }
+    auto& decided_at = is_telling ? comparison_at_ : retrial_at_;
+    const duration interval = is_telling ? duration(comparison_interval) : retrial_interval;
+    if (decided_at && now - *decided_at < interval) {
+        return false;
     }
-    return is_telling;
+    decided_at = now;
+    return draw * gateways < 1;
 }
 
 duration crash_guard::refusal_time(const request_prints& prints, time_point now) const
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_set>
 #include <vector>
 
 namespace snipespar::gateway {
@@ -23,7 +24,8 @@
 /// that. What has been in flight at several crashes is refused. A complete response clears the
 /// request and its parts of all crashes so far, so that parts which sound requests carry are not
 /// refused however often they were near. A crash counts only for the suspect that explains most
-/// crashes. Gateways share their findings.
+/// crashes; several at the same time count once for a part that this gateway has seen sound, as a
+/// loss of power ends all engines at once. Gateways share their findings.
 class crash_guard {
 public:
     crash_guard();
@@ -31,9 +33,10 @@
     /// Whether the request must not be sent to any upstream.
     bool is_refused(const request_prints& prints, time_point now) const;
 
-    /// Whether a refused request may be sent all the same, to tell apart suspects that were in
-    /// flight at the same crashes: it carries some of them and not the others. Allowed once in a
-    /// while, and by about one of the `gateways`; `draw` is uniform from 0 to 1.
+    /// Whether a refused request may be sent all the same, to learn more: it carries some of the
+    /// suspects that were in flight at the same crashes and not the others, or parts that were
+    /// sound before. Allowed once in a while, and by about one of the `gateways`; `draw` is uniform
+    /// from 0 to 1.
     bool begin_trial(const request_prints& prints, int gateways, double draw, time_point now);
 
     /// Time for which the request will be refused.
@@ -43,7 +46,10 @@
     void on_broken(const request_prints& prints, const upstream_id& upstream,
                    std::uint64_t process_start_ms, time_point now);
 
-    /// The request has received a complete response.
+    /// A request with these parts has received a complete response.
+    void on_sound(const std::vector<poison::fingerprint>& parts, time_point now);
+
+    /// The request has received a complete response: clears it and its parts.
     void on_completed(const request_prints& prints, time_point now);
 
     /// The process of this upstream has ended, or does not accept connections. Returns whether
@@ -78,6 +84,7 @@
 
     std::vector<poison::fingerprint> refused_among(const request_prints& prints,
                                                    time_point now) const;
+    bool was_sound(poison::fingerprint part) const;
     void clear(poison::fingerprint print, time_point now);
     poison::suspect_digest announce(std::size_t min_crashes, time_point now);
 
@@ -87,7 +94,13 @@
     std::map<poison::fingerprint, int> pending_;
     /// Fingerprints that other gateways know as suspects.
     std::set<poison::fingerprint> shared_;
-    std::optional<time_point> last_trial_at_;
+    /// When a trial was last decided on: of parts that came together, and of parts once sound.
+    std::optional<time_point> comparison_at_;
+    std::optional<time_point> retrial_at_;
+    /// Parts of complete responses, lately and in the period before.
+    std::unordered_set<poison::fingerprint> sound_;
+    std::unordered_set<poison::fingerprint> sound_before_;
+    time_point sound_since_;
 };
 
 } // namespace snipespar::gateway
--- a/src/poison/suspect_table.cpp
+++ b/src/poison/suspect_table.cpp
@@ -128,6 +128,31 @@
     }));
 }
 
+std::size_t suspect_table::open_crashes_apart(fingerprint print, duration gap, time_point now) const
+{
+    const auto found = suspects_.find(print);
+    if (found == suspects_.end()) {
+        return 0;
+    }
+    // Crashes expire a fixed time after they happened.
+    std::vector<time_point> expiries;
+    for (const auto& [id, crash] : found->second) {
+        if (!crash.cleared && crash.expires > now) {
+            expiries.push_back(crash.expires);
+        }
+    }
+    std::ranges::sort(expiries);
+    std::size_t count = 0;
+    time_point last;
+    for (const auto expiry : expiries) {
+        if (count == 0 || expiry - last >= gap) {
+            ++count;
+            last = expiry;
+        }
+    }
+    return count;
+}
+
 bool suspect_table::has_stronger_suspect(const crash_id& id, fingerprint print, std::size_t open,
                                          time_point now) const
 {
@@ -265,19 +290,33 @@
 }
 
 // Drops the cleared crash that expires first, if there is one: a fingerprint that was cleared may
-// cause crashes later.
+// cause crashes later. Otherwise, where the time between crashes matters, drops the one that is
+// closest to the crash before it.
 void suspect_table::make_room(fingerprint print, crash_map& crashes)
 {
-    auto oldest = crashes.end();
+    auto dropped = crashes.end();
+    std::vector<crash_map::iterator> by_time;
     for (auto item = crashes.begin(); item != crashes.end(); ++item) {
+        by_time.push_back(item);
         if (item->second.cleared &&
-            (oldest == crashes.end() || item->second.expires < oldest->second.expires)) {
-            oldest = item;
+            (dropped == crashes.end() || item->second.expires < dropped->second.expires)) {
+            dropped = item;
+        }
+    }
+    if (dropped == crashes.end() && limits_.has_parts) {
+        std::ranges::sort(by_time, {}, [](const auto item) { return item->second.expires; });
+        auto shortest = duration::max();
+        for (std::size_t i = 1; i < by_time.size(); ++i) {
+            const auto gap = by_time[i]->second.expires - by_time[i - 1]->second.expires;
+            if (gap < shortest) {
+                shortest = gap;
+                dropped = by_time[i];
+            }
         }
     }
-    if (oldest != crashes.end()) {
-        in_flight_[oldest->first].erase(print);
-        crashes.erase(oldest);
+    if (dropped != crashes.end()) {
+        in_flight_[dropped->first].erase(print);
+        crashes.erase(dropped);
     }
 }
 
--- a/src/poison/suspect_table.h
+++ b/src/poison/suspect_table.h
@@ -71,6 +71,10 @@
     /// them.
     std::size_t open_crashes(fingerprint print, time_point now) const;
 
+    /// Number of open crashes that are at least `gap` apart: engines that end together may have
+    /// another cause in common.
+    std::size_t open_crashes_apart(fingerprint print, duration gap, time_point now) const;
+
     /// Other fingerprints with as many open crashes that were in flight at one of these.
     std::set<fingerprint> rivals(fingerprint print, time_point now) const;
 
--- a/tests/gateway_crash_guard_fleet_test.cpp
+++ b/tests/gateway_crash_guard_fleet_test.cpp
@@ -44,6 +44,8 @@
     int adapters = 40;
     int sessions = 300;
     double loss = 0;
+    /// All engines end at this time after the start of the run.
+    duration power_lost_after = seconds(1000);
     /// Gateways that are restarted every two seconds, one after the other.
     bool has_restarts = false;
     std::uint64_t seed = 1;
@@ -85,6 +87,12 @@
     {
         for (now_ = start; now_ < start + length; now_ += step) {
             deliver();
+            if (now_ - start == options_.power_lost_after) {
+                for (std::size_t i = 0; i < engines_.size(); ++i) {
+                    crash(i);
+                }
+                bound_at_ = now_ + engine_down_time;
+            }
             for (std::size_t i = 0; i < engines_.size(); ++i) {
                 run_engine(i);
             }
@@ -181,6 +189,7 @@
             if (now_ < request.ends_at) {
                 return false;
             }
+            guards_[request.gateway].on_sound(request.prints.parts, now_);
             guards_[request.gateway].on_completed(request.prints, now_);
             return true;
         });
@@ -310,6 +319,7 @@
     CPPUNIT_TEST(few_sessions_are_near_every_crash);
     CPPUNIT_TEST(messages_are_lost_and_gateways_restart);
     CPPUNIT_TEST(many_gateways_see_one_crash_each);
+    CPPUNIT_TEST(loss_of_all_engines_condemns_nothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -330,6 +340,12 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), check({.loss = 0.3, .has_restarts = true}));
     }
 
+    // Guards against parts that are refused for good after a loss of power.
+    void loss_of_all_engines_condemns_nothing()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), check({.bad_rate = 0, .power_lost_after = seconds(8)}));
+    }
+
     void many_gateways_see_one_crash_each()
     {
         CPPUNIT_ASSERT_EQUAL(
