--- a/tests/process/gateway_delivery_test.cpp
+++ b/tests/process/gateway_delivery_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(answer_not_written_yet_is_not_cut_by_a_stop);
     CPPUNIT_TEST(call_in_the_listen_queue_of_a_stopping_gateway_is_answered);
     CPPUNIT_TEST(refusal_reaches_a_caller_that_is_still_sending);
+    CPPUNIT_TEST(answer_that_is_read_slowly_outlives_the_idle_timeout);
     CPPUNIT_TEST(stream_of_a_silent_engine_goes_on_when_no_other_can_take_it);
     CPPUNIT_TEST(call_at_a_silent_upstream_is_answered_when_no_other_can_take_it);
     CPPUNIT_TEST_SUITE_END();
@@ -81,16 +82,12 @@
             return !fleet.runs(fleet.services[0])["runs"].empty() && calls_in_flight(gateway) == 0;
         }));
         gateway.process->signal(SIGTERM);
-        std::string answer;
-        for (milliseconds waited{0}; waited < past_notice_time; waited += slow_read_interval) {
-            std::this_thread::sleep_for(slow_read_interval);
-            answer += caller.read_some(slow_read_bytes);
-        }
-        answer += caller.read_to_end();
+        const auto answer = read_slowly(caller) + caller.read_to_end();
         CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
         const auto head_bytes = answer.find("\r\n\r\n") + 4;
         CPPUNIT_ASSERT_EQUAL(large_answer_bytes, answer.size() - head_bytes);
         CPPUNIT_ASSERT(gateway.process->wait() == 0);
+        CPPUNIT_ASSERT(gateway.process->output().find("forced=false") != std::string::npos);
     }
 
     // Guards against a stopping gateway that closes its listener over connections that it has not
@@ -111,6 +108,7 @@
         gateway.process->signal(SIGCONT);
         CPPUNIT_ASSERT(caller.read_to_end().starts_with("HTTP/1.1 200"));
         CPPUNIT_ASSERT(gateway.process->wait() == 0);
+        CPPUNIT_ASSERT(gateway.process->output().find("forced=false") != std::string::npos);
     }
 
     // Guards against a connection that is reset under its refusal because bytes were left unread.
@@ -125,6 +123,27 @@
         CPPUNIT_ASSERT(caller.read_to_end().starts_with("HTTP/1.1 413"));
     }
 
+    // Guards against an idle timeout that runs while the answer is still being written.
+    void answer_that_is_read_slowly_outlives_the_idle_timeout()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(fleet.change_config([](nlohmann::json& config) {
+            config["limits"]["idle_timeout_ms"] = 1000;
+            config["routes"][1]["path_prefix"] = "/unsafe/new/";
+        }));
+        const auto& gateway = fleet.gateways.front();
+        CPPUNIT_ASSERT(wait_until(
+            [&] { return send(gateway, fleet.make_call("/unsafe/new/x", "w")).status == 200; }));
+        CPPUNIT_ASSERT(set_faults(fleet.services[0],
+                                  fmt::format(R"({{"answer_bytes": {}}})", large_answer_bytes)));
+        raw_caller caller(gateway.address);
+        CPPUNIT_ASSERT(caller.send(to_text(fleet.make_call("/unsafe/new/x", "l1"))));
+        const auto answer = read_slowly(caller) + caller.read_to_end();
+        const auto head_bytes = answer.find("\r\n\r\n") + 4;
+        CPPUNIT_ASSERT_EQUAL(large_answer_bytes, answer.size() - head_bytes);
+    }
+
     // Guards against a stream that is broken off because its engine was silent for a second.
     void stream_of_a_silent_engine_goes_on_when_no_other_can_take_it()
     {
@@ -164,6 +183,17 @@
     }
 
 private:
+    // Reads a part of the answer over the time that a stopping gateway needs to exit.
+    static std::string read_slowly(raw_caller& caller)
+    {
+        std::string answer;
+        for (milliseconds waited{0}; waited < past_notice_time; waited += slow_read_interval) {
+            std::this_thread::sleep_for(slow_read_interval);
+            answer += caller.read_some(slow_read_bytes);
+        }
+        return answer;
+    }
+
     // An unreachable gateway gives status 0.
     static http_reply send(const fleet_member& gateway, const http_call& call)
     {
