The idle timeout of a connection runs from its last written byte

Callers that read an answer for longer than the idle timeout were cut. Cause: idleness was counted from the last byte that was queued. It now begins with the last write, and a connection with bytes to write is not idle.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -180,6 +180,7 @@
                       [self = shared_from_this()](const auto& error, std::size_t) {
                           self->is_writing_ = false;
                           self->writing_.clear();
+                          self->idle_since_ = steady_now();
                           if (self->is_closed_) {
                               return;
                           }
@@ -290,7 +291,7 @@
             send_refusal({408, "the request was not received in time", std::nullopt, true}, {});
         }
     }
-    else if (now - idle_since_ > limits.idle_timeout) {
+    else if (!is_writing_ && now - idle_since_ > limits.idle_timeout) {
         close();
     }
 }
