Requests that come to be refused while they wait are not sent

The check is now made before each send but that of a trial. An answer that ended with its connection never counts as sound; its upstream is probed at once as for any broken one, and not suspected while it is leaving. Answers that are kept for a retry count into the bound on all of them.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -170,6 +170,7 @@
     std::uniform_real_distribution<double> draw(0, 1);
     const bool is_trial =
         context_.crashes.begin_trial(prints(), context_.gateways, draw(context_.random), now);
+    is_trial_ = is_trial;
     if (is_trial) {
         context_.log.info("crash_trial",
                           {{"request", call_.request_id}, {"parts", shared_parts_text()}});
@@ -177,6 +178,13 @@
     return !is_trial;
 }
 
+// Whether the call came to be refused after it was accepted. A trial may be sent once.
+bool call_exchange::is_refused_meanwhile(time_point now) const
+{
+    return !context_.crashes.is_empty() && (!is_trial_ || runs_ > 0) &&
+           context_.crashes.is_refused(prints(), now);
+}
+
 request_prints call_exchange::prints() const
 {
     return {fingerprint() & ~poison::part_flag, part_prints()};
@@ -238,7 +246,7 @@
     if (deadline_ - now < min_useful_time) {
         return give_up("no_time_left");
     }
-    if (runs_ > 0 && context_.crashes.is_refused(prints(), now)) {
+    if (is_refused_meanwhile(now)) {
         return give_up("crashes_upstreams");
     }
     const auto destination = choose_upstream(now);
@@ -288,6 +296,9 @@
         return;
     }
     next_search_at_ = now + search_interval;
+    if (is_refused_meanwhile(now)) {
+        return;
+    }
     const auto destination = choose_upstream(now);
     if (const auto* loader = std::get_if<wait_for_adapter>(&destination)) {
         if (context_.upstreams.on_replica_requested(loader->upstream, adapter_key(), now)) {
@@ -464,6 +475,11 @@
 // Checks and charges the retry budget for another attempt; refuses the call if it is not allowed.
 bool call_exchange::reserve_attempt(time_point now)
 {
+    // The call may have waited for its adapter or its admission.
+    if (is_refused_meanwhile(now)) {
+        give_up("crashes_upstreams");
+        return false;
+    }
     if (sends_ == 0) {
         return true;
     }
@@ -706,8 +722,6 @@
     else if (const auto* state = context_.upstreams.find(upstream_)) {
         // A broken connection alone does not show whether the upstream has crashed.
         note_broken(*state);
-        probe_connect(context_.executor, state->entry.address, connect_timeout,
-                      [report = context_.report_upstream_ended, id = upstream_] { report(id); });
     }
     on_attempt_failed(to_std(status.message()));
 }
@@ -720,6 +734,8 @@
         suspects.parts.clear();
     }
     context_.crashes.on_broken(suspects, upstream_, state.entry.process_start_ms, steady_now());
+    probe_connect(context_.executor, state.entry.address, connect_timeout,
+                  [report = context_.report_upstream_ended, id = upstream_] { report(id); });
 }
 
 // The upstream refused to run the request.
@@ -876,10 +892,13 @@
     }
     const auto now = steady_now();
     if (result == call_result::success && header_->is_success()) {
-        const auto* state = context_.upstreams.find(upstream_);
-        if (channel_->was_closed_by_upstream() && state != nullptr) {
-            // Without a length the end of a response and a crash look alike.
-            note_broken(*state);
+        if (channel_->was_closed_by_upstream()) {
+            // Without a length the end of a response and a crash look alike. An upstream that is
+            // leaving ends for another reason.
+            const auto* state = context_.upstreams.find(upstream_);
+            if (state != nullptr && upstream_table::is_serving(*state, now)) {
+                note_broken(*state);
+            }
         }
         else {
             context_.crashes.on_sound(part_prints(), now);
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -48,7 +48,10 @@
     void on_tick(time_point now);
 
     /// Bytes of a response that is kept until it is complete.
-    std::size_t buffered_bytes() const { return body_.size(); }
+    std::size_t buffered_bytes() const
+    {
+        return body_.size() + (failed_response_ ? failed_response_->body.size() : 0);
+    }
 
     /// Logs that the process exits before the exchange has ended.
     void log_cut() const;
@@ -122,6 +125,7 @@
     void log_paused_stream();
     void finish();
     bool is_refused_for_crashes();
+    bool is_refused_meanwhile(time_point now) const;
     void note_broken(const upstream_state& state);
     request_prints prints() const;
     std::vector<poison::fingerprint> part_prints() const;
@@ -189,6 +193,8 @@
     std::optional<std::uint64_t> last_event_;
     bool is_stream_open_ = false;
     std::optional<resume_wait> resume_;
+    /// Sent although it was refused, to learn more.
+    bool is_trial_ = false;
     bool is_done_ = false;
 };
 
