Findings on crashes: who is told, in what order, and how often is tried

Now the same test decides what is refused and what is told, clearances precede suspects of one crash, the time to the next trial grows with the span of the crashes, and about one gateway a second repeats the refusals to all.

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -48,17 +48,18 @@
 {
 }
 
+bool crash_guard::is_print_refused(poison::fingerprint print, time_point now) const
+{
+    return suspects_.suspicion_of(print, now) == poison::suspicion::refused &&
+           !(was_sound(print) &&
+             suspects_.open_crashes_apart(print, common_cause_time, now) < crashes_to_refuse_part);
+}
+
 std::vector<poison::fingerprint> crash_guard::refused_among(const request_prints& prints,
                                                             time_point now) const
 {
     auto list = all_of(prints);
-    std::erase_if(list, [&](const auto print) {
-        if (suspects_.suspicion_of(print, now) != poison::suspicion::refused) {
-            return true;
-        }
-        return was_sound(print) &&
-               suspects_.open_crashes_apart(print, common_cause_time, now) < crashes_to_refuse_part;
-    });
+    std::erase_if(list, [&](const auto print) { return !is_print_refused(print, now); });
     return list;
 }
 
@@ -86,19 +87,23 @@
 {
     const auto carried = all_of(prints);
     const auto refused = refused_among(prints, now);
-    const bool were_sound =
-        std::ranges::all_of(refused, [&](const auto print) { return was_sound(print); });
-    const bool is_telling = std::ranges::all_of(refused, [&](const auto print) {
+    const bool are_comparable = std::ranges::all_of(refused, [&](const auto print) {
         const auto rivals = suspects_.rivals(print, now);
         return poison::is_part(print) && std::ranges::any_of(rivals, [&](const auto rival) {
                    return poison::is_part(rival) && !std::ranges::count(carried, rival);
                });
     });
-    if (!were_sound && !is_telling) {
+    // Each failed retrial lengthens the span of the crashes, and so the time to the next one.
+    const bool may_be_sound_again = std::ranges::all_of(refused, [&](const auto print) {
+        return was_sound(print) &&
+               suspects_.since_last_crash(print, now) >=
+                   std::max<duration>(retrial_interval, suspects_.crash_span(print, now));
+    });
+    if (!are_comparable && !may_be_sound_again) {
         return false;
     }
-    auto& decided_at = is_telling ? comparison_at_ : retrial_at_;
-    const duration interval = is_telling ? duration(comparison_interval) : retrial_interval;
+    auto& decided_at = are_comparable ? comparison_at_ : retrial_at_;
+    const duration interval = are_comparable ? duration(comparison_interval) : retrial_interval;
     if (decided_at && now - *decided_at < interval) {
         return false;
     }
@@ -180,20 +185,23 @@
     }
 }
 
-poison::suspect_digest crash_guard::announce(std::size_t min_crashes, time_point now)
+poison::suspect_digest crash_guard::announce(bool is_urgent, time_point now)
 {
     std::erase_if(pending_, [&](const auto& item) { return !suspects_.contains(item.first); });
+    // Suspects of several crashes come first, the strongest before the others, then what has been
+    // cleared; the rest follows with the next announcements.
     std::vector<std::pair<std::size_t, poison::fingerprint>> candidates;
     for (const auto& [print, repeats] : pending_) {
-        if (const auto open = suspects_.open_crashes(print, now); open >= min_crashes) {
-            candidates.emplace_back(open, print);
+        const auto open = suspects_.open_crashes(print, now);
+        const auto rank = open == 0 ? std::size_t{1} : open == 1 ? std::size_t{0} : open;
+        if (!is_urgent || open >= urgent_crashes) {
+            candidates.emplace_back(rank, print);
         }
     }
-    // The strongest suspects first; the others follow with the next announcements.
     std::ranges::sort(candidates, std::greater<>());
     poison::suspect_digest digest;
     std::size_t announced = 0;
-    for (const auto& [open, print] : candidates) {
+    for (const auto& [rank, print] : candidates) {
         auto report = suspects_.report(print, now);
         announced += report.crashes.size();
         if (announced > max_announced_crashes) {
@@ -201,7 +209,7 @@
         }
         digest.push_back(std::move(report));
         shared_.insert(print);
-        if (--pending_[print] <= 0) {
+        if (!is_urgent && --pending_[print] <= 0) {
             pending_.erase(print);
         }
     }
@@ -210,12 +218,12 @@
 
 poison::suspect_digest crash_guard::next_announcement(time_point now)
 {
-    return announce(0, now);
+    return announce(false, now);
 }
 
 poison::suspect_digest crash_guard::urgent_announcement(time_point now)
 {
-    return announce(urgent_crashes, now);
+    return announce(true, now);
 }
 
 poison::suspect_digest crash_guard::refused_findings(time_point now) const
@@ -223,6 +231,9 @@
     poison::suspect_digest digest;
     std::size_t announced = 0;
     for (const auto print : suspects_.refused(now)) {
+        if (!is_print_refused(print, now)) {
+            continue;
+        }
         auto report = suspects_.report(print, now);
         announced += report.crashes.size();
         if (announced > max_announced_crashes) {
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -66,7 +66,7 @@
     /// Those among them that cannot wait for the next tick: suspects of several crashes.
     poison::suspect_digest urgent_announcement(time_point now);
 
-    /// What is refused, for a gateway that has just started.
+    /// What is refused, for a gateway that has just started or has missed messages.
     poison::suspect_digest refused_findings(time_point now) const;
 
     /// Drops expired findings.
@@ -82,11 +82,12 @@
         std::map<poison::fingerprint, time_point> prints;
     };
 
+    bool is_print_refused(poison::fingerprint print, time_point now) const;
     std::vector<poison::fingerprint> refused_among(const request_prints& prints,
                                                    time_point now) const;
     bool was_sound(poison::fingerprint part) const;
     void clear(poison::fingerprint print, time_point now);
-    poison::suspect_digest announce(std::size_t min_crashes, time_point now);
+    poison::suspect_digest announce(bool is_urgent, time_point now);
 
     std::map<upstream_id, broken_connections> broken_;
     poison::suspect_table suspects_;
@@ -94,7 +95,7 @@
     std::map<poison::fingerprint, int> pending_;
     /// Fingerprints that other gateways know as suspects.
     std::set<poison::fingerprint> shared_;
-    /// When a trial was last decided on: of parts that came together, and of parts once sound.
+    /// When a trial was last decided on: of suspects that came together, and of parts once sound.
     std::optional<time_point> comparison_at_;
     std::optional<time_point> retrial_at_;
     /// Parts of complete responses, lately and in the period before.
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -65,6 +65,8 @@
 // may be lost.
 constexpr std::size_t informing_gateways = 3;
 constexpr int findings_repeats = 3;
+// Slow ticks in which the fleet repeats its refusals once.
+constexpr int refusal_repeat_ticks = 4;
 // A gateway that was silent for so long, and for several reports, is told again.
 constexpr auto min_informed_lifetime = std::chrono::seconds(2);
 constexpr int informed_report_intervals = 3;
@@ -346,6 +348,12 @@
     std::erase_if(informed_peers_,
                   [&](const auto& item) { return now - item.second.seen_at > informed_lifetime; });
     announce(context_.crashes.next_announcement(now));
+    // About one of all gateways in a second repeats what is refused, for those that missed it.
+    std::uniform_real_distribution<double> draw(0, 1);
+    if (!context_.crashes.is_empty() &&
+        draw(context_.random) * refusal_repeat_ticks * context_.gateways < 1) {
+        announce(context_.crashes.refused_findings(now));
+    }
 }
 
 void gateway_server::drain(std::function<void()> done)
--- a/tests/gateway_crash_guard_test.cpp
+++ b/tests/gateway_crash_guard_test.cpp
@@ -61,6 +61,9 @@
     CPPUNIT_TEST(trial_tells_parts_apart_that_always_came_together);
     CPPUNIT_TEST(clearance_reaches_other_gateways);
     CPPUNIT_TEST(part_that_was_sound_survives_the_loss_of_all_engines);
+    CPPUNIT_TEST(new_gateway_is_not_told_of_parts_that_others_serve);
+    CPPUNIT_TEST(equal_requests_survive_the_loss_of_all_engines);
+    CPPUNIT_TEST(clearance_is_sent_before_weak_suspects);
     CPPUNIT_TEST(part_that_turns_bad_is_refused_and_tried_now_and_then);
     CPPUNIT_TEST_SUITE_END();
 
@@ -239,6 +242,58 @@
         CPPUNIT_ASSERT(!guard.is_refused({1000, {common_part}}, start + milliseconds(200)));
     }
 
+    void new_gateway_is_not_told_of_parts_that_others_serve()
+    {
+        crash_guard guard;
+        guard.on_sound({common_part}, start);
+        for (int i = 0; i < 9; ++i) {
+            crash_under(guard, i, {{poison::fingerprint(100 + i), {common_part}}}, start);
+        }
+        CPPUNIT_ASSERT(!guard.is_refused({1000, {common_part}}, start));
+        CPPUNIT_ASSERT(guard.refused_findings(start).empty());
+    }
+
+    // Guards against popular requests that are refused for good, as nothing can clear them.
+    void equal_requests_survive_the_loss_of_all_engines()
+    {
+        crash_guard guard;
+        for (int i = 0; i < 9; ++i) {
+            crash_under(guard, i, {{7, {rare_part}}}, start);
+        }
+        const auto now = start + seconds(2);
+        CPPUNIT_ASSERT(guard.begin_trial({7, {rare_part}}, 1, 0, now));
+        guard.on_completed({7, {rare_part}}, now);
+        CPPUNIT_ASSERT(!guard.is_refused({7, {rare_part}}, now));
+        // One that crashes engines at other times as well is not tried.
+        for (int i = 0; i < 4; ++i) {
+            crash_under(guard, 20 + i, {{8, {}}}, now + seconds(i));
+        }
+        CPPUNIT_ASSERT(guard.is_refused({8, {}}, now + seconds(8)));
+        CPPUNIT_ASSERT(!guard.begin_trial({8, {}}, 1, 0, now + seconds(8)));
+    }
+
+    // Guards against clearances that wait behind hundreds of requests in flight at one loss.
+    void clearance_is_sent_before_weak_suspects()
+    {
+        crash_guard guard;
+        crash_guard other;
+        for (int i = 0; i < 4; ++i) {
+            crash_under(guard, i, {{poison::fingerprint(100 + i), {rare_part}}}, start + apart * i);
+        }
+        const auto now = start + seconds(1);
+        other.merge(guard.next_announcement(now), now);
+        CPPUNIT_ASSERT(other.is_refused({1000, {rare_part}}, now));
+        std::vector<request_prints> requests;
+        for (int i = 0; i < 300; ++i) {
+            requests.push_back({poison::fingerprint(1000 + i), {}});
+        }
+        crash_under(guard, 9, requests, now);
+        guard.on_completed({999, {rare_part}}, now);
+        other.merge(guard.next_announcement(now), now);
+        CPPUNIT_ASSERT(!other.is_refused({2000, {rare_part}}, now));
+    }
+
+    // The users allow three requests after their bound.
     void part_that_turns_bad_is_refused_and_tried_now_and_then()
     {
         crash_guard guard;
@@ -251,8 +306,12 @@
         const auto now = start + milliseconds(100 * 44);
         CPPUNIT_ASSERT(guard.is_refused({1000, {bad_part}}, now));
         int trials = 0;
-        for (auto at = now; at < now + seconds(30); at += milliseconds(100)) {
-            trials += guard.begin_trial({1000, {bad_part}}, 1, 0, at) ? 1 : 0;
+        for (auto at = now; at < now + seconds(60); at += milliseconds(100)) {
+            if (guard.begin_trial({1000, {bad_part}}, 1, 0, at)) {
+                ++trials;
+                crash_under(guard, 100 + trials, {{poison::fingerprint(2000 + trials), {bad_part}}},
+                            at);
+            }
         }
         CPPUNIT_ASSERT(trials >= 1 && trials <= 3);
         // A gateway that has seen no sound answer with it does not try.
