Waiting streams are not held up or given up by refusals

Found by review: one waiting stream without an engine held up all others while the retry allowance was small; refusals by full engines used up the attempts of a waiting stream; a stream that had once been refused admission did not wait at all; the upstream that refused last was excluded instead of the one that failed.

The paths through refusals have no test of their own (open).

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -261,7 +261,7 @@
         opens_at_ = none.opens_at;
     }
     if (refused_admissions_ > 0) {
-        return give_up("prompt_backlog");
+        return give_up_for_now("prompt_backlog");
     }
     give_up_for_now(none.is_overloaded ? "upstreams_full" : "no_upstream");
 }
@@ -316,6 +316,7 @@
                                          {"runs", runs_},
                                          {"answering", has_response_begun_}});
     if (is_stream_open_) {
+        broken_at_ = upstream_;
         context_.metrics.resumed_streams.add();
     }
     release_upstream(call_result::failure, false);
@@ -500,7 +501,8 @@
 {
     const bool may_run_again = runs_ == 0 || route_->is_repeatable();
     return may_run_again && runs_ < route_->max_attempts &&
-           sends_ < route_->max_attempts + max_refused_sends && deadline_ - now >= min_useful_time;
+           sends_ - forgiven_sends_ < route_->max_attempts + max_refused_sends &&
+           deadline_ - now >= min_useful_time;
 }
 
 void call_exchange::send(const upstream_id& upstream, time_point now)
@@ -760,7 +762,7 @@
     if (can_try_again(steady_now())) {
         return try_next_upstream();
     }
-    give_up("upstreams_refused");
+    give_up_for_now("upstreams_refused");
 }
 
 // The upstream broke off, stalled or sent an unusable response.
@@ -785,9 +787,10 @@
 
 void call_exchange::resume_on_another_upstream(std::string_view cause)
 {
+    broken_at_ = upstream_;
     release_upstream(call_result::failure, false);
     if (!can_try_again(steady_now())) {
-        return abort_response(cause);
+        return give_up_for_now(cause);
     }
     context_.metrics.resumed_streams.add();
     try_next_upstream();
@@ -943,7 +946,8 @@
 {
     const auto now = steady_now();
     const auto until = std::min(patience_end(), deadline_ - min_useful_time);
-    if (is_stream_open_ && now < until && can_try_again(now)) {
+    const bool may_run_again = route_->is_repeatable() && runs_ < route_->max_attempts;
+    if (is_stream_open_ && now < until && may_run_again) {
         return wait_to_resume(cause, until, now);
     }
     give_up(cause);
@@ -951,9 +955,9 @@
 
 void call_exchange::wait_to_resume(std::string_view cause, time_point until, time_point now)
 {
-    resume_ =
-        resume_wait{++context_.last_resumption, std::string(cause), until, now + resume_interval};
-    context_.resumptions[service_->name].add(resume_->number, last_event_.value_or(0));
+    resume_ = resume_wait{++context_.last_resumption, std::string(cause), until};
+    context_.resumptions[service_->name].add(resume_->number, last_event_.value_or(0),
+                                             now + resume_interval);
 }
 
 // Starts over with all upstreams but the one that failed last.
@@ -965,12 +969,14 @@
         return give_up(cause);
     }
     const auto places = static_cast<std::size_t>(context_.retries[service_->name].available());
-    if (now < resume_->next_try_at || !context_.resumptions[service_->name].is_among_first(
-                                          resume_->number, last_event_.value_or(0), places)) {
+    if (!context_.resumptions[service_->name].is_among_first(
+            resume_->number, last_event_.value_or(0), places, now)) {
         return;
     }
     stop_waiting_to_resume();
-    excluded_ = {upstream_};
+    excluded_ = {broken_at_};
+    forgiven_sends_ = sends_ - runs_;
+    refused_admissions_ = 0;
     waits_ = 0;
     wait_deadline_.reset();
     try_next_upstream();
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -75,7 +75,6 @@
         std::string cause;
         /// Its caller has most likely left then.
         time_point until;
-        time_point next_try_at;
     };
 
     bool resolve();
@@ -153,6 +152,10 @@
     int sends_ = 0;
     /// The requests among them that may have run.
     int runs_ = 0;
+    /// Refused requests that no longer count, since the stream has waited after them.
+    int forgiven_sends_ = 0;
+    /// The upstream at which the stream last broke off.
+    upstream_id broken_at_;
     /// The team was charged for the call.
     bool is_charged_ = false;
 
--- a/src/gateway/resume_queue.h
+++ b/src/gateway/resume_queue.h
@@ -1,23 +1,28 @@
 #pragma once
 
+#include "snipespar/time.h"
+
 #include <cstddef>
 #include <cstdint>
-#include <set>
+#include <map>
 
 namespace snipespar::gateway {
 
 /// Streams that broke off and wait until they can go on at another upstream. Those that have
-/// delivered most go first: their callers lose most.
+/// delivered most go first: their callers lose most. One that could not be placed lets the others
+/// pass for a while.
 class resume_queue {
 public:
-    /// A stream that has delivered so many events waits; `number` identifies it.
-    void add(std::uint64_t number, std::uint64_t delivered);
+    /// A stream that has delivered so many events waits and may go on from `due` on; `number`
+    /// identifies it.
+    void add(std::uint64_t number, std::uint64_t delivered, time_point due);
 
     /// The stream has gone on or ended. Does nothing if it does not wait.
     void remove(std::uint64_t number, std::uint64_t delivered);
 
-    /// Whether the waiting stream is among the first `places`.
-    bool is_among_first(std::uint64_t number, std::uint64_t delivered, std::size_t places) const;
+    /// Whether the waiting stream is due and among the first `places` of those that are.
+    bool is_among_first(std::uint64_t number, std::uint64_t delivered, std::size_t places,
+                        time_point now) const;
 
     std::size_t size() const { return waiting_.size(); }
 
@@ -34,7 +39,7 @@
         }
     };
 
-    std::set<waiting_stream> waiting_;
+    std::map<waiting_stream, time_point> waiting_;
 };
 
 } // namespace snipespar::gateway
