--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -288,6 +288,15 @@
     return chosen.destination;
 }
 
+// Whether the upstream is chosen for more than that nothing else is left.
+bool call_exchange::is_sound_target(const upstream_id& upstream, time_point now) const
+{
+    const auto* state = context_.upstreams.find(upstream);
+    return state != nullptr && upstream_table::is_open(*state, now) && !state->removal_at &&
+           now >= state->ejected_until && !upstream_table::is_unresponsive(*state, now) &&
+           (!service_->engine || state->status);
+}
+
 // Moves the call to another upstream if one can take it at once. A silent upstream may be sound and
 // go on, so that the call stays there until its time limit otherwise.
 void call_exchange::leave_silent_upstream(time_point now)
@@ -306,7 +315,7 @@
         }
     }
     const auto* target = std::get_if<send_to>(&destination);
-    if (target == nullptr) {
+    if (target == nullptr || !is_sound_target(target->upstream, now)) {
         return;
     }
     context_.log.info("attempt_failed", {{"request", call_.request_id},
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -80,6 +80,7 @@
     bool resolve();
     void try_next_upstream();
     placement choose_upstream(time_point now);
+    bool is_sound_target(const upstream_id& upstream, time_point now) const;
     void leave_silent_upstream(time_point now);
     void wait_for_load(const upstream_id& upstream, time_point now);
     void stop_waiting();
