--- a/tests/gateway_crash_guard_test.cpp
+++ b/tests/gateway_crash_guard_test.cpp
@@ -284,7 +284,9 @@
         other.merge(guard.next_announcement(now), now);
         CPPUNIT_ASSERT(other.is_refused({1000, {rare_part}}, now));
         std::vector<request_prints> requests;
-        for (int i = 0; i < 300; ++i) {
+        constexpr int in_flight = 300;
+        requests.reserve(in_flight);
+        for (int i = 0; i < in_flight; ++i) {
             requests.push_back({poison::fingerprint(1000 + i), {}});
         }
         crash_under(guard, 9, requests, now);
