--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -170,6 +170,7 @@
     std::uniform_real_distribution<double> draw(0, 1);
     const bool is_trial =
         context_.crashes.begin_trial(prints(), context_.gateways, draw(context_.random), now);
+    is_trial_ = is_trial;
     if (is_trial) {
         context_.log.info("crash_trial",
                           {{"request", call_.request_id}, {"parts", shared_parts_text()}});
@@ -177,6 +178,13 @@
     return !is_trial;
 }
 
+// Whether the call came to be refused after it was accepted. A trial may be sent once.
+bool call_exchange::is_refused_meanwhile(time_point now) const
+{
+    return !context_.crashes.is_empty() && (!is_trial_ || runs_ > 0) &&
+           context_.crashes.is_refused(prints(), now);
+}
+
 request_prints call_exchange::prints() const
 {
     return {fingerprint() & ~poison::part_flag, part_prints()};
@@ -238,7 +246,7 @@
     if (deadline_ - now < min_useful_time) {
         return give_up("no_time_left");
     }
-    if (runs_ > 0 && context_.crashes.is_refused(prints(), now)) {
+    if (is_refused_meanwhile(now)) {
         return give_up("crashes_upstreams");
     }
     const auto destination = choose_upstream(now);
@@ -253,7 +261,7 @@
         opens_at_ = none.opens_at;
     }
     if (refused_admissions_ > 0) {
-        return give_up("prompt_backlog");
+        return give_up_for_now("prompt_backlog");
     }
     give_up_for_now(none.is_overloaded ? "upstreams_full" : "no_upstream");
 }
@@ -280,6 +288,15 @@
     return chosen.destination;
 }
 
+// Whether the upstream is chosen for more than that nothing else is left.
+bool call_exchange::is_sound_target(const upstream_id& upstream, time_point now) const
+{
+    const auto* state = context_.upstreams.find(upstream);
+    return state != nullptr && upstream_table::is_open(*state, now) && !state->removal_at &&
+           now >= state->ejected_until && !upstream_table::is_unresponsive(*state, now) &&
+           (!service_->engine || state->status);
+}
+
 // Moves the call to another upstream if one can take it at once. A silent upstream may be sound and
 // go on, so that the call stays there until its time limit otherwise.
 void call_exchange::leave_silent_upstream(time_point now)
@@ -288,6 +305,9 @@
         return;
     }
     next_search_at_ = now + search_interval;
+    if (is_refused_meanwhile(now)) {
+        return;
+    }
     const auto destination = choose_upstream(now);
     if (const auto* loader = std::get_if<wait_for_adapter>(&destination)) {
         if (context_.upstreams.on_replica_requested(loader->upstream, adapter_key(), now)) {
@@ -295,7 +315,7 @@
         }
     }
     const auto* target = std::get_if<send_to>(&destination);
-    if (target == nullptr) {
+    if (target == nullptr || !is_sound_target(target->upstream, now)) {
         return;
     }
     context_.log.info("attempt_failed", {{"request", call_.request_id},
@@ -305,6 +325,7 @@
                                          {"runs", runs_},
                                          {"answering", has_response_begun_}});
     if (is_stream_open_) {
+        broken_at_ = upstream_;
         context_.metrics.resumed_streams.add();
     }
     release_upstream(call_result::failure, false);
@@ -464,6 +485,11 @@
 // Checks and charges the retry budget for another attempt; refuses the call if it is not allowed.
 bool call_exchange::reserve_attempt(time_point now)
 {
+    // The call may have waited for its adapter or its admission.
+    if (is_refused_meanwhile(now)) {
+        give_up("crashes_upstreams");
+        return false;
+    }
     if (sends_ == 0) {
         return true;
     }
@@ -484,7 +510,8 @@
 {
     const bool may_run_again = runs_ == 0 || route_->is_repeatable();
     return may_run_again && runs_ < route_->max_attempts &&
-           sends_ < route_->max_attempts + max_refused_sends && deadline_ - now >= min_useful_time;
+           sends_ - forgiven_sends_ < route_->max_attempts + max_refused_sends &&
+           deadline_ - now >= min_useful_time;
 }
 
 void call_exchange::send(const upstream_id& upstream, time_point now)
@@ -706,8 +733,6 @@
     else if (const auto* state = context_.upstreams.find(upstream_)) {
         // A broken connection alone does not show whether the upstream has crashed.
         note_broken(*state);
-        probe_connect(context_.executor, state->entry.address, connect_timeout,
-                      [report = context_.report_upstream_ended, id = upstream_] { report(id); });
     }
     on_attempt_failed(to_std(status.message()));
 }
@@ -720,6 +745,8 @@
         suspects.parts.clear();
     }
     context_.crashes.on_broken(suspects, upstream_, state.entry.process_start_ms, steady_now());
+    probe_connect(context_.executor, state.entry.address, connect_timeout,
+                  [report = context_.report_upstream_ended, id = upstream_] { report(id); });
 }
 
 // The upstream refused to run the request.
@@ -744,7 +771,7 @@
     if (can_try_again(steady_now())) {
         return try_next_upstream();
     }
-    give_up("upstreams_refused");
+    give_up_for_now("upstreams_refused");
 }
 
 // The upstream broke off, stalled or sent an unusable response.
@@ -769,9 +796,10 @@
 
 void call_exchange::resume_on_another_upstream(std::string_view cause)
 {
+    broken_at_ = upstream_;
     release_upstream(call_result::failure, false);
     if (!can_try_again(steady_now())) {
-        return abort_response(cause);
+        return give_up_for_now(cause);
     }
     context_.metrics.resumed_streams.add();
     try_next_upstream();
@@ -780,9 +808,10 @@
 void call_exchange::forward_stream_header()
 {
     is_stream_open_ = true;
+    is_close_announced_ = context_.is_draining;
     caller_->send(fmt::format("HTTP/1.1 {} {}\r\n{}Transfer-Encoding: chunked\r\n{}\r\n",
                               header_->status, header_->reason, header_->forwarded_header,
-                              context_.is_draining ? "Connection: close\r\n" : ""));
+                              is_close_announced_ ? "Connection: close\r\n" : ""));
 }
 
 // Only whole events are progress: a stalled upstream may still send a byte now and then.
@@ -840,7 +869,8 @@
     const auto caller = caller_;
     caller->send(std::string(last_chunk));
     finish();
-    caller->end_response(context_.is_draining || !call_.keep_alive);
+    // A caller that was not told of the close may have sent its next request already.
+    caller->end_response(is_close_announced_ || !call_.keep_alive);
 }
 
 void call_exchange::forward_buffered(const buffered_response& response)
@@ -876,10 +906,13 @@
     }
     const auto now = steady_now();
     if (result == call_result::success && header_->is_success()) {
-        const auto* state = context_.upstreams.find(upstream_);
-        if (channel_->was_closed_by_upstream() && state != nullptr) {
-            // Without a length the end of a response and a crash look alike.
-            note_broken(*state);
+        if (channel_->was_closed_by_upstream()) {
+            // Without a length the end of a response and a crash look alike. An upstream that is
+            // leaving ends for another reason.
+            const auto* state = context_.upstreams.find(upstream_);
+            if (state != nullptr && upstream_table::is_serving(*state, now)) {
+                note_broken(*state);
+            }
         }
         else {
             context_.crashes.on_sound(part_prints(), now);
@@ -924,7 +957,8 @@
 {
     const auto now = steady_now();
     const auto until = std::min(patience_end(), deadline_ - min_useful_time);
-    if (is_stream_open_ && now < until && can_try_again(now)) {
+    const bool may_run_again = route_->is_repeatable() && runs_ < route_->max_attempts;
+    if (is_stream_open_ && now < until && may_run_again) {
         return wait_to_resume(cause, until, now);
     }
     give_up(cause);
@@ -932,9 +966,9 @@
 
 void call_exchange::wait_to_resume(std::string_view cause, time_point until, time_point now)
 {
-    resume_ =
-        resume_wait{++context_.last_resumption, std::string(cause), until, now + resume_interval};
-    context_.resumptions[service_->name].add(resume_->number, last_event_.value_or(0));
+    resume_ = resume_wait{++context_.last_resumption, std::string(cause), until};
+    context_.resumptions[service_->name].add(resume_->number, last_event_.value_or(0),
+                                             now + resume_interval);
 }
 
 // Starts over with all upstreams but the one that failed last.
@@ -946,12 +980,14 @@
         return give_up(cause);
     }
     const auto places = static_cast<std::size_t>(context_.retries[service_->name].available());
-    if (now < resume_->next_try_at || !context_.resumptions[service_->name].is_among_first(
-                                          resume_->number, last_event_.value_or(0), places)) {
+    if (!context_.resumptions[service_->name].is_among_first(
+            resume_->number, last_event_.value_or(0), places, now)) {
         return;
     }
     stop_waiting_to_resume();
-    excluded_ = {upstream_};
+    excluded_ = {broken_at_};
+    forgiven_sends_ = sends_ - runs_;
+    refused_admissions_ = 0;
     waits_ = 0;
     wait_deadline_.reset();
     try_next_upstream();
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -48,7 +48,10 @@
     void on_tick(time_point now);
 
     /// Bytes of a response that is kept until it is complete.
-    std::size_t buffered_bytes() const { return body_.size(); }
+    std::size_t buffered_bytes() const
+    {
+        return body_.size() + (failed_response_ ? failed_response_->body.size() : 0);
+    }
 
     /// Logs that the process exits before the exchange has ended.
     void log_cut() const;
@@ -72,12 +75,12 @@
         std::string cause;
         /// Its caller has most likely left then.
         time_point until;
-        time_point next_try_at;
     };
 
     bool resolve();
     void try_next_upstream();
     placement choose_upstream(time_point now);
+    bool is_sound_target(const upstream_id& upstream, time_point now) const;
     void leave_silent_upstream(time_point now);
     void wait_for_load(const upstream_id& upstream, time_point now);
     void stop_waiting();
@@ -122,6 +125,7 @@
     void log_paused_stream();
     void finish();
     bool is_refused_for_crashes();
+    bool is_refused_meanwhile(time_point now) const;
     void note_broken(const upstream_state& state);
     request_prints prints() const;
     std::vector<poison::fingerprint> part_prints() const;
@@ -149,6 +153,10 @@
     int sends_ = 0;
     /// The requests among them that may have run.
     int runs_ = 0;
+    /// Refused requests that no longer count, since the stream has waited after them.
+    int forgiven_sends_ = 0;
+    /// The upstream at which the stream last broke off.
+    upstream_id broken_at_;
     /// The team was charged for the call.
     bool is_charged_ = false;
 
@@ -188,7 +196,11 @@
     event_splitter events_;
     std::optional<std::uint64_t> last_event_;
     bool is_stream_open_ = false;
+    /// The header of the response says that the connection closes after it.
+    bool is_close_announced_ = false;
     std::optional<resume_wait> resume_;
+    /// Sent although it was refused, to learn more.
+    bool is_trial_ = false;
     bool is_done_ = false;
 };
 
