No probe after answers that end with their connection

The upstream of each such answer was probed by a new connection, as many as answers where a service never states lengths, and new connections are dear. Only a failed attempt is followed by a probe again.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -733,6 +733,8 @@
     else if (const auto* state = context_.upstreams.find(upstream_)) {
         // A broken connection alone does not show whether the upstream has crashed.
         note_broken(*state);
+        probe_connect(context_.executor, state->entry.address, connect_timeout,
+                      [report = context_.report_upstream_ended, id = upstream_] { report(id); });
     }
     on_attempt_failed(to_std(status.message()));
 }
@@ -745,8 +747,6 @@
         suspects.parts.clear();
     }
     context_.crashes.on_broken(suspects, upstream_, state.entry.process_start_ms, steady_now());
-    probe_connect(context_.executor, state.entry.address, connect_timeout,
-                  [report = context_.report_upstream_ended, id = upstream_] { report(id); });
 }
 
 // The upstream refused to run the request.
