--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -808,10 +808,9 @@
 void call_exchange::forward_stream_header()
 {
     is_stream_open_ = true;
-    is_close_announced_ = context_.is_draining;
     caller_->send(fmt::format("HTTP/1.1 {} {}\r\n{}Transfer-Encoding: chunked\r\n{}\r\n",
                               header_->status, header_->reason, header_->forwarded_header,
-                              is_close_announced_ ? "Connection: close\r\n" : ""));
+                              context_.is_draining ? "Connection: close\r\n" : ""));
 }
 
 // Only whole events are progress: a stalled upstream may still send a byte now and then.
@@ -869,8 +868,7 @@
     const auto caller = caller_;
     caller->send(std::string(last_chunk));
     finish();
-    // A caller that was not told of the close may have sent its next request already.
-    caller->end_response(is_close_announced_ || !call_.keep_alive);
+    caller->end_response(context_.is_draining || !call_.keep_alive);
 }
 
 void call_exchange::forward_buffered(const buffered_response& response)
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -196,8 +196,6 @@
     event_splitter events_;
     std::optional<std::uint64_t> last_event_;
     bool is_stream_open_ = false;
-    /// The header of the response says that the connection closes after it.
-    bool is_close_announced_ = false;
     std::optional<resume_wait> resume_;
     /// Sent although it was refused, to learn more.
     bool is_trial_ = false;
