--- a/tests/gateway_crash_guard_test.cpp
+++ b/tests/gateway_crash_guard_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(part_that_was_sound_survives_the_loss_of_all_engines);
     CPPUNIT_TEST(new_gateway_is_not_told_of_parts_that_others_serve);
     CPPUNIT_TEST(equal_requests_survive_the_loss_of_all_engines);
+    CPPUNIT_TEST(server_that_is_back_under_its_name_can_crash_again);
     CPPUNIT_TEST(clearance_is_sent_before_weak_suspects);
     CPPUNIT_TEST(part_that_turns_bad_is_refused_and_tried_now_and_then);
     CPPUNIT_TEST_SUITE_END();
@@ -272,6 +273,22 @@
         CPPUNIT_ASSERT(!guard.begin_trial({8, {}}, 1, 0, now + seconds(8)));
     }
 
+    // Guards against crashes that are counted once, as the entry of the restarted server has not
+    // arrived yet.
+    void server_that_is_back_under_its_name_can_crash_again()
+    {
+        crash_guard guard;
+        for (int i = 0; i < 3; ++i) {
+            crash_under(guard, 1, {crasher}, start + seconds(2 * i));
+        }
+        CPPUNIT_ASSERT(guard.is_refused(crasher, start + seconds(5)));
+        // Several of its copies in flight at one crash count once.
+        for (int i = 0; i < 3; ++i) {
+            crash_under(guard, 2, {harmless}, start);
+        }
+        CPPUNIT_ASSERT(!guard.is_refused(harmless, start));
+    }
+
     // Guards against clearances that wait behind hundreds of requests in flight at one loss.
     void clearance_is_sent_before_weak_suspects()
     {
--- a/tools/users_platform_stand_in/worker.cpp
+++ b/tools/users_platform_stand_in/worker.cpp
@@ -116,6 +116,8 @@
     fmt::print("run {}\n", runs_.back().dump());
     std::fflush(stdout);
     if (!crash_on_.empty() && message.body().find(crash_on_) != std::string::npos) {
+        asio::steady_timer pause(context_, crash_delay_);
+        co_await pause.async_wait(as_result);
         std::_Exit(EXIT_FAILURE);
     }
     ++running_;
@@ -320,6 +322,8 @@
     }
     is_leaving_ = body.value("leaving", is_leaving_);
     crash_on_ = body.value("crash_on", crash_on_);
+    crash_delay_ =
+        std::chrono::milliseconds(body.value("crash_after_ms", std::int64_t{crash_delay_.count()}));
     is_unframed_ = body.value("unframed", is_unframed_);
     cuts_in_event_ = body.value("cut_in_event", cuts_in_event_);
     resets_in_body_ = body.value("reset_in_body", resets_in_body_);
--- a/tools/users_platform_stand_in/worker.h
+++ b/tools/users_platform_stand_in/worker.h
@@ -28,12 +28,12 @@
 /// A worker of the users' platform: runs plain requests and streams, and records its runs, which
 /// `GET /runs` returns. `POST /faults` with `{"leaving": BOOL, "shed_ms": NUMBER, "crash_on":
 /// TEXT}` makes it announce its stop in all its answers, turn away requests with a Retry-After for
-/// that long, or end when it begins to run a request whose body contains the text; send single
-/// bytes instead of events after the third one; or send each plain answer twice. With `pause_ms` it
-/// falls silent for that long after the third event of a stream and before a plain answer, and
-/// `answer_bytes` pads plain answers to that size; with `crash_on_part` it ends after the first
-/// event of a stream whose prompt has that part. The requests turned away are counted in `GET
-/// /runs`.
+/// that long, or end `crash_after_ms` after it has begun to run a request whose body contains the
+/// text, also if its caller has left; send single bytes instead of events after the third one; or
+/// send each plain answer twice. With `pause_ms` it falls silent for that long after the third
+/// event of a stream and before a plain answer, and `answer_bytes` pads plain answers to that size;
+/// with `crash_on_part` it ends after the first event of a stream whose prompt has that part. The
+/// requests turned away are counted in `GET /runs`.
 ///
 /// A stream has `events` events whose data is the request id and the number; a plain response is
 /// the request id and the request's body. Targets that contain `/slow/` take ten times as long.
@@ -84,6 +84,7 @@
     std::uint64_t endless_bytes_ = 0;
     int endless_open_ = 0;
     std::string crash_on_;
+    std::chrono::milliseconds crash_delay_{};
     /// Id of a prompt part.
     std::string crash_on_part_;
     std::chrono::steady_clock::time_point shed_until_;
