A probe is not deceived by a process that is still ending

Callers of a request that crashes servers were sent on to further servers, although others had ended under it: one crash was not noticed. Cause: the kernel may close a request's connection before the listener of the same process, so that the probe which tells a crash from a reset was accepted in between.

--- a/src/gateway/connect_probe.h
+++ b/src/gateway/connect_probe.h
@@ -8,8 +8,9 @@
 
 namespace snipespar::gateway {
 
-/// Opens a connection to the address and closes it again. `refused` is called if the host answers
-/// that nothing listens there; a silent host or an accepted connection calls nothing.
+/// Connects to the address and calls `refused` if nothing listens there. A connection that is
+/// closed at once is tried again, since the kernel may accept it for a process that is ending. Does
+/// nothing if the connection stays open, or cannot be established within `timeout`.
 void probe_connect(const boost::asio::any_io_executor& executor, const cli::endpoint& address,
                    duration timeout, std::function<void()> refused);
 
