Crashes under runs whose caller has left are counted

A request that crashes its server some time after it was begun reached one server after the other when its callers left before that: the connection was closed by then, so that the run left no evidence. Cause: only broken connections were recorded. Runs that are given up (caller gone, time limit, silent upstream) are now recorded as well. They count only if the server is shown to have crashed; a server that is merely no longer listed may have left in an orderly way.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -328,6 +328,7 @@
         broken_at_ = upstream_;
         context_.metrics.resumed_streams.add();
     }
+    note_abandoned(now);
     release_upstream(call_result::failure, false);
     dispatch(target->upstream, now);
 }
@@ -739,14 +740,28 @@
     on_attempt_failed(to_std(status.message()));
 }
 
-// The response broke off: a part of the prompt can only be the cause if the response had begun.
-void call_exchange::note_broken(const upstream_state& state)
+// A part of the prompt can only be the cause of a crash if the response had begun.
+request_prints call_exchange::suspects() const
 {
     auto suspects = prints();
     if (!has_response_begun_) {
         suspects.parts.clear();
     }
-    context_.crashes.on_broken(suspects, upstream_, state.entry.process_start_ms, steady_now());
+    return suspects;
+}
+
+void call_exchange::note_broken(const upstream_state& state)
+{
+    context_.crashes.on_broken(suspects(), upstream_, state.entry.process_start_ms, steady_now());
+}
+
+// Gives up the run. A crash under it will not be seen on its connection any more.
+void call_exchange::note_abandoned(time_point now)
+{
+    const auto* state = channel_ == nullptr ? nullptr : context_.upstreams.find(upstream_);
+    if (state != nullptr && upstream_table::is_serving(*state, now)) {
+        context_.crashes.on_abandoned(suspects(), upstream_, state->entry.process_start_ms, now);
+    }
 }
 
 // The upstream refused to run the request.
@@ -1064,6 +1079,7 @@
         return;
     }
     context_.metrics.cancellations.add();
+    note_abandoned(steady_now());
     release_upstream(call_result::refused, false);
     finish();
 }
@@ -1118,6 +1134,7 @@
     }
     if (now >= deadline_) {
         const bool is_running = channel_ != nullptr;
+        note_abandoned(now);
         release_upstream(call_result::refused, false);
         if (is_stream_open_) {
             return abort_response("time_limit");
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -127,6 +127,8 @@
     bool is_refused_for_crashes();
     bool is_refused_meanwhile(time_point now) const;
     void note_broken(const upstream_state& state);
+    void note_abandoned(time_point now);
+    request_prints suspects() const;
     request_prints prints() const;
     std::vector<poison::fingerprint> part_prints() const;
     std::uint64_t fingerprint() const;
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -122,13 +122,28 @@
 
 void crash_guard::on_broken(const request_prints& prints, const upstream_id& upstream,
                             std::uint64_t process_start_ms, time_point now)
+{
+    note_broken(prints, upstream, process_start_ms, {now, false});
+}
+
+void crash_guard::on_abandoned(const request_prints& prints, const upstream_id& upstream,
+                               std::uint64_t process_start_ms, time_point now)
+{
+    note_broken(prints, upstream, process_start_ms, {now, true});
+}
+
+void crash_guard::note_broken(const request_prints& prints, const upstream_id& upstream,
+                              std::uint64_t process_start_ms, broken_run run)
 {
     auto& broken = broken_[upstream];
     if (broken.process_start_ms != process_start_ms) {
         broken = {process_start_ms, {}};
     }
     for (const auto print : all_of(prints)) {
-        broken.prints[print] = now;
+        const auto [known, is_new] = broken.prints.try_emplace(print, run);
+        if (!is_new) {
+            known->second = {run.at, known->second.is_abandoned && run.is_abandoned};
+        }
     }
 }
 
@@ -156,24 +171,38 @@
 }
 
 bool crash_guard::on_upstream_ended(const upstream_id& upstream, time_point now)
+{
+    return note_crash(upstream, true, now);
+}
+
+bool crash_guard::on_upstream_unlisted(const upstream_id& upstream, time_point now)
+{
+    return note_crash(upstream, false, now);
+}
+
+bool crash_guard::note_crash(const upstream_id& upstream, bool is_proved, time_point now)
 {
     const auto found = broken_.find(upstream);
     if (found == broken_.end()) {
         return false;
     }
     std::vector<poison::fingerprint> prints;
-    for (const auto& [print, at] : found->second.prints) {
-        if (now - at < confirmation_time) {
+    std::erase_if(found->second.prints, [&](const auto& item) {
+        const auto& [print, run] = item;
+        if (run.is_abandoned && !is_proved) {
+            return false;
+        }
+        if (now - run.at < confirmation_time) {
             prints.push_back(print);
             pending_[print] = max_repeats;
         }
-    }
+        return true;
+    });
     if (!prints.empty()) {
         const poison::crash_id id{upstream, found->second.process_start_ms};
         // Other gateways may have had requests in flight there.
         suspects_.on_crash(id, prints, now, false);
     }
-    broken_.erase(found);
     return !prints.empty();
 }
 
@@ -249,7 +278,7 @@
     suspects_.on_tick(now);
     for (auto& [upstream, broken] : broken_) {
         std::erase_if(broken.prints,
-                      [&](const auto& item) { return now - item.second >= confirmation_time; });
+                      [&](const auto& item) { return now - item.second.at >= confirmation_time; });
     }
     std::erase_if(broken_, [](const auto& item) { return item.second.prints.empty(); });
     std::erase_if(shared_, [&](const auto print) { return !suspects_.contains(print); });
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -46,6 +46,10 @@
     void on_broken(const request_prints& prints, const upstream_id& upstream,
                    std::uint64_t process_start_ms, time_point now);
 
+    /// The request was given up while it ran. It may run on there and crash the upstream unseen.
+    void on_abandoned(const request_prints& prints, const upstream_id& upstream,
+                      std::uint64_t process_start_ms, time_point now);
+
     /// A request with these parts has received a complete response.
     void on_sound(const std::vector<poison::fingerprint>& parts, time_point now);
 
@@ -56,6 +60,10 @@
     /// requests were in flight there.
     bool on_upstream_ended(const upstream_id& upstream, time_point now);
 
+    /// The upstream is no longer listed. Returns whether connections to it broke lately; without
+    /// that, it may have left in an orderly way.
+    bool on_upstream_unlisted(const upstream_id& upstream, time_point now);
+
     /// Takes over the findings of another gateway.
     void merge(const poison::suspect_digest& digest, time_point now);
 
@@ -76,12 +84,21 @@
     bool is_empty() const { return broken_.empty() && suspects_.size() == 0; }
 
 private:
-    /// Requests whose connection to one upstream broke.
-    struct broken_connections {
+    /// The end of a request without a response.
+    struct broken_run {
+        time_point at;
+        bool is_abandoned = false;
+    };
+    /// Requests that ended so at one upstream.
+    struct broken_runs {
         std::uint64_t process_start_ms = 0;
-        std::map<poison::fingerprint, time_point> prints;
+        std::map<poison::fingerprint, broken_run> prints;
     };
 
+    void note_broken(const request_prints& prints, const upstream_id& upstream,
+                     std::uint64_t process_start_ms, broken_run run);
+    bool note_crash(const upstream_id& upstream, bool is_proved, time_point now);
+
     bool is_print_refused(poison::fingerprint print, time_point now) const;
     std::vector<poison::fingerprint> refused_among(const request_prints& prints,
                                                    time_point now) const;
@@ -89,7 +106,7 @@
     void clear(poison::fingerprint print, time_point now);
     poison::suspect_digest announce(bool is_urgent, time_point now);
 
-    std::map<upstream_id, broken_connections> broken_;
+    std::map<upstream_id, broken_runs> broken_;
     poison::suspect_table suspects_;
     /// Announcements still to be made, by fingerprint.
     std::map<poison::fingerprint, int> pending_;
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -453,7 +453,9 @@
     const auto now = steady_now();
     const upstream_id id(object.name);
     if (object.is_removed) {
-        on_upstream_ended(id);
+        if (context_.crashes.on_upstream_unlisted(id, now)) {
+            on_crash(id, now);
+        }
         context_.upstreams.remove(id, now);
         context_.log.info("upstream_gone", {{"upstream", object.name}});
         return;
@@ -693,16 +695,21 @@
     send_to_peers(usage);
 }
 
-// Copies of the request may be on their way to other gateways, so that these are told at once.
 void gateway_server::on_upstream_ended(const upstream_id& upstream)
 {
     const auto now = steady_now();
     if (context_.crashes.on_upstream_ended(upstream, now)) {
-        context_.log.warning("upstream_crashed", {{"upstream", upstream.str()}});
-        announce(context_.crashes.urgent_announcement(now));
+        on_crash(upstream, now);
     }
 }
 
+// Copies of the request may be on their way to other gateways, so that these are told at once.
+void gateway_server::on_crash(const upstream_id& upstream, time_point now)
+{
+    context_.log.warning("upstream_crashed", {{"upstream", upstream.str()}});
+    announce(context_.crashes.urgent_announcement(now));
+}
+
 void gateway_server::announce(const poison::suspect_digest& findings)
 {
     if (!findings.empty()) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -82,6 +82,7 @@
     void send_demand(const upstream_id& upstream);
     void send_usage(time_point now);
     void on_upstream_ended(const upstream_id& upstream);
+    void on_crash(const upstream_id& upstream, time_point now);
     void announce(const poison::suspect_digest& findings);
     void inform_new_peer(const control::gateway_usage& usage, const cli::endpoint& from,
                          time_point now);
--- a/tests/gateway_crash_guard_test.cpp
+++ b/tests/gateway_crash_guard_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(part_that_was_sound_survives_the_loss_of_all_engines);
     CPPUNIT_TEST(new_gateway_is_not_told_of_parts_that_others_serve);
     CPPUNIT_TEST(equal_requests_survive_the_loss_of_all_engines);
+    CPPUNIT_TEST(abandoned_run_counts_only_if_its_server_has_crashed);
     CPPUNIT_TEST(server_that_is_back_under_its_name_can_crash_again);
     CPPUNIT_TEST(clearance_is_sent_before_weak_suspects);
     CPPUNIT_TEST(part_that_turns_bad_is_refused_and_tried_now_and_then);
@@ -273,6 +274,20 @@
         CPPUNIT_ASSERT(!guard.begin_trial({8, {}}, 1, 0, now + seconds(8)));
     }
 
+    // Guards against requests that are refused, as their callers left before servers were replaced.
+    void abandoned_run_counts_only_if_its_server_has_crashed()
+    {
+        crash_guard guard;
+        for (int i = 0; i < 3; ++i) {
+            guard.on_abandoned(harmless, id(i), 1, start);
+            guard.on_upstream_unlisted(id(i), start);
+            guard.on_abandoned(crasher, id(10 + i), 1, start);
+            guard.on_upstream_ended(id(10 + i), start);
+        }
+        CPPUNIT_ASSERT(!guard.is_refused(harmless, start));
+        CPPUNIT_ASSERT(guard.is_refused(crasher, start));
+    }
+
     // Guards against crashes that are counted once, as the entry of the restarted server has not
     // arrived yet.
     void server_that_is_back_under_its_name_can_crash_again()
