Crashes by equal requests of several teams add up

Each team whose callers sent the same request ended three servers before its copies were refused. Cause: the fingerprint of a request covers its team, so that the evidence was divided by something that does not cause the damage. Requests now carry a second fingerprint of their content alone. The one with the team stays: another team's copies may end well, and must clear only the shared one.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -187,7 +187,10 @@
 
 request_prints call_exchange::prints() const
 {
-    return {fingerprint() & ~poison::part_flag, part_prints()};
+    const auto content = content_hash();
+    const auto team = stable_hash(team_ == nullptr ? std::string_view() : team_->id.str());
+    return {combine_hash(team, content) & ~poison::part_flag, part_prints(),
+            content & ~poison::part_flag};
 }
 
 std::vector<poison::fingerprint> call_exchange::part_prints() const
@@ -201,10 +204,9 @@
     return parts;
 }
 
-// Equal for every copy of the request that its team sends.
-std::uint64_t call_exchange::fingerprint() const
+std::uint64_t call_exchange::content_hash() const
 {
-    auto hash = stable_hash(team_ == nullptr ? std::string_view() : team_->id.str());
+    auto hash = stable_hash(service_->name);
     for (const std::string_view part :
          {std::string_view(call_.method), std::string_view(call_.host),
           std::string_view(call_.target), std::string_view(call_.model),
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -131,7 +131,7 @@
     request_prints suspects() const;
     request_prints prints() const;
     std::vector<poison::fingerprint> part_prints() const;
-    std::uint64_t fingerprint() const;
+    std::uint64_t content_hash() const;
     std::string shared_parts_text() const;
     std::string adapter_key() const;
     std::uint64_t min_version(time_point now) const;
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -35,6 +35,9 @@
 {
     auto list = prints.parts;
     list.push_back(prints.request);
+    if (prints.content != 0) {
+        list.push_back(prints.content);
+    }
     return list;
 }
 
--- a/src/gateway/request_prints.h
+++ b/src/gateway/request_prints.h
@@ -12,6 +12,8 @@
     poison::fingerprint request = 0;
     /// Each part of its prompt that other requests may share.
     std::vector<poison::fingerprint> parts;
+    /// Equal for every copy of the request, whichever team sends it; 0 if not known.
+    poison::fingerprint content = 0;
 
     friend bool operator==(const request_prints&, const request_prints&) = default;
 };
--- a/tests/gateway_crash_guard_test.cpp
+++ b/tests/gateway_crash_guard_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(new_gateway_is_not_told_of_parts_that_others_serve);
     CPPUNIT_TEST(equal_requests_survive_the_loss_of_all_engines);
     CPPUNIT_TEST(abandoned_run_counts_only_if_its_server_has_crashed);
+    CPPUNIT_TEST(team_whose_copies_end_well_clears_only_its_own_request);
     CPPUNIT_TEST(server_that_is_back_under_its_name_can_crash_again);
     CPPUNIT_TEST(clearance_is_sent_before_weak_suspects);
     CPPUNIT_TEST(part_that_turns_bad_is_refused_and_tried_now_and_then);
@@ -288,6 +289,20 @@
         CPPUNIT_ASSERT(guard.is_refused(crasher, start));
     }
 
+    // Guards against the evidence on one team's request being cleared by equal ones of others.
+    void team_whose_copies_end_well_clears_only_its_own_request()
+    {
+        crash_guard guard;
+        const request_prints bad{7, {}, 70};
+        const request_prints sound{8, {}, 70};
+        for (int i = 0; i < 3; ++i) {
+            crash_under(guard, i, {bad}, start + seconds(i));
+            guard.on_completed(sound, start + seconds(i));
+        }
+        CPPUNIT_ASSERT(guard.is_refused(bad, start + seconds(3)));
+        CPPUNIT_ASSERT(!guard.is_refused(sound, start + seconds(3)));
+    }
+
     // Guards against crashes that are counted once, as the entry of the restarted server has not
     // arrived yet.
     void server_that_is_back_under_its_name_can_crash_again()
