A server that is back under its name can crash again

A server that restarts under its name within seconds was crashed by further copies of the same request without end. Cause: a crash is identified by the process start that the server's entry states, and gateways receive the new entry some time after the server takes requests again; until then each crash was taken for the first one. A process that ended is now remembered (also from other gateways' findings), and a request that was sent after that ran on a successor, numbered just above. A gateway that has missed an end gives the lower number, so that no crash counts twice.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -754,7 +754,8 @@
 
 void call_exchange::note_broken(const upstream_state& state)
 {
-    context_.crashes.on_broken(suspects(), upstream_, state.entry.process_start_ms, steady_now());
+    context_.crashes.on_broken(suspects(), upstream_, state.entry.process_start_ms, sent_at_,
+                               steady_now());
 }
 
 // Gives up the run. A crash under it will not be seen on its connection any more.
@@ -762,7 +763,8 @@
 {
     const auto* state = channel_ == nullptr ? nullptr : context_.upstreams.find(upstream_);
     if (state != nullptr && upstream_table::is_serving(*state, now)) {
-        context_.crashes.on_abandoned(suspects(), upstream_, state->entry.process_start_ms, now);
+        context_.crashes.on_abandoned(suspects(), upstream_, state->entry.process_start_ms,
+                                      sent_at_, now);
     }
 }
 
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -27,6 +27,8 @@
 constexpr auto retrial_interval = std::chrono::seconds(10);
 // Engines that end within this time may have lost their power together.
 constexpr auto common_cause_time = std::chrono::seconds(1);
+// An upstream that restarts under its name is listed with its new start after a few seconds.
+constexpr std::uint64_t max_unlisted_restarts = 8;
 // Parts of complete responses are remembered for one to two of these periods.
 constexpr auto sound_period = std::chrono::minutes(10);
 constexpr std::size_t max_sound_parts = 8192;
@@ -124,23 +126,44 @@
 }
 
 void crash_guard::on_broken(const request_prints& prints, const upstream_id& upstream,
-                            std::uint64_t process_start_ms, time_point now)
+                            std::uint64_t process_start_ms, time_point sent_at, time_point now)
 {
-    note_broken(prints, upstream, process_start_ms, {now, false});
+    note_broken(prints, upstream, process_of(upstream, process_start_ms, sent_at), {now, false});
 }
 
 void crash_guard::on_abandoned(const request_prints& prints, const upstream_id& upstream,
-                               std::uint64_t process_start_ms, time_point now)
+                               std::uint64_t process_start_ms, time_point sent_at, time_point now)
 {
-    note_broken(prints, upstream, process_start_ms, {now, true});
+    note_broken(prints, upstream, process_of(upstream, process_start_ms, sent_at), {now, true});
+}
+
+// Number of the process that ran a request: its start, or a number just above that of its
+// predecessor if it is not listed yet. A gateway that has missed ends gives lower numbers, so that
+// the same crash is not counted twice.
+std::uint64_t crash_guard::process_of(const upstream_id& upstream, std::uint64_t process_start_ms,
+                                      time_point sent_at) const
+{
+    const auto ended = ended_.find(upstream);
+    const bool is_successor = ended != ended_.end() && ended->second.process >= process_start_ms &&
+                              ended->second.process < process_start_ms + max_unlisted_restarts &&
+                              sent_at > ended->second.known_since;
+    return is_successor ? ended->second.process + 1 : process_start_ms;
+}
+
+void crash_guard::note_end(const poison::crash_id& id, time_point now)
+{
+    const auto [ended, is_new] = ended_.try_emplace(id.upstream, ended_process{id.number, now});
+    if (!is_new && ended->second.process < id.number) {
+        ended->second = {id.number, now};
+    }
 }
 
 void crash_guard::note_broken(const request_prints& prints, const upstream_id& upstream,
-                              std::uint64_t process_start_ms, broken_run run)
+                              std::uint64_t process, broken_run run)
 {
     auto& broken = broken_[upstream];
-    if (broken.process_start_ms != process_start_ms) {
-        broken = {process_start_ms, {}};
+    if (broken.process != process) {
+        broken = {process, {}};
     }
     for (const auto print : all_of(prints)) {
         const auto [known, is_new] = broken.prints.try_emplace(print, run);
@@ -202,7 +225,8 @@
         return true;
     });
     if (!prints.empty()) {
-        const poison::crash_id id{upstream, found->second.process_start_ms};
+        const poison::crash_id id{upstream, found->second.process};
+        note_end(id, now);
         // Other gateways may have had requests in flight there.
         suspects_.on_crash(id, prints, now, false);
     }
@@ -214,6 +238,9 @@
     suspects_.merge(digest, now);
     for (const auto& report : digest) {
         shared_.insert(report.print);
+        for (const auto& crash : report.crashes) {
+            note_end(crash.id, now);
+        }
     }
 }
 
@@ -284,6 +311,9 @@
                       [&](const auto& item) { return now - item.second.at >= confirmation_time; });
     }
     std::erase_if(broken_, [](const auto& item) { return item.second.prints.empty(); });
+    std::erase_if(ended_, [&](const auto& item) {
+        return now - item.second.known_since >= finding_lifetime;
+    });
     std::erase_if(shared_, [&](const auto print) { return !suspects_.contains(print); });
 }
 
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -42,13 +42,15 @@
     /// Time for which the request will be refused.
     duration refusal_time(const request_prints& prints, time_point now) const;
 
-    /// The connection on which the request ran broke.
+    /// The connection on which the request ran broke. `process_start_ms` is that of the upstream's
+    /// entry; an upstream that has restarted under its name may still be listed with the former
+    /// one.
     void on_broken(const request_prints& prints, const upstream_id& upstream,
-                   std::uint64_t process_start_ms, time_point now);
+                   std::uint64_t process_start_ms, time_point sent_at, time_point now);
 
     /// The request was given up while it ran. It may run on there and crash the upstream unseen.
     void on_abandoned(const request_prints& prints, const upstream_id& upstream,
-                      std::uint64_t process_start_ms, time_point now);
+                      std::uint64_t process_start_ms, time_point sent_at, time_point now);
 
     /// A request with these parts has received a complete response.
     void on_sound(const std::vector<poison::fingerprint>& parts, time_point now);
@@ -89,14 +91,22 @@
         time_point at;
         bool is_abandoned = false;
     };
-    /// Requests that ended so at one upstream.
+    /// Requests that ended so at one process of an upstream.
     struct broken_runs {
-        std::uint64_t process_start_ms = 0;
+        std::uint64_t process = 0;
         std::map<poison::fingerprint, broken_run> prints;
     };
+    /// The latest process of an upstream that is known to have ended.
+    struct ended_process {
+        std::uint64_t process = 0;
+        time_point known_since;
+    };
 
     void note_broken(const request_prints& prints, const upstream_id& upstream,
-                     std::uint64_t process_start_ms, broken_run run);
+                     std::uint64_t process, broken_run run);
+    std::uint64_t process_of(const upstream_id& upstream, std::uint64_t process_start_ms,
+                             time_point sent_at) const;
+    void note_end(const poison::crash_id& id, time_point now);
     bool note_crash(const upstream_id& upstream, bool is_proved, time_point now);
 
     bool is_print_refused(poison::fingerprint print, time_point now) const;
@@ -107,6 +117,7 @@
     poison::suspect_digest announce(bool is_urgent, time_point now);
 
     std::map<upstream_id, broken_runs> broken_;
+    std::map<upstream_id, ended_process> ended_;
     poison::suspect_table suspects_;
     /// Announcements still to be made, by fingerprint.
     std::map<poison::fingerprint, int> pending_;
--- a/tests/gateway_crash_guard_fleet_test.cpp
+++ b/tests/gateway_crash_guard_fleet_test.cpp
@@ -207,7 +207,8 @@
             if (now_ < request.begins_at) {
                 prints.parts.clear();
             }
-            guards_[request.gateway].on_broken(prints, id, item.process_start_ms, now_);
+            guards_[request.gateway].on_broken(prints, id, item.process_start_ms, request.sent_at,
+                                               now_);
             is_affected[request.gateway] = true;
         }
         ++item.process_start_ms;
--- a/tests/gateway_crash_guard_test.cpp
+++ b/tests/gateway_crash_guard_test.cpp
@@ -29,17 +29,20 @@
 // Both requests were in flight at an upstream whose process ends.
 void crash(crash_guard& guard, int number, time_point now)
 {
-    guard.on_broken(crasher, id(number), 1, now);
-    guard.on_broken(harmless, id(number), 1, now);
+    guard.on_broken(crasher, id(number), 1, now, now);
+    guard.on_broken(harmless, id(number), 1, now, now);
     guard.on_upstream_ended(id(number), now + milliseconds(400));
 }
 
+// How long requests had run when a test lets their upstream end.
+constexpr auto run_time = milliseconds(50);
+
 // The process of an upstream ends under these requests.
 void crash_under(crash_guard& guard, int number, const std::vector<request_prints>& requests,
                  time_point now)
 {
     for (const auto& prints : requests) {
-        guard.on_broken(prints, id(number), 1, now);
+        guard.on_broken(prints, id(number), 1, now - run_time, now);
     }
     guard.on_upstream_ended(id(number), now);
 }
@@ -88,7 +91,7 @@
     {
         crash_guard guard;
         for (int i = 0; i < 10; ++i) {
-            guard.on_broken(crasher, id(i), 1, start);
+            guard.on_broken(crasher, id(i), 1, start, start);
         }
         CPPUNIT_ASSERT(!guard.is_refused(crasher, start));
         // Upstreams that leave later have not crashed because of it.
@@ -116,7 +119,7 @@
     {
         std::vector<crash_guard> guards(3);
         for (int i = 0; i < 3; ++i) {
-            guards[static_cast<std::size_t>(i)].on_broken(crasher, id(i), 1, start);
+            guards[static_cast<std::size_t>(i)].on_broken(crasher, id(i), 1, start, start);
             guards[static_cast<std::size_t>(i)].on_upstream_ended(id(i), start);
         }
         for (auto& from : guards) {
@@ -280,9 +283,9 @@
     {
         crash_guard guard;
         for (int i = 0; i < 3; ++i) {
-            guard.on_abandoned(harmless, id(i), 1, start);
+            guard.on_abandoned(harmless, id(i), 1, start, start);
             guard.on_upstream_unlisted(id(i), start);
-            guard.on_abandoned(crasher, id(10 + i), 1, start);
+            guard.on_abandoned(crasher, id(10 + i), 1, start, start);
             guard.on_upstream_ended(id(10 + i), start);
         }
         CPPUNIT_ASSERT(!guard.is_refused(harmless, start));
