Requests in flight at servers that end together are tried once more

Equal requests in flight at servers that lost their power together were refused for ten minutes, and nothing was tried that could clear them. Cause: crashes at the same time cannot show which of the requests there is to blame. Such a request is still refused at once, but about one of the gateways sends one copy a second or more after the last crash; if that ends well, all gateways are told, and if it ends another server, the request is refused for good. Callers are told to return in two seconds instead of ten minutes.

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -23,6 +23,10 @@
 // Suspects of this many crashes are announced without waiting for the next tick.
 constexpr std::size_t urgent_crashes = 2;
 constexpr auto comparison_interval = std::chrono::seconds(1);
+// Gateways that decide on the same request at the same time must not send many copies of it.
+constexpr double second_chance_share = 0.25;
+// Told to callers of a request that may be sent again soon.
+constexpr auto second_chance_wait = std::chrono::seconds(2);
 // A part that was sound and crashes engines now is tried seldom: each trial may cost an engine.
 constexpr auto retrial_interval = std::chrono::seconds(10);
 // Engines that end within this time may have lost their power together.
@@ -104,23 +108,40 @@
                suspects_.since_last_crash(print, now) >=
                    std::max<duration>(retrial_interval, suspects_.crash_span(print, now));
     });
-    if (!are_comparable && !may_be_sound_again) {
+    const bool may_be_harmless = std::ranges::all_of(refused, [&](const auto print) {
+        return may_have_common_cause(print, now) &&
+               suspects_.since_last_crash(print, now) >= common_cause_time;
+    });
+    if (!are_comparable && !may_be_sound_again && !may_be_harmless) {
         return false;
     }
-    auto& decided_at = are_comparable ? comparison_at_ : retrial_at_;
-    const duration interval = are_comparable ? duration(comparison_interval) : retrial_interval;
+    auto& decided_at = are_comparable    ? comparison_at_
+                       : may_be_harmless ? second_chance_at_
+                                         : retrial_at_;
+    const duration interval =
+        may_be_sound_again && !are_comparable ? duration(retrial_interval) : comparison_interval;
     if (decided_at && now - *decided_at < interval) {
         return false;
     }
     decided_at = now;
-    return draw * gateways < 1;
+    return draw * gateways < (may_be_harmless ? second_chance_share : 1.0);
+}
+
+// Engines that lose their power together end under requests that have nothing to do with it. One
+// that crashes its upstreams does so in its trial as well, which is then apart from the others.
+bool crash_guard::may_have_common_cause(poison::fingerprint request, time_point now) const
+{
+    return !poison::is_part(request) &&
+           suspects_.open_crashes_apart(request, common_cause_time, now) <= 1;
 }
 
 duration crash_guard::refusal_time(const request_prints& prints, time_point now) const
 {
     duration longest{};
     for (const auto print : refused_among(prints, now)) {
-        longest = std::max(longest, suspects_.remaining(print, now));
+        const auto wait = may_have_common_cause(print, now) ? duration(second_chance_wait)
+                                                            : suspects_.remaining(print, now);
+        longest = std::max(longest, wait);
     }
     return longest;
 }
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -35,11 +35,11 @@
 
     /// Whether a refused request may be sent all the same, to learn more: it carries some of the
     /// suspects that were in flight at the same crashes and not the others, or parts that were
-    /// sound before. Allowed once in a while, and by about one of the `gateways`; `draw` is uniform
-    /// from 0 to 1.
+    /// sound before, or all crashes under it may have had one common cause. Allowed once in a
+    /// while, and by about one of the `gateways`; `draw` is uniform from 0 to 1.
     bool begin_trial(const request_prints& prints, int gateways, double draw, time_point now);
 
-    /// Time for which the request will be refused.
+    /// Time for which the request will be refused, or until it may be sent to learn more.
     duration refusal_time(const request_prints& prints, time_point now) const;
 
     /// The connection on which the request ran broke. `process_start_ms` is that of the upstream's
@@ -113,6 +113,7 @@
     std::vector<poison::fingerprint> refused_among(const request_prints& prints,
                                                    time_point now) const;
     bool was_sound(poison::fingerprint part) const;
+    bool may_have_common_cause(poison::fingerprint request, time_point now) const;
     void clear(poison::fingerprint print, time_point now);
     poison::suspect_digest announce(bool is_urgent, time_point now);
 
@@ -123,8 +124,10 @@
     std::map<poison::fingerprint, int> pending_;
     /// Fingerprints that other gateways know as suspects.
     std::set<poison::fingerprint> shared_;
-    /// When a trial was last decided on: of suspects that came together, and of parts once sound.
+    /// When a trial was last decided on: of suspects that came together, of requests whose crashes
+    /// did, and of parts once sound.
     std::optional<time_point> comparison_at_;
+    std::optional<time_point> second_chance_at_;
     std::optional<time_point> retrial_at_;
     /// Parts of complete responses, lately and in the period before.
     std::unordered_set<poison::fingerprint> sound_;
