--- a/tools/users_platform_stand_in/worker.cpp
+++ b/tools/users_platform_stand_in/worker.cpp
@@ -111,7 +111,10 @@
     runs_.push_back({{"id", text(message, "Request-Id")},
                      {"target", std::string(message.target())},
                      {"body", message.body()},
-                     {"headers", headers}});
+                     {"headers", headers},
+                     {"at_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                                   std::chrono::steady_clock::now().time_since_epoch())
+                                   .count()}});
     // Flushed per run, so that the output survives a kill of the process.
     fmt::print("run {}\n", runs_.back().dump());
     std::fflush(stdout);
@@ -229,8 +232,9 @@
     int number = after.empty() ? 1 : std::stoi(after) + 1;
     std::string bytes =
         fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: {}\r\n"
-                    "Content-Type: text/event-stream\r\n{}{}\r\n",
+                    "Content-Type: text/event-stream\r\n{}{}{}\r\n",
                     id, seal(options_.id, id), is_leaving_ ? "Server-Leaving: 1\r\n" : "",
+                    rate_limit_ > 0 ? fmt::format("Server-Limit: {}\r\n", rate_limit_) : "",
                     is_unframed_ ? "Connection: close\r\n" : "Transfer-Encoding: chunked\r\n");
     const auto events = options_.events * (is_slow_target(message) ? slow_factor : 1);
     asio::steady_timer pause(context_);
@@ -329,6 +333,7 @@
     resets_in_body_ = body.value("reset_in_body", resets_in_body_);
     endless_ = body.value("endless", endless_);
     crash_on_part_ = body.value("crash_on_part", crash_on_part_);
+    rate_limit_ = body.value("rate_limit", rate_limit_);
     trickles_ = body.value("trickle", trickles_);
     repeats_answers_ = body.value("repeat_answers", repeats_answers_);
     silence_ = std::chrono::milliseconds(body.value("pause_ms", std::int64_t{silence_.count()}));
@@ -343,6 +348,9 @@
     if (is_leaving_) {
         answer.set("Server-Leaving", "1");
     }
+    if (rate_limit_ > 0) {
+        answer.set("Server-Limit", fmt::format("{}", rate_limit_));
+    }
     return answer;
 }
 
--- a/tools/users_platform_stand_in/worker.h
+++ b/tools/users_platform_stand_in/worker.h
@@ -76,6 +76,8 @@
     bool repeats_answers_ = false;
     std::chrono::milliseconds silence_{};
     std::size_t min_answer_bytes_ = 0;
+    /// Named in all answers; 0 for none.
+    double rate_limit_ = 0;
     bool is_unframed_ = false;
     bool cuts_in_event_ = false;
     bool resets_in_body_ = false;
