Request rates that upstreams name hold for all gateways together

Cause: the header was read nowhere. The class: a limit of the fleet that no part of the fleet keeps.

A call to such an upstream now needs a permit of the gateway that ranks first for it; without an answer each gateway grants itself a part that all of them together can have. The limit holds until an answer to a later call names none; the issuer passes that on. Refused callers are told to return one after the other at the rate. upstream_rate_limited and rate_limit_invalid are logged.

--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -5,6 +5,7 @@
 #include "poison/suspect_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -17,6 +18,7 @@
 
 // Incremented when a field changes its meaning; messages of another version are rejected.
 constexpr unsigned protocol_version = 1;
+constexpr double milli = 1000;
 
 json header(std::string_view type)
 {
@@ -139,6 +141,28 @@
     return value;
 }
 
+json to_json(const permit_request& content)
+{
+    auto value = header("permit");
+    value["call"] = content.call;
+    value["upstream"] = content.upstream.str();
+    value["born"] = content.process_start_ms;
+    value["ended"] = content.has_ended;
+    value["rate_milli"] = static_cast<std::uint64_t>(std::lround(content.rate_per_s * milli));
+    value["age_ms"] = to_ms(content.age);
+    return value;
+}
+
+json to_json(const permit_answer& content)
+{
+    auto value = header("permitted");
+    value["call"] = content.call;
+    value["granted"] = content.is_granted;
+    value["ended"] = content.has_ended;
+    value["wait_ms"] = to_ms(content.wait);
+    return value;
+}
+
 int count(const json_reader& fields, const char* name)
 {
     return static_cast<int>(fields.integer<std::uint16_t>(name));
@@ -295,6 +319,28 @@
     return {.gap = milliseconds(fields, "gap_ms"), .target = milliseconds(fields, "target_ms")};
 }
 
+permit_request read_permit_request(const json_reader& fields)
+{
+    return {
+        .call = fields.integer<std::uint64_t>("call"),
+        .upstream = upstream_id(fields.text("upstream")),
+        .process_start_ms = fields.integer<std::uint64_t>("born"),
+        .rate_per_s = static_cast<double>(fields.integer<std::uint32_t>("rate_milli")) / milli,
+        .has_ended = fields.flag("ended"),
+        .age = milliseconds(fields, "age_ms"),
+    };
+}
+
+permit_answer read_permit_answer(const json_reader& fields)
+{
+    return {
+        .call = fields.integer<std::uint64_t>("call"),
+        .is_granted = fields.flag("granted"),
+        .has_ended = fields.flag("ended"),
+        .wait = milliseconds(fields, "wait_ms"),
+    };
+}
+
 } // namespace
 
 std::string encode(const message& content)
@@ -336,6 +382,12 @@
     else if (type == "pause") {
         content = read_pause(fields);
     }
+    else if (type == "permit") {
+        content = read_permit_request(fields);
+    }
+    else if (type == "permitted") {
+        content = read_permit_answer(fields);
+    }
     else if (type == "crashes") {
         const auto suspects = value->find("suspects");
         auto digest = poison::decode_suspect_digest(suspects == value->end() ? json() : *suspects);
--- a/src/control/message.h
+++ b/src/control/message.h
@@ -5,6 +5,8 @@
 #include "control/admission_request.h"
 #include "control/crash_findings.h"
 #include "control/gateway_usage.h"
+#include "control/permit_answer.h"
+#include "control/permit_request.h"
 #include "control/sidecar_heartbeat.h"
 #include "control/sidecar_report.h"
 #include "control/stream_pause.h"
@@ -18,8 +20,9 @@
 
 /// A datagram between gateways and sidecars. A message states totals or a whole present state, or
 /// names what it refers to, so that lost, duplicate or late ones are harmless.
-using message = std::variant<adapter_demand, gateway_usage, sidecar_report, sidecar_heartbeat,
-                             crash_findings, admission_request, admission_answer, stream_pause>;
+using message =
+    std::variant<adapter_demand, gateway_usage, sidecar_report, sidecar_heartbeat, crash_findings,
+                 admission_request, admission_answer, stream_pause, permit_request, permit_answer>;
 
 /// Encodes a message as CBOR.
 std::string encode(const message& content);
--- a/src/gateway/answer_header.h
+++ b/src/gateway/answer_header.h
@@ -27,6 +27,10 @@
     bool is_leaving = false;
     /// For this long the upstream asks for no further calls from this gateway.
     std::optional<duration> retry_after;
+    /// Requests per second that the upstream takes from all gateways together.
+    std::optional<double> rate_limit;
+    /// It named a limit that cannot be read.
+    bool has_invalid_rate_limit = false;
     /// Seconds for which the upstream keeps an idle connection; 0 if not stated.
     unsigned keep_alive_s = 0;
     /// Header lines that are forwarded unchanged, each with its line end.
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -259,7 +259,11 @@
         return wait_for_load(target->upstream, now);
     }
     const auto& none = std::get<no_upstream>(destination);
-    if (none.opens_at) {
+    if (none.opens_at && none.rate_per_s > 0) {
+        opens_at_ = context_.returns[service_->name].next(*none.opens_at,
+                                                          none.rate_per_s / context_.gateways, now);
+    }
+    else if (none.opens_at) {
         opens_at_ = none.opens_at;
     }
     if (refused_admissions_ > 0) {
@@ -295,8 +299,8 @@
 {
     const auto* state = context_.upstreams.find(upstream);
     return state != nullptr && upstream_table::is_open(*state, now) && !state->removal_at &&
-           now >= state->ejected_until && !upstream_table::is_unresponsive(*state, now) &&
-           (!service_->engine || state->status);
+           !state->rate && now >= state->ejected_until &&
+           !upstream_table::is_unresponsive(*state, now) && (!service_->engine || state->status);
 }
 
 // Moves the call to another upstream if one can take it at once. A silent upstream may be sound and
@@ -377,8 +381,97 @@
     }
 }
 
-// Sends the call to the upstream, or asks its sidecar first if the engine's prompts are paced.
+// Sends the call to the upstream, or asks for a permit first if that has named a request rate.
 void call_exchange::dispatch(const upstream_id& upstream, time_point now)
+{
+    if (context_.upstreams.find(upstream)->rate) {
+        return wait_for_permit(upstream, now);
+    }
+    dispatch_permitted(upstream, now);
+}
+
+void call_exchange::wait_for_permit(const upstream_id& upstream, time_point now)
+{
+    const auto number = ++context_.last_permit;
+    permit_.emplace(number, upstream, now);
+    context_.permits[number] = weak_from_this();
+    context_.upstreams.on_adapter_wait(upstream, adapter_key(), 1);
+    ask_for_permit(now);
+}
+
+void call_exchange::ask_for_permit(time_point now)
+{
+    const auto* state = context_.upstreams.find(permit_->upstream());
+    if (state == nullptr || !state->rate) {
+        return on_permit({permit_->number(), true, false, {}});
+    }
+    const control::permit_request request{.call = permit_->number(),
+                                          .upstream = permit_->upstream(),
+                                          .process_start_ms = state->entry.process_start_ms,
+                                          .rate_per_s = state->rate->per_s,
+                                          .has_ended = false,
+                                          .age = now - state->rate->named_at};
+    if (const auto answer = context_.ask_permit(request)) {
+        on_permit(*answer);
+    }
+}
+
+void call_exchange::on_permit(const control::permit_answer& answer)
+{
+    if (is_done_ || !permit_ || permit_->number() != answer.call) {
+        return;
+    }
+    const auto now = steady_now();
+    const auto upstream = permit_->upstream();
+    stop_waiting_for_permit();
+    const auto* state = context_.upstreams.find(upstream);
+    if (answer.has_ended) {
+        context_.upstreams.on_rate_named(upstream, std::nullopt, now, now);
+    }
+    if (answer.is_granted && state != nullptr && upstream_table::is_open(*state, now)) {
+        return dispatch_permitted(upstream, now);
+    }
+    if (!answer.is_granted) {
+        context_.upstreams.on_overloaded(upstream, answer.wait, now);
+    }
+    try_next_upstream();
+}
+
+// Other gateways may not get a response of the upstream for a while.
+void call_exchange::report_rate_ended(const upstream_state& state)
+{
+    context_.ask_permit({.call = 0,
+                         .upstream = state.entry.id,
+                         .process_start_ms = state.entry.process_start_ms,
+                         .rate_per_s = 0,
+                         .has_ended = true,
+                         .age = {}});
+}
+
+void call_exchange::tick_permit(time_point now)
+{
+    switch (permit_->on_tick(now)) {
+    case permit_wait::step::wait:
+        return;
+    case permit_wait::step::give_up:
+        context_.report_silent_issuer(permit_->upstream());
+        return ask_for_permit(now);
+    case permit_wait::step::ask_again:
+        return ask_for_permit(now);
+    }
+}
+
+void call_exchange::stop_waiting_for_permit()
+{
+    if (permit_) {
+        context_.permits.erase(permit_->number());
+        context_.upstreams.on_adapter_wait(permit_->upstream(), adapter_key(), -1);
+        permit_.reset();
+    }
+}
+
+// Asks the sidecar of an engine first if the engine's prompts are paced.
+void call_exchange::dispatch_permitted(const upstream_id& upstream, time_point now)
 {
     const auto* state = context_.upstreams.find(upstream);
     const bool has_prompt = service_->engine && call_.prompt_tokens > 0;
@@ -604,6 +697,20 @@
                           {{"request", call_.request_id}, {"upstream", upstream_.str()}});
         context_.upstreams.on_leaving(upstream_, progress_at_);
     }
+    if (header.has_invalid_rate_limit) {
+        context_.log.warning("rate_limit_invalid",
+                             {{"request", call_.request_id}, {"upstream", upstream_.str()}});
+    }
+    else if (context_.upstreams.on_rate_named(upstream_, header.rate_limit, sent_at_,
+                                              progress_at_)) {
+        context_.log.info("upstream_rate_limited", {{"request", call_.request_id},
+                                                    {"upstream", upstream_.str()},
+                                                    {"per_s", header.rate_limit.value_or(0)},
+                                                    {"ended", !header.rate_limit}});
+        if (!header.rate_limit) {
+            report_rate_ended(*state);
+        }
+    }
     if (header.status == 503 && header.retry_after) {
         context_.log.info(
             "upstream_overloaded",
@@ -1096,6 +1203,7 @@
     is_done_ = true;
     stop_waiting();
     stop_waiting_to_resume();
+    stop_waiting_for_permit();
     if (admission_) {
         ask_for_admission(control::admission_request::purpose::cancel, admission_->upstream(),
                           admission_->number(), {});
@@ -1162,6 +1270,9 @@
             return try_next_upstream();
         }
     }
+    if (permit_) {
+        return tick_permit(now);
+    }
     if (admission_) {
         const auto* state = context_.upstreams.find(admission_->upstream());
         const bool is_unavailable = state == nullptr || !upstream_table::is_open(*state, now) ||
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -2,10 +2,12 @@
 
 #include "control/admission_answer.h"
 #include "control/admission_request.h"
+#include "control/permit_answer.h"
 #include "gateway/admission_wait.h"
 #include "gateway/answer_header.h"
 #include "gateway/call.h"
 #include "gateway/event_splitter.h"
+#include "gateway/permit_wait.h"
 #include "gateway/request_prints.h"
 #include "gateway/upstream_selector.h"
 #include "gateway/upstream_table.h"
@@ -59,6 +61,9 @@
     /// The sidecar of an engine has answered whether the call may be sent.
     void on_admission(const control::admission_answer& answer);
 
+    /// The gateway that keeps the rate of an upstream has answered whether the call may be sent.
+    void on_permit(const control::permit_answer& answer);
+
     /// The status of an upstream changed, which the exchange may be waiting for.
     void on_engine_status(const upstream_id& upstream);
 
@@ -88,6 +93,12 @@
     bool may_still_load(const upstream_id& upstream, time_point now) const;
     bool reserve_attempt(time_point now);
     void dispatch(const upstream_id& upstream, time_point now);
+    void dispatch_permitted(const upstream_id& upstream, time_point now);
+    void wait_for_permit(const upstream_id& upstream, time_point now);
+    void ask_for_permit(time_point now);
+    void report_rate_ended(const upstream_state& state);
+    void stop_waiting_for_permit();
+    void tick_permit(time_point now);
     void ask_for_admission(control::admission_request::purpose intent, const upstream_id& upstream,
                            std::uint64_t number, duration max_wait);
     void take_step(admission_wait::step step, time_point now);
@@ -162,6 +173,8 @@
     /// The team was charged for the call.
     bool is_charged_ = false;
 
+    /// Set while the call waits for the permit to be sent to an upstream.
+    std::optional<permit_wait> permit_;
     /// Set while the call waits for the admission of its prompt.
     std::optional<admission_wait> admission_;
     /// Engines that could not take the prompt in time.
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 #include "gateway/fleet_config.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/resume_queue.h"
+#include "gateway/return_schedule.h"
 #include "gateway/team_meter.h"
 #include "gateway/upstream_selector.h"
 #include "gateway/upstream_table.h"
@@ -20,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -81,6 +83,15 @@
     /// Calls that wait for admission, by number.
     std::map<std::uint64_t, std::weak_ptr<call_exchange>> admissions;
     std::uint64_t last_admission = 0;
+    /// Calls that wait for a permit, by number.
+    std::map<std::uint64_t, std::weak_ptr<call_exchange>> permits;
+    std::uint64_t last_permit = 0;
+    /// Asks for the permit of a call; nothing if another gateway has to answer.
+    std::function<std::optional<control::permit_answer>(const control::permit_request&)> ask_permit;
+    /// The gateway that issues the permits of this upstream does not answer.
+    std::function<void(const upstream_id&)> report_silent_issuer;
+    /// Callers that were refused as upstreams take no more requests, by service.
+    std::map<std::string, return_schedule> returns;
     /// Name of the host, which sidecars know this gateway by.
     std::string host;
     /// Queues a demand message to the sidecar of this upstream.
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -91,7 +91,7 @@
                                telemetry::logger& log)
     : io_(io), settings_(settings), start_(net::start_number()),
       context_(io.get_executor(), settings.failure_domain, start_, seed_of(settings.seed), log),
-      peers_(settings.control_listen), acceptor_(io), tick_timer_(io),
+      peers_(settings.control_listen), permits_(steady_now()), acceptor_(io), tick_timer_(io),
       datagrams_(io.get_executor()),
       config_watch_(make_watch(platform::wire::config_kind, {}, &gateway_server::on_config_listed,
                                &gateway_server::on_config_changed)),
@@ -111,6 +111,10 @@
                             control::encode(content));
         }
     };
+    context_.ask_permit = [this](const auto& request) { return ask_permit(request); };
+    context_.report_silent_issuer = [this](const upstream_id& upstream) {
+        permits_.on_silence(upstream, peers_, steady_now());
+    };
     context_.report_upstream_ended = [this](const upstream_id& upstream) {
         on_upstream_ended(upstream);
     };
@@ -342,6 +346,7 @@
     }
     send_usage(now);
     context_.crashes.on_tick(now);
+    permits_.on_tick(now);
     const auto informed_lifetime = std::max<duration>(
         min_informed_lifetime,
         informed_report_intervals * usage_reporter::idle_interval(context_.gateways));
@@ -564,6 +569,33 @@
     else if (const auto* usage = std::get_if<control::gateway_usage>(&content)) {
         on_usage(*usage, from);
     }
+    else if (const auto* request = std::get_if<control::permit_request>(&content)) {
+        datagrams_.send(from, control::encode(permits_.on_request(
+                                  *request, peers_, context_.is_draining, steady_now())));
+    }
+    else if (const auto* permit = std::get_if<control::permit_answer>(&content)) {
+        on_permit_answer(*permit);
+    }
+}
+
+std::optional<control::permit_answer>
+gateway_server::ask_permit(const control::permit_request& request)
+{
+    const auto asked = permits_.ask(request, peers_, context_.is_draining, steady_now());
+    if (const auto* question = std::get_if<permit_question>(&asked)) {
+        datagrams_.send(question->issuer, control::encode(question->content));
+        return std::nullopt;
+    }
+    return std::get<control::permit_answer>(asked);
+}
+
+void gateway_server::on_permit_answer(const control::permit_answer& answer)
+{
+    const auto asked = context_.permits.find(answer.call);
+    const auto exchange = asked == context_.permits.end() ? nullptr : asked->second.lock();
+    if (exchange != nullptr) {
+        exchange->on_permit(answer);
+    }
 }
 
 void gateway_server::on_report(const control::sidecar_report& report)
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -5,6 +5,7 @@
 #include "control/message.h"
 #include "gateway/gateway_context.h"
 #include "gateway/peer_directory.h"
+#include "gateway/rate_permits.h"
 #include "gateway/stop_plan.h"
 #include "gateway/usage_reporter.h"
 #include "platform/object_watch.h"
@@ -83,6 +84,8 @@
     void send_usage(time_point now);
     void on_upstream_ended(const upstream_id& upstream);
     void on_crash(const upstream_id& upstream, time_point now);
+    std::optional<control::permit_answer> ask_permit(const control::permit_request& request);
+    void on_permit_answer(const control::permit_answer& answer);
     void announce(const poison::suspect_digest& findings);
     void inform_new_peer(const control::gateway_usage& usage, const cli::endpoint& from,
                          time_point now);
@@ -101,6 +104,7 @@
     std::uint64_t start_;
     gateway_context context_;
     peer_directory peers_;
+    rate_permits permits_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer tick_timer_;
     control::datagram_socket datagrams_;
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -15,14 +15,24 @@
 
 void peer_directory::on_seen(const cli::endpoint& peer, time_point now)
 {
-    if (peer != self_) {
-        peers_[peer] = now;
+    if (peer != self_ && peers_.insert_or_assign(peer, now).second) {
+        first_.clear();
+    }
+}
+
+void peer_directory::on_stopping(const cli::endpoint& peer)
+{
+    if (peers_.erase(peer) != 0) {
+        first_.clear();
     }
 }
 
 void peer_directory::on_tick(time_point now)
 {
-    std::erase_if(peers_, [&](const auto& item) { return now - item.second > peer_expiry; });
+    const auto is_expired = [&](const auto& item) { return now - item.second > peer_expiry; };
+    if (std::erase_if(peers_, is_expired) != 0) {
+        first_.clear();
+    }
 }
 
 std::vector<cli::endpoint> peer_directory::all() const
@@ -35,6 +45,22 @@
     return list;
 }
 
+const cli::endpoint& peer_directory::first_for(std::uint64_t key) const
+{
+    const auto [known, is_new] = first_.try_emplace(key, self_);
+    if (is_new) {
+        auto best = rendezvous_score(key, stable_hash(self_.str()), 1.0);
+        for (const auto& [peer, last_seen] : peers_) {
+            const auto score = rendezvous_score(key, stable_hash(peer.str()), 1.0);
+            if (score > best) {
+                best = score;
+                known->second = peer;
+            }
+        }
+    }
+    return known->second;
+}
+
 bool peer_directory::is_among_first(const cli::endpoint& except, std::uint64_t key,
                                     std::size_t count) const
 {
--- a/src/gateway/peer_directory.h
+++ b/src/gateway/peer_directory.h
@@ -20,7 +20,7 @@
     void on_seen(const cli::endpoint& peer, time_point now);
 
     /// The gateway reported that it is stopping.
-    void on_stopping(const cli::endpoint& peer) { peers_.erase(peer); }
+    void on_stopping(const cli::endpoint& peer);
 
     /// Drops gateways without recent reports.
     void on_tick(time_point now);
@@ -31,12 +31,19 @@
     /// for `key`. The gateway `except` takes no part.
     bool is_among_first(const cli::endpoint& except, std::uint64_t key, std::size_t count) const;
 
+    /// The gateway that ranks first of all in the order of rendezvous hashing for `key`.
+    const cli::endpoint& first_for(std::uint64_t key) const;
+
+    const cli::endpoint& self() const { return self_; }
+
     /// Number of gateways assumed to be running, including this one.
     int count() const { return static_cast<int>(peers_.size()) + 1; }
 
 private:
     cli::endpoint self_;
     std::map<cli::endpoint, time_point> peers_;
+    /// Results of `first_for` for the present gateways, so that a request does not rank them all.
+    mutable std::map<std::uint64_t, cli::endpoint> first_;
 };
 
 } // namespace snipespar::gateway
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -172,12 +172,16 @@
 {
     std::vector<const upstream_state*> candidates;
     std::optional<time_point> opens_at;
+    double rate_per_s = 0;
+    bool has_unlimited = false;
     for (const auto& [id, state] : table.all()) {
         if (state.entry.service != query.service || !upstream_table::is_serving(state, now)) {
             continue;
         }
         if (now < state.closed_until) {
             opens_at = std::min(opens_at.value_or(state.closed_until), state.closed_until);
+            rate_per_s += state.rate ? state.rate->per_s : 0;
+            has_unlimited = has_unlimited || !state.rate;
         }
         else if (!query.excluded.contains(id)) {
             candidates.push_back(&state);
@@ -188,7 +192,7 @@
     prefer(candidates,
            [&](const auto* state) { return !upstream_table::is_unresponsive(*state, now); });
     if (candidates.empty()) {
-        return {no_upstream{opens_at.has_value(), opens_at}, {}};
+        return {no_upstream{opens_at.has_value(), opens_at, has_unlimited ? 0 : rate_per_s}, {}};
     }
     if (service.engine) {
         return choose_engine(query, service, std::move(candidates), gateways, now);
@@ -301,7 +305,7 @@
     }
     if (target == nullptr || !query.may_load) {
         decision.replicas.clear();
-        decision.destination = no_upstream{true, std::nullopt};
+        decision.destination = no_upstream{true, std::nullopt, 0};
     }
     else {
         decision.destination = wait_for_adapter{target->state->entry.id};
--- a/src/gateway/upstream_selector.h
+++ b/src/gateway/upstream_selector.h
@@ -58,6 +58,8 @@
     bool is_overloaded = false;
     /// When the first of the closed upstreams opens, if no other one is left.
     std::optional<time_point> opens_at;
+    /// Requests per second that the closed upstreams take together; 0 if one of them named none.
+    double rate_per_s = 0;
 
     friend bool operator==(const no_upstream&, const no_upstream&) = default;
 };
--- a/src/gateway/upstream_state.h
+++ b/src/gateway/upstream_state.h
@@ -27,6 +27,15 @@
     friend bool operator==(const adapter_calls&, const adapter_calls&) = default;
 };
 
+/// Requests per second that an upstream takes from all gateways together.
+struct named_rate {
+    double per_s = 0;
+    /// When a response last named it.
+    time_point named_at;
+
+    friend bool operator==(const named_rate&, const named_rate&) = default;
+};
+
 /// State of one upstream as known to this gateway.
 struct upstream_state {
     upstream_entry entry;
@@ -41,6 +50,8 @@
     std::optional<time_point> leaving_since;
     /// It gets no work until then.
     time_point closed_until;
+    /// Set while its responses name a rate. Calls need a permit then.
+    std::optional<named_rate> rate;
     /// Calls sent there that have not ended.
     int in_flight = 0;
     /// Prompt tokens of the calls whose response has not begun.
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -159,6 +159,27 @@
     }
 }
 
+bool upstream_table::on_rate_named(const upstream_id& id, std::optional<double> rate_per_s,
+                                   time_point sent_at, time_point now)
+{
+    const auto found = states_.find(id);
+    if (found == states_.end()) {
+        return false;
+    }
+    auto& known = found->second.rate;
+    if (!rate_per_s) {
+        // Responses to earlier calls may have left before the rate was named.
+        const bool has_ended = known && sent_at > known->named_at;
+        if (has_ended) {
+            known.reset();
+        }
+        return has_ended;
+    }
+    const bool is_new = !known || known->per_s != *rate_per_s;
+    known = named_rate{*rate_per_s, now};
+    return is_new;
+}
+
 std::vector<upstream_id> upstream_table::on_engine_status(const engine_status& status,
                                                           time_point now)
 {
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -59,9 +59,14 @@
     /// Incarnations that announced their stop to this gateway lately: process start by upstream.
     std::map<std::string, std::uint64_t> recently_leaving(time_point now) const;
 
-    /// The upstream is overloaded and asked for no calls for this long.
+    /// The upstream takes no calls for this long: it is overloaded, or its rate is used up.
     void on_overloaded(const upstream_id& id, duration retry_after, time_point now);
 
+    /// A response to a call sent at `sent_at` named a request rate, or none. Returns whether that
+    /// is new.
+    bool on_rate_named(const upstream_id& id, std::optional<double> rate_per_s, time_point sent_at,
+                       time_point now);
+
     void on_call_sent(const upstream_id& id, std::string_view adapter, std::uint64_t tokens);
     /// The upstream has begun its response to a call.
     void on_response_started(const upstream_id& id, std::uint64_t tokens, time_point now);
--- a/src/platform/call_codec.cpp
+++ b/src/platform/call_codec.cpp
@@ -187,6 +187,23 @@
         std::chrono::duration<double>(std::min(seconds, max_retry_after_s)));
 }
 
+// Sets the request rate that the upstream named, if any. Zero is a rate, too.
+void read_rate_limit(std::string_view text, gateway::answer_header& answer)
+{
+    // More than any upstream can take.
+    constexpr double max_rate_per_s = 1e6;
+    if (text.empty()) {
+        return;
+    }
+    double rate = 0;
+    if (absl::SimpleAtod(to_absl(text), &rate) && rate >= 0) {
+        answer.rate_limit = std::min(rate, max_rate_per_s);
+    }
+    else {
+        answer.has_invalid_rate_limit = true;
+    }
+}
+
 void append_field(std::string& text, std::string_view name, std::string_view value)
 {
     text.append(name).append(": ").append(value).append("\r\n");
@@ -293,6 +310,7 @@
     answer.is_sealed = !field(header, wire::seal).empty();
     answer.is_leaving = field(header, wire::leaving) == "1";
     answer.retry_after = read_retry_after(to_view(header[http::field::retry_after]));
+    read_rate_limit(field(header, wire::rate_limit), answer);
     const auto keep_alive = to_view(header[http::field::keep_alive]);
     const auto timeout = keep_alive.find("timeout=");
     if (timeout != std::string_view::npos) {
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -37,6 +37,8 @@
 inline constexpr std::string_view upstream_id = "Instance-Id";
 /// `1` in every response of an upstream that is about to stop.
 inline constexpr std::string_view leaving = "Server-Leaving";
+/// Requests per second, as a decimal number, that an upstream takes from all senders together.
+inline constexpr std::string_view rate_limit = "Server-Limit";
 /// Number of times that the store was restored from a copy.
 inline constexpr std::string_view store_era = "Store-Era";
 
--- a/tests/control_message_test.cpp
+++ b/tests/control_message_test.cpp
@@ -57,9 +57,13 @@
         const admission_answer answer{7, admission_answer::verdict::queued,
                                       std::chrono::milliseconds(40)};
         const stream_pause pause{std::chrono::milliseconds(365), std::chrono::milliseconds(300)};
+        const permit_request permit{9,    upstream_id("i-1"),           5, 4.8,
+                                    true, std::chrono::milliseconds(30)};
+        const permit_answer permitted{9, true, true, std::chrono::milliseconds(210)};
         for (const auto& content :
-             {message(demand), message(usage), message(report), message(heartbeat),
-              message(findings), message(request), message(answer), message(pause)}) {
+             {message(permit), message(permitted), message(demand), message(usage), message(report),
+              message(heartbeat), message(findings), message(request), message(answer),
+              message(pause)}) {
             const auto decoded = decode(encode(content));
             CPPUNIT_ASSERT(decoded.ok());
             CPPUNIT_ASSERT(*decoded == content);
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(upstream_that_announced_its_stop_stays_closed);
     CPPUNIT_TEST(stop_announced_to_another_gateway_closes_the_upstream);
     CPPUNIT_TEST(overloaded_upstream_is_closed_as_long_as_it_asked);
+    CPPUNIT_TEST(rate_holds_until_a_later_response_names_none);
     CPPUNIT_TEST(entry_back_from_an_old_copy_is_not_trusted);
     CPPUNIT_TEST(entry_lost_by_a_restored_registry_is_kept_until_renewed);
     CPPUNIT_TEST_SUITE_END();
@@ -77,6 +78,28 @@
         CPPUNIT_ASSERT(!is_open(table, "i-1", start));
     }
 
+    // Guards against a rate that is forgotten at the first response sent before it was named.
+    void rate_holds_until_a_later_response_names_none()
+    {
+        upstream_table table;
+        table.update(entry("i-1"), start);
+        const upstream_id id("i-1");
+        const auto named_at = start + milliseconds(100);
+        CPPUNIT_ASSERT(table.on_rate_named(id, 4.8, start, named_at));
+        CPPUNIT_ASSERT(!table.on_rate_named(id, 4.8, start, named_at));
+        CPPUNIT_ASSERT(!table.on_rate_named(id, std::nullopt, start, named_at + milliseconds(50)));
+        CPPUNIT_ASSERT_EQUAL(4.8, table.find(id)->rate->per_s);
+        CPPUNIT_ASSERT(table.on_rate_named(id, std::nullopt, named_at + milliseconds(1),
+                                           named_at + milliseconds(90)));
+        CPPUNIT_ASSERT(!table.find(id)->rate);
+        // It belongs to the process that named it.
+        table.on_rate_named(id, 0, start, named_at);
+        auto restarted = entry("i-1");
+        restarted.process_start_ms = 7;
+        table.update(restarted, named_at);
+        CPPUNIT_ASSERT(!table.find(id)->rate);
+    }
+
     // It must get no work 2 s after its entry was removed. The watch that reports it may pause for
     // 0.9 s, and its response may take 250 ms when the store is slow.
     void removed_upstream_is_closed_soon()
--- a/tests/platform_call_codec_test.cpp
+++ b/tests/platform_call_codec_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(upstream_sees_team_and_not_key);
     CPPUNIT_TEST(answer_is_decoded);
     CPPUNIT_TEST(state_of_the_upstream_is_decoded);
+    CPPUNIT_TEST(rate_that_an_upstream_names_is_decoded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -199,6 +200,24 @@
         header.set(http::field::retry_after, "1e300");
         CPPUNIT_ASSERT(*decode_answer(header).retry_after == std::chrono::hours(1));
     }
+
+    void rate_that_an_upstream_names_is_decoded()
+    {
+        http::response_header<> header;
+        CPPUNIT_ASSERT(!decode_answer(header).rate_limit);
+        CPPUNIT_ASSERT(!decode_answer(header).has_invalid_rate_limit);
+        for (const auto* valid : {"4.8", "0", "30"}) {
+            header.set("Server-Limit", valid);
+            CPPUNIT_ASSERT_EQUAL(std::stod(valid), *decode_answer(header).rate_limit);
+        }
+        header.set("Server-Limit", "1e300");
+        CPPUNIT_ASSERT(*decode_answer(header).rate_limit < 1e9);
+        for (const auto* invalid : {"few", "-1", "nan", "4,8"}) {
+            header.set("Server-Limit", invalid);
+            CPPUNIT_ASSERT_MESSAGE(invalid, !decode_answer(header).rate_limit);
+            CPPUNIT_ASSERT_MESSAGE(invalid, decode_answer(header).has_invalid_rate_limit);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(platform_call_codec_test);
