No adapter without a name is asked for while a call waits

A call for a base model that waited for its admission or a permit was recorded under an empty adapter name, which the sidecar of its engine would have been asked to load. Found by reading; the test failed before. Names of adapters are checked where the wait is recorded.

--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -313,7 +313,7 @@
 void upstream_table::on_adapter_wait(const upstream_id& id, std::string_view adapter, int change)
 {
     const auto found = states_.find(id);
-    if (found != states_.end()) {
+    if (found != states_.end() && !adapter.empty()) {
         auto& calls = found->second.adapters[std::string(adapter)];
         calls.waiting = std::max(calls.waiting + change, 0);
     }
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(upstream_that_announced_its_stop_stays_closed);
     CPPUNIT_TEST(stop_announced_to_another_gateway_closes_the_upstream);
     CPPUNIT_TEST(overloaded_upstream_is_closed_as_long_as_it_asked);
+    CPPUNIT_TEST(waiting_call_without_an_adapter_requests_none);
     CPPUNIT_TEST(rate_holds_until_a_later_response_names_none);
     CPPUNIT_TEST(entry_back_from_an_old_copy_is_not_trusted);
     CPPUNIT_TEST(entry_lost_by_a_restored_registry_is_kept_until_renewed);
@@ -78,6 +79,15 @@
         CPPUNIT_ASSERT(!is_open(table, "i-1", start));
     }
 
+    // Guards against sidecars that are asked for an adapter without a name.
+    void waiting_call_without_an_adapter_requests_none()
+    {
+        upstream_table table;
+        table.update(entry("i-1"), start);
+        table.on_adapter_wait(upstream_id("i-1"), "", 1);
+        CPPUNIT_ASSERT(table.find(upstream_id("i-1"))->adapters.empty());
+    }
+
     // Guards against a rate that is forgotten at the first response sent before it was named.
     void rate_holds_until_a_later_response_names_none()
     {
