A call asks for few permits

Before many upstreams that have all named a request rate, a call would have asked for a permit of each, one after the other, and been refused late. After four refusals it goes only where no rate was named, or is refused at once and told when to return.

call_without_permits_goes_where_no_rate_was_named fails if the selector ignores this.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -53,6 +53,8 @@
 // Divisor of the time limit: a repeatable request leaves a stalled upstream while half of its time
 // remains.
 constexpr int stall_limit_divisor = 2;
+// Refused permits after which a call goes only where no request rate was named.
+constexpr int max_refused_permits = 4;
 // Callers refused because of load retry after a delay drawn uniformly from this range.
 constexpr auto min_retry_delay = milliseconds(150);
 constexpr auto max_retry_delay = milliseconds(600);
@@ -283,7 +285,8 @@
                                 context_.popularity.share(adapter_key(), now),
                                 call_.session,
                                 call_.shared_tokens,
-                                refused_admissions_ == 0};
+                                refused_admissions_ == 0,
+                                refused_permits_ < max_refused_permits};
     const auto chosen =
         context_.selector.choose(query, *service_, context_.upstreams, context_.gateways, now);
     for (const auto& replica : chosen.replicas) {
@@ -433,6 +436,7 @@
     }
     if (!answer.is_granted) {
         context_.upstreams.on_overloaded(upstream, answer.wait, now);
+        ++refused_permits_;
     }
     try_next_upstream();
 }
@@ -1112,6 +1116,7 @@
     excluded_ = {broken_at_};
     forgiven_sends_ = sends_ - runs_;
     refused_admissions_ = 0;
+    refused_permits_ = 0;
     waits_ = 0;
     wait_deadline_.reset();
     try_next_upstream();
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -175,6 +175,7 @@
 
     /// Set while the call waits for the permit to be sent to an upstream.
     std::optional<permit_wait> permit_;
+    int refused_permits_ = 0;
     /// Set while the call waits for the admission of its prompt.
     std::optional<admission_wait> admission_;
     /// Engines that could not take the prompt in time.
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -183,6 +183,10 @@
             rate_per_s += state.rate ? state.rate->per_s : 0;
             has_unlimited = has_unlimited || !state.rate;
         }
+        else if (state.rate && !query.may_ask_for_permit) {
+            opens_at = opens_at.value_or(now);
+            rate_per_s += state.rate->per_s;
+        }
         else if (!query.excluded.contains(id)) {
             candidates.push_back(&state);
         }
--- a/src/gateway/upstream_selector.h
+++ b/src/gateway/upstream_selector.h
@@ -36,6 +36,8 @@
     std::uint64_t shared_tokens = 0;
     /// Whether the adapter may be loaded on further engines for the call.
     bool may_load = true;
+    /// Whether the call may ask for a permit where a request rate was named.
+    bool may_ask_for_permit = true;
 };
 
 /// The call can be sent immediately.
--- a/tests/gateway_upstream_selector_test.cpp
+++ b/tests/gateway_upstream_selector_test.cpp
@@ -127,6 +127,7 @@
     CPPUNIT_TEST(grey_upstream_gets_less_work);
     CPPUNIT_TEST(ejected_upstream_serves_when_it_is_the_only_one);
     CPPUNIT_TEST(overloaded_upstreams_are_avoided_and_give_the_time_to_return);
+    CPPUNIT_TEST(call_without_permits_goes_where_no_rate_was_named);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -376,6 +377,28 @@
             placement(send_to{only}));
     }
 
+    // Guards against calls that ask for a permit of each of many upstreams.
+    void call_without_permits_goes_where_no_rate_was_named()
+    {
+        const service_rule service{"desk", 100, std::nullopt};
+        const std::vector<upstream_id> ids{upstream_id("a"), upstream_id("b"), upstream_id("c")};
+        upstream_table table;
+        for (const auto& id : ids) {
+            table.update({id, "desk", {"10.0.0." + id.str(), 80}, near, 6, false}, start);
+        }
+        table.on_rate_named(ids[0], 2, start, start);
+        table.on_rate_named(ids[1], 3, start, start);
+        upstream_selector selector(near, 1);
+        placement_query query{"desk", "", "", 0, {}};
+        query.may_ask_for_permit = false;
+        const auto choose = [&] {
+            return selector.choose(query, service, table, 1, start).destination;
+        };
+        CPPUNIT_ASSERT(choose() == placement(send_to{ids[2]}));
+        table.on_rate_named(ids[2], 4, start, start);
+        CPPUNIT_ASSERT(choose() == placement(no_upstream{true, start, 9}));
+    }
+
     // Callers are told when the first upstream accepts calls again.
     void overloaded_upstreams_are_avoided_and_give_the_time_to_return()
     {
