Whether a new gateway is told of crashes is decided once for its start

A gateway that is not among the three that tell a new one ranked all peers again at each usage message, so that the cost of a message grew with the fleet. The decision is an object of its own now and is made when a start number is new.

ranking_is_made_once_for_each_start: a gateway that did not tell at first would have told later, when others had gone; the earlier code has no object to test, its ranking at each message is shown by reading.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -61,10 +61,6 @@
 // that restart with a full budget.
 constexpr double retry_budget_share = 0.6;
 constexpr int listen_backlog = 1024;
-// Gateways that tell a new one what crashes upstreams, and how often each of them does, as messages
-// may be lost.
-constexpr std::size_t informing_gateways = 3;
-constexpr int findings_repeats = 3;
 // Slow ticks in which the fleet repeats its refusals once.
 constexpr int refusal_repeat_ticks = 4;
 // A gateway that was silent for so long, and for several reports, is told again.
@@ -350,8 +346,7 @@
     const auto informed_lifetime = std::max<duration>(
         min_informed_lifetime,
         informed_report_intervals * usage_reporter::idle_interval(context_.gateways));
-    std::erase_if(informed_peers_,
-                  [&](const auto& item) { return now - item.second.seen_at > informed_lifetime; });
+    new_peers_.on_tick(informed_lifetime, now);
     announce(context_.crashes.next_announcement(now));
     // About one of all gateways in a second repeats what is refused, for those that missed it.
     std::uniform_real_distribution<double> draw(0, 1);
@@ -749,21 +744,12 @@
     }
 }
 
-// A gateway that has just started learns what is refused from those few gateways that rank first
-// for it, so that the number of answers does not grow with the fleet.
 void gateway_server::inform_new_peer(const control::gateway_usage& usage, const cli::endpoint& from,
                                      time_point now)
 {
-    auto& informed = informed_peers_[from];
-    if (informed.start != usage.gateway_start) {
-        informed = {usage.gateway_start, findings_repeats, now};
-    }
-    informed.seen_at = now;
-    if (informed.messages_left == 0 ||
-        !peers_.is_among_first(from, usage.gateway_start, informing_gateways)) {
+    if (!new_peers_.should_tell(from, usage.gateway_start, peers_, now)) {
         return;
     }
-    --informed.messages_left;
     if (const auto findings = context_.crashes.refused_findings(now); !findings.empty()) {
         datagrams_.send(from, control::encode(control::crash_findings{findings}));
     }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -4,6 +4,7 @@
 #include "control/datagram_socket.h"
 #include "control/message.h"
 #include "gateway/gateway_context.h"
+#include "gateway/new_peers.h"
 #include "gateway/peer_directory.h"
 #include "gateway/rate_permits.h"
 #include "gateway/stop_plan.h"
@@ -92,13 +93,6 @@
     void send_to_peers(const control::message& content);
     void update_retry_budgets();
 
-    /// What another gateway has been told since its start.
-    struct informed_peer {
-        std::uint64_t start = 0;
-        int messages_left = 0;
-        time_point seen_at;
-    };
-
     boost::asio::io_context& io_;
     cli::gateway_settings settings_;
     std::uint64_t start_;
@@ -119,7 +113,7 @@
     std::uint64_t store_era_ = 0;
     bool is_registry_unreachable_ = false;
     std::set<upstream_id> queued_demands_;
-    std::map<cli::endpoint, informed_peer> informed_peers_;
+    new_peers new_peers_;
     std::uint64_t usage_sequence_ = 0;
     usage_reporter usage_reporter_;
     std::optional<time_point> last_tick_at_;
