Runs that were given up count only if their server has ended

Found in the last review of this change: requests given up during a network cut would have counted as crashes of each upstream whose connections then timed out, so that common parts of prompts could be refused. Cause: a connection that times out, a missing entry and an engine without a report were taken for the end of a process. For runs that were given up these are now hints: a probe that is refused, or the entry of a later process, is the proof. Broken connections count as before.

abandoned_run_counts_only_if_its_server_has_crashed covers the hint; which events are hints is wiring, read but not tested under a cut.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -842,7 +842,7 @@
         // The upstream has not received the request.
         --sends_;
         --runs_;
-        context_.report_upstream_ended(upstream_);
+        context_.report_upstream_unreachable(upstream_);
     }
     else if (const auto* state = context_.upstreams.find(upstream_)) {
         // A broken connection alone does not show whether the upstream has crashed.
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -222,11 +222,19 @@
     return note_crash(upstream, true, now);
 }
 
-bool crash_guard::on_upstream_unlisted(const upstream_id& upstream, time_point now)
+bool crash_guard::on_upstream_unreachable(const upstream_id& upstream, time_point now)
 {
     return note_crash(upstream, false, now);
 }
 
+bool crash_guard::has_abandoned_runs(const upstream_id& upstream) const
+{
+    const auto found = broken_.find(upstream);
+    return found != broken_.end() &&
+           std::ranges::any_of(found->second.prints,
+                               [](const auto& item) { return item.second.is_abandoned; });
+}
+
 bool crash_guard::note_crash(const upstream_id& upstream, bool is_proved, time_point now)
 {
     const auto found = broken_.find(upstream);
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -58,13 +58,16 @@
     /// The request has received a complete response: clears it and its parts.
     void on_completed(const request_prints& prints, time_point now);
 
-    /// The process of this upstream has ended, or does not accept connections. Returns whether
-    /// requests were in flight there.
+    /// The process of this upstream has ended for certain. Returns whether requests were in flight
+    /// there.
     bool on_upstream_ended(const upstream_id& upstream, time_point now);
 
-    /// The upstream is no longer listed. Returns whether connections to it broke lately; without
-    /// that, it may have left in an orderly way.
-    bool on_upstream_unlisted(const upstream_id& upstream, time_point now);
+    /// The upstream does not accept connections or is no longer listed. Returns whether connections
+    /// to it broke lately; without that, it may be cut off or have left in an orderly way.
+    bool on_upstream_unreachable(const upstream_id& upstream, time_point now);
+
+    /// Whether requests were given up there lately, which count only if the process has ended.
+    bool has_abandoned_runs(const upstream_id& upstream) const;
 
     /// Takes over the findings of another gateway.
     void merge(const poison::suspect_digest& digest, time_point now);
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -76,8 +76,10 @@
     /// Gateways that share the upstreams, this one included.
     int gateways = 1;
     bool is_draining = false;
-    /// The process of this upstream has ended, or does not accept connections.
+    /// The process of this upstream has ended.
     std::function<void(const upstream_id&)> report_upstream_ended;
+    /// This upstream does not accept connections.
+    std::function<void(const upstream_id&)> report_upstream_unreachable;
     /// Sends a message to the sidecar of this upstream.
     std::function<void(const upstream_id&, const control::message&)> send_to_sidecar;
     /// Calls that wait for admission, by number.
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/call_exchange.h"
 #include "gateway/caller_connection.h"
+#include "gateway/connect_probe.h"
 #include "net/start_number.h"
 #include "net/steady_time.h"
 #include "platform/adapter_version_codec.h"
@@ -61,6 +62,8 @@
 // that restart with a full budget.
 constexpr double retry_budget_share = 0.6;
 constexpr int listen_backlog = 1024;
+// A host that is reached answers a connection within a few milliseconds.
+constexpr auto probe_timeout = milliseconds(300);
 // Slow ticks in which the fleet repeats its refusals once.
 constexpr int refusal_repeat_ticks = 4;
 // A gateway that was silent for so long, and for several reports, is told again.
@@ -114,6 +117,9 @@
     context_.report_upstream_ended = [this](const upstream_id& upstream) {
         on_upstream_ended(upstream);
     };
+    context_.report_upstream_unreachable = [this](const upstream_id& upstream) {
+        on_upstream_unreachable(upstream);
+    };
 }
 
 gateway_server::~gateway_server() = default;
@@ -453,7 +459,7 @@
     const auto now = steady_now();
     const upstream_id id(object.name);
     if (object.is_removed) {
-        if (context_.crashes.on_upstream_unlisted(id, now)) {
+        if (context_.crashes.on_upstream_unreachable(id, now)) {
             on_crash(id, now);
         }
         context_.upstreams.remove(id, now);
@@ -606,7 +612,7 @@
     if (report.status.models.empty()) {
         // The engine does not respond, or has just started.
         for (const auto& id : affected) {
-            on_upstream_ended(id);
+            on_upstream_unreachable(id);
         }
     }
     const auto active = context_.exchanges;
@@ -730,6 +736,21 @@
     }
 }
 
+// A connection that is refused proves that the process has ended; one that times out does not.
+void gateway_server::on_upstream_unreachable(const upstream_id& upstream)
+{
+    const auto now = steady_now();
+    if (context_.crashes.on_upstream_unreachable(upstream, now)) {
+        on_crash(upstream, now);
+    }
+    const auto* state = context_.upstreams.find(upstream);
+    if (state != nullptr && upstream_table::is_serving(*state, now) &&
+        context_.crashes.has_abandoned_runs(upstream)) {
+        probe_connect(io_.get_executor(), state->entry.address, probe_timeout,
+                      [this, upstream] { on_upstream_ended(upstream); });
+    }
+}
+
 // Copies of the request may be on their way to other gateways, so that these are told at once.
 void gateway_server::on_crash(const upstream_id& upstream, time_point now)
 {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -84,6 +84,7 @@
     void send_demand(const upstream_id& upstream);
     void send_usage(time_point now);
     void on_upstream_ended(const upstream_id& upstream);
+    void on_upstream_unreachable(const upstream_id& upstream);
     void on_crash(const upstream_id& upstream, time_point now);
     std::optional<control::permit_answer> ask_permit(const control::permit_request& request);
     void on_permit_answer(const control::permit_answer& answer);
--- a/tests/gateway_crash_guard_test.cpp
+++ b/tests/gateway_crash_guard_test.cpp
@@ -297,13 +297,15 @@
         CPPUNIT_ASSERT(!guard.begin_trial({8, {}}, 1, 0, now + seconds(8)));
     }
 
-    // Guards against requests that are refused, as their callers left before servers were replaced.
+    // Guards against requests that are refused, as their callers left before servers were replaced
+    // or cut off.
     void abandoned_run_counts_only_if_its_server_has_crashed()
     {
         crash_guard guard;
         for (int i = 0; i < 3; ++i) {
             guard.on_abandoned(harmless, id(i), 1, start, start);
-            guard.on_upstream_unlisted(id(i), start);
+            CPPUNIT_ASSERT(guard.has_abandoned_runs(id(i)));
+            CPPUNIT_ASSERT(!guard.on_upstream_unreachable(id(i), start));
             guard.on_abandoned(crasher, id(10 + i), 1, start, start);
             guard.on_upstream_ended(id(10 + i), start);
         }
