Gateways log the software versions of upstreams and streams that go on

Cause: entries' version and the name of a resumed stream were not decoded, so that the log could not tell a stream moved by the gateway from one taken up by its caller, nor at which version either went on. Change: both are decoded; upstream_changed and the status page name the version, stream_resumed where a stream goes on and whose it was. An entry without a readable version has a version of its own. No decision changes. Measured: platform_upstream_entry_codec_test (unstated_software_equals_no_other is new).

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -36,11 +36,17 @@
     std::vector<std::uint64_t> shared_parts;
     /// Number of the last event that the caller received, if it resumes a stream.
     std::optional<std::uint64_t> last_event;
+    /// The caller's name for the attempt that brought the first event of that stream; empty if not
+    /// stated.
+    std::string resumes;
     /// Header lines that are forwarded unchanged, each with its line end.
     std::string forwarded_header;
     std::string body;
     bool keep_alive = true;
 
+    /// Whether the caller takes up a stream that it has received a part of.
+    bool is_take_up() const { return last_event.has_value() || !resumes.empty(); }
+
     /// The part of the target before the query.
     std::string_view path() const { return std::string_view(target).substr(0, target.find('?')); }
 
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -627,6 +627,7 @@
     body_.clear();
     events_ = {};
     const auto address = state->entry.address;
+    log_resumption(*state);
     context_.upstreams.on_call_sent(upstream, adapter_key(), call_.prompt_tokens);
 
     attempt_header attempt;
@@ -659,6 +660,20 @@
                        std::move(handler));
 }
 
+// Logs which upstream continues a stream that its caller has received a part of.
+void call_exchange::log_resumption(const upstream_state& state)
+{
+    if (!last_event_ || !route_->is_repeatable()) {
+        return;
+    }
+    context_.log.info("stream_resumed", {{"request", call_.request_id},
+                                         {"resumes", call_.resumes},
+                                         {"last_event", *last_event_},
+                                         {"from", broken_at_.str()},
+                                         {"upstream", upstream_.str()},
+                                         {"software", state.entry.software}});
+}
+
 int call_exchange::urgency() const
 {
     const int route_level = std::min(route_->priority, route_urgency_levels - 1);
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -107,6 +107,7 @@
     duration max_admission_wait(time_point now) const;
     int urgency() const;
     void send(const upstream_id& upstream, time_point now);
+    void log_resumption(const upstream_state& state);
     void on_header(const answer_header& header);
     void note_upstream_state(const answer_header& header);
     void on_body(std::string_view bytes);
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -394,6 +394,7 @@
         upstreams.push_back({{"id", id.str()},
                              {"service", state.entry.service},
                              {"address", state.entry.address.str()},
+                             {"software", state.entry.software},
                              {"draining", state.entry.is_draining || state.is_leaving},
                              {"in_flight", state.in_flight},
                              {"failure_rate", state.failure_rate}});
@@ -478,6 +479,7 @@
         context_.log.info("upstream_changed", {{"upstream", object.name},
                                                {"service", entry->service},
                                                {"address", entry->address.str()},
+                                               {"software", entry->software},
                                                {"draining", entry->is_draining}});
     }
     if (known != nullptr && known->entry.process_start_ms != entry->process_start_ms) {
--- a/src/gateway/upstream_entry.h
+++ b/src/gateway/upstream_entry.h
@@ -22,6 +22,9 @@
     /// Process start in Unix milliseconds; distinguishes incarnations with the same name. 0 if not
     /// stated.
     std::uint64_t process_start_ms = 0;
+    /// Version of its software, not of the weights. What two versions write does not fit together.
+    /// An entry that states none has a version of its own.
+    std::string software = {};
 
     friend bool operator==(const upstream_entry&, const upstream_entry&) = default;
 };
--- a/src/platform/call_codec.cpp
+++ b/src/platform/call_codec.cpp
@@ -261,6 +261,7 @@
             return status;
         }
     }
+    call.resumes = field(message, wire::resumes);
     read_model(message, call);
     call.forwarded_header = forwarded_request_fields(message);
     call.body = std::move(message.body());
--- a/src/platform/upstream_entry_codec.cpp
+++ b/src/platform/upstream_entry_codec.cpp
@@ -4,8 +4,30 @@
 #include "base/text_view.h"
 #include "cli/value_parsers.h"
 
+#include <fmt/format.h>
+
 namespace snipespar::platform {
 
+namespace {
+
+// Far longer than any version name; bounds what an entry can make a gateway keep and send.
+constexpr std::size_t max_software_bytes = 128;
+
+std::string read_software(const gateway::upstream_entry& entry, const nlohmann::json& content)
+{
+    const auto version = content.find("version");
+    if (version != content.end() && version->is_string()) {
+        auto software = version->get<std::string>();
+        if (!software.empty() && software.size() <= max_software_bytes) {
+            return software;
+        }
+    }
+    // Equal to no other upstream's version.
+    return fmt::format("unstated:{}@{}", entry.id.str(), entry.process_start_ms);
+}
+
+} // namespace
+
 absl::StatusOr<gateway::upstream_entry> decode_upstream_entry(const std::string& id,
                                                               const nlohmann::json& content)
 {
@@ -31,6 +53,7 @@
         return status;
     }
     entry.address = *address;
+    entry.software = read_software(entry, content);
     return entry;
 }
 
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -27,6 +27,8 @@
 /// Parts of the prompt as ID:TOKENS pairs; the last one belongs to the request or its session.
 inline constexpr std::string_view prompt_parts = "Prompt-Prefix";
 inline constexpr std::string_view last_event = "Last-Event-Id";
+/// Id of the request that brought the first event of the stream that the caller takes up.
+inline constexpr std::string_view resumes = "Resumes";
 /// Id of the only upstream that may run the request.
 inline constexpr std::string_view expected_upstream = "Expect-Instance";
 /// The team for which the request runs.
--- a/tests/platform_upstream_entry_codec_test.cpp
+++ b/tests/platform_upstream_entry_codec_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST_SUITE(platform_upstream_entry_codec_test);
     CPPUNIT_TEST(entry_is_decoded);
     CPPUNIT_TEST(malformed_entry_is_refused);
+    CPPUNIT_TEST(unstated_software_equals_no_other);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -30,10 +31,14 @@
         auto content = sample();
         const auto ready = decode_upstream_entry("i-1", content);
         CPPUNIT_ASSERT(ready.ok());
-        CPPUNIT_ASSERT(
-            *ready ==
-            (gateway::upstream_entry{
-                upstream_id("i-1"), "llm", {"10.1.0.9", 8080}, failure_domain_id("a"), 64, false}));
+        CPPUNIT_ASSERT(*ready == (gateway::upstream_entry{upstream_id("i-1"),
+                                                          "llm",
+                                                          {"10.1.0.9", 8080},
+                                                          failure_domain_id("a"),
+                                                          64,
+                                                          false,
+                                                          0,
+                                                          "v1"}));
         content["state"] = "draining";
         CPPUNIT_ASSERT(decode_upstream_entry("i-1", content)->is_draining);
     }
@@ -58,6 +63,29 @@
         CPPUNIT_ASSERT(!decode_upstream_entry("i-1", json("text")).ok());
         CPPUNIT_ASSERT(!decode_upstream_entry("i-1", json()).ok());
     }
+
+    // Guards against upstreams that are taken for one version because both state none.
+    void unstated_software_equals_no_other()
+    {
+        auto missing = sample();
+        missing.erase("version");
+        auto mistyped = sample();
+        mistyped["version"] = 3;
+        auto empty = sample();
+        empty["version"] = "";
+        auto endless = sample();
+        endless["version"] = std::string(100'000, 'v');
+        for (const auto& content : {missing, mistyped, empty, endless}) {
+            const auto first = decode_upstream_entry("i-1", content);
+            const auto second = decode_upstream_entry("i-2", content);
+            CPPUNIT_ASSERT(first.ok() && second.ok());
+            CPPUNIT_ASSERT(first->software != second->software);
+            CPPUNIT_ASSERT(first->software.size() < 100);
+            auto restarted = content;
+            restarted["born"] = 5U;
+            CPPUNIT_ASSERT(decode_upstream_entry("i-1", restarted)->software != first->software);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(platform_upstream_entry_codec_test);
