--- a/tests/process/support/gateway_fleet.cpp
+++ b/tests/process/support/gateway_fleet.cpp
@@ -40,7 +40,8 @@
 } // namespace
 
 gateway_fleet::gateway_fleet(const gateway_fleet_options& options)
-    : control_port_(free_address().port), config_(first_config())
+    : control_port_(free_address().port), states_process_start_(options.states_process_start),
+      config_(first_config())
 {
     store.address = free_address();
     store.start = {"users_platform_stand_in", {"store", store.address.str()}, {}};
@@ -68,6 +69,10 @@
         member.start = {"users_platform_stand_in",
                         {is_engine ? "engine" : "service", member.address.str(), member.id},
                         {}};
+        if (is_engine && i < options.software.size()) {
+            member.software = options.software[i];
+            member.start.arguments.push_back(member.software);
+        }
         member.restart();
         member.process->wait_for_output("listening");
         announce(member, is_engine ? "llm" : "desk", false);
@@ -142,11 +147,16 @@
 bool gateway_fleet::announce(const fleet_member& upstream, const std::string& service,
                              bool is_draining)
 {
-    const json content{{"upstream", service},
-                       {"address", upstream.address.str()},
-                       {"zone", "a"},
-                       {"slots", 64},
-                       {"state", is_draining ? "draining" : "ready"}};
+    json content{{"upstream", service}, {"address", upstream.address.str()},
+                 {"zone", "a"},         {"version", upstream.software},
+                 {"slots", 64},         {"state", is_draining ? "draining" : "ready"}};
+    if (states_process_start_) {
+        const auto report = send_call(upstream.address, {"GET", "/report", {}, {}});
+        if (!report.ok()) {
+            return false;
+        }
+        content["born"] = json::parse(report->body)["born"];
+    }
     return put("servers", upstream.id, content, false);
 }
 
--- a/tests/process/support/gateway_fleet.h
+++ b/tests/process/support/gateway_fleet.h
@@ -20,6 +20,11 @@
     std::size_t services = 2;
     /// Puts a relay between the gateways and the platform's store.
     bool has_store_relay = false;
+    /// Entries of upstreams state their process start.
+    bool states_process_start = false;
+    /// Software version of each engine, which marks the events of its streams. Without one, engines
+    /// have the same version and set no mark.
+    std::vector<std::string> software = {};
 };
 
 /// A program of the fleet that can be restarted with its arguments.
@@ -28,6 +33,8 @@
     program_start start;
     cli::endpoint address;
     cli::endpoint admin;
+    /// Software version that the entry of an upstream states.
+    std::string software = "v1";
     std::unique_ptr<child_process> process;
 
     void restart() { process = std::make_unique<child_process>(start); }
@@ -82,6 +89,7 @@
 
     cli::endpoint platform_;
     std::uint16_t control_port_ = 0;
+    bool states_process_start_ = false;
     nlohmann::json config_;
 };
 
--- a/tools/users_platform_stand_in/worker.cpp
+++ b/tools/users_platform_stand_in/worker.cpp
@@ -51,7 +51,7 @@
                                          std::chrono::system_clock::now().time_since_epoch())
                                          .count()))
 {
-    if (options_.is_engine) {
+    if (options_.is_engine && !options_.is_empty) {
         models_.insert("base");
     }
 }
@@ -237,11 +237,13 @@
                     rate_limit_ > 0 ? fmt::format("Server-Limit: {}\r\n", rate_limit_) : "",
                     is_unframed_ ? "Connection: close\r\n" : "Transfer-Encoding: chunked\r\n");
     const auto events = options_.events * (is_slow_target(message) ? slow_factor : 1);
+    const auto mark = options_.software.empty() ? std::string() : " " + options_.software;
     asio::steady_timer pause(context_);
     for (; number <= events; ++number) {
         const bool is_stalled = trickles_ && number > events_before_trickle;
-        const auto event = is_stalled ? std::string(":")
-                                      : fmt::format("id: {}\ndata: {} {}\n\n", number, id, number);
+        const auto event = is_stalled
+                               ? std::string(":")
+                               : fmt::format("id: {}\ndata: {} {}{}\n\n", number, id, number, mark);
         const bool is_cut = is_unframed_ && cuts_in_event_ && number > events_before_cut;
         if (is_cut) {
             bytes += event.substr(0, event.size() / 2);
--- a/tools/users_platform_stand_in/worker.h
+++ b/tools/users_platform_stand_in/worker.h
@@ -16,8 +16,12 @@
 /// Role and timing of a worker.
 struct worker_options {
     std::string id;
+    /// Version of its software, which marks the events of its streams; empty for no mark.
+    std::string software;
     /// Serves a base model and adapters, and accepts orders.
     bool is_engine = false;
+    /// An engine that has no model until it is ordered to load it.
+    bool is_empty = false;
     int adapter_slots = 4;
     std::chrono::milliseconds load_time{30};
     /// Pause between two events of a stream.
@@ -35,7 +39,8 @@
 /// with `crash_on_part` it ends after the first event of a stream whose prompt has that part. The
 /// requests turned away are counted in `GET /runs`.
 ///
-/// A stream has `events` events whose data is the request id and the number; a plain response is
+/// A stream has `events` events whose data is the request id, the number and the version of the
+/// worker's software if it has one, which may continue any stream; a plain response is
 /// the request id and the request's body. Targets that contain `/slow/` take ten times as long.
 class worker {
 public:
