A stream moves only to the software version that began it

Cause: the gateway moved a stream to any upstream of its service. Class: a choice that is made again without what bound the first one. Change: the first events that are passed on bind the stream to the version of their upstream (stream_version); try_next_upstream, leave_silent_upstream, waiting resumptions, replica, permit and admission waits only take upstreams of that version (placement_query.software). When none of it serves any more the stream ends at once (software_version_gone), also while it waits without a retry left.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -163,6 +163,25 @@
     return true;
 }
 
+// Checks before the first events of an attempt are delivered that the version which began the
+// stream has produced them.
+bool call_exchange::confirm_version()
+{
+    if (version_.is_confirmed()) {
+        return true;
+    }
+    const auto* state = context_.upstreams.find(upstream_);
+    const auto current = state == nullptr ? std::string() : upstream_table::software_of(*state);
+    return version_.on_first_events(current) != stream_version::verdict::differs;
+}
+
+// Another process may have started under the name of the upstream since it was chosen.
+bool call_exchange::is_of_required_version(const upstream_id& upstream) const
+{
+    const auto* state = context_.upstreams.find(upstream);
+    return state != nullptr && version_.allows(upstream_table::software_of(*state));
+}
+
 bool call_exchange::is_refused_for_crashes()
 {
     const auto now = steady_now();
@@ -261,6 +280,9 @@
         return wait_for_load(target->upstream, now);
     }
     const auto& none = std::get<no_upstream>(destination);
+    if (none.is_version_gone) {
+        return give_up_for_good();
+    }
     if (none.opens_at && none.rate_per_s > 0) {
         opens_at_ = context_.returns[service_->name].next(*none.opens_at,
                                                           none.rate_per_s / context_.gateways, now);
@@ -286,7 +308,8 @@
                                 call_.session,
                                 call_.shared_tokens,
                                 refused_admissions_ == 0,
-                                refused_permits_ < max_refused_permits};
+                                refused_permits_ < max_refused_permits,
+                                version_.required()};
     const auto chosen =
         context_.selector.choose(query, *service_, context_.upstreams, context_.gateways, now);
     for (const auto& replica : chosen.replicas) {
@@ -387,6 +410,9 @@
 // Sends the call to the upstream, or asks for a permit first if that has named a request rate.
 void call_exchange::dispatch(const upstream_id& upstream, time_point now)
 {
+    if (!is_of_required_version(upstream)) {
+        return try_next_upstream();
+    }
     if (context_.upstreams.find(upstream)->rate) {
         return wait_for_permit(upstream, now);
     }
@@ -477,6 +503,9 @@
 // Asks the sidecar of an engine first if the engine's prompts are paced.
 void call_exchange::dispatch_permitted(const upstream_id& upstream, time_point now)
 {
+    if (!is_of_required_version(upstream)) {
+        return try_next_upstream();
+    }
     const auto* state = context_.upstreams.find(upstream);
     const bool has_prompt = service_->engine && call_.prompt_tokens > 0;
     // A call that an engine has begun goes on at once.
@@ -550,6 +579,9 @@
                                  admission_->number(), admission_->time_left(now));
     case admission_wait::step::send:
         stop_asking();
+        if (!is_of_required_version(upstream)) {
+            return try_next_upstream();
+        }
         if (reserve_attempt(now)) {
             send(upstream, now);
         }
@@ -627,6 +659,7 @@
     body_.clear();
     events_ = {};
     const auto address = state->entry.address;
+    version_.on_sent(upstream_table::software_of(*state));
     log_resumption(*state);
     context_.upstreams.on_call_sent(upstream, adapter_key(), call_.prompt_tokens);
 
@@ -671,7 +704,8 @@
                                          {"last_event", *last_event_},
                                          {"from", broken_at_.str()},
                                          {"upstream", upstream_.str()},
-                                         {"software", state.entry.software}});
+                                         {"required", version_.required()},
+                                         {"software", upstream_table::software_of(state)}});
 }
 
 int call_exchange::urgency() const
@@ -962,21 +996,31 @@
 void call_exchange::forward_events(std::string_view bytes, time_point now)
 {
     std::string forwarded;
+    bool is_event_missing = false;
+    auto last_event = last_event_;
     for (const auto& event : events_.feed(bytes)) {
         if (event.number) {
-            if (last_event_ && *event.number <= *last_event_) {
+            if (last_event && *event.number <= *last_event) {
                 continue;
             }
-            if (last_event_ && *event.number != *last_event_ + 1) {
-                if (!forwarded.empty()) {
-                    caller_->send(chunk(forwarded));
-                }
-                return on_attempt_failed("event_missing");
+            is_event_missing = last_event && *event.number != *last_event + 1;
+            if (is_event_missing) {
+                break;
             }
-            last_event_ = event.number;
+            last_event = event.number;
         }
         forwarded += event.bytes;
     }
+    if (!forwarded.empty() && !confirm_version()) {
+        return on_attempt_failed("other_software");
+    }
+    last_event_ = last_event;
+    if (is_event_missing) {
+        if (!forwarded.empty()) {
+            caller_->send(chunk(forwarded));
+        }
+        return on_attempt_failed("event_missing");
+    }
     if (forwarded.empty()) {
         if (events_.is_too_large()) {
             on_attempt_failed("event_too_large");
@@ -1094,6 +1138,12 @@
     refuse({503, std::string(cause), retry_delay(), false});
 }
 
+// No upstream of the version that began the stream is left.
+void call_exchange::give_up_for_good()
+{
+    give_up("software_version_gone");
+}
+
 // The call cannot go on at the moment. A stream that has begun waits while its caller does; other
 // calls are refused at once, so that their callers can try another gateway.
 void call_exchange::give_up_for_now(std::string_view cause)
@@ -1122,6 +1172,11 @@
         stop_waiting_to_resume();
         return give_up(cause);
     }
+    const auto& version = version_.required();
+    if (!version.empty() && !context_.upstreams.has_version(service_->name, version, now)) {
+        stop_waiting_to_resume();
+        return give_up_for_good();
+    }
     const auto places = static_cast<std::size_t>(context_.retries[service_->name].available());
     if (!context_.resumptions[service_->name].is_among_first(
             resume_->number, last_event_.value_or(0), places, now)) {
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -9,6 +9,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/permit_wait.h"
 #include "gateway/request_prints.h"
+#include "gateway/stream_version.h"
 #include "gateway/upstream_selector.h"
 #include "gateway/upstream_table.h"
 #include "snipespar/ids.h"
@@ -83,6 +84,8 @@
     };
 
     bool resolve();
+    bool confirm_version();
+    bool is_of_required_version(const upstream_id& upstream) const;
     void try_next_upstream();
     placement choose_upstream(time_point now);
     bool is_sound_target(const upstream_id& upstream, time_point now) const;
@@ -126,6 +129,7 @@
     bool can_try_again(time_point now) const;
     void give_up(std::string_view cause);
     void give_up_for_now(std::string_view cause);
+    void give_up_for_good();
     void wait_to_resume(std::string_view cause, time_point until, time_point now);
     void try_to_resume(time_point now);
     void stop_waiting_to_resume();
@@ -210,6 +214,9 @@
     std::optional<time_point> last_event_at_;
     duration longest_gap_{};
 
+    /// The software version that began the stream, which alone can continue it.
+    stream_version version_;
+
     event_splitter events_;
     std::optional<std::uint64_t> last_event_;
     bool is_stream_open_ = false;
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -174,10 +174,15 @@
     std::optional<time_point> opens_at;
     double rate_per_s = 0;
     bool has_unlimited = false;
+    bool has_version = query.software.empty();
     for (const auto& [id, state] : table.all()) {
         if (state.entry.service != query.service || !upstream_table::is_serving(state, now)) {
             continue;
         }
+        if (!query.software.empty() && upstream_table::software_of(state) != query.software) {
+            continue;
+        }
+        has_version = true;
         if (now < state.closed_until) {
             opens_at = std::min(opens_at.value_or(state.closed_until), state.closed_until);
             rate_per_s += state.rate ? state.rate->per_s : 0;
@@ -195,6 +200,11 @@
     prefer(candidates, [&](const auto* state) { return !state->removal_at; });
     prefer(candidates,
            [&](const auto* state) { return !upstream_table::is_unresponsive(*state, now); });
+    if (!has_version) {
+        no_upstream gone;
+        gone.is_version_gone = true;
+        return {gone, {}};
+    }
     if (candidates.empty()) {
         return {no_upstream{opens_at.has_value(), opens_at, has_unlimited ? 0 : rate_per_s}, {}};
     }
--- a/src/gateway/upstream_selector.h
+++ b/src/gateway/upstream_selector.h
@@ -38,6 +38,8 @@
     bool may_load = true;
     /// Whether the call may ask for a permit where a request rate was named.
     bool may_ask_for_permit = true;
+    /// The software version that began the stream; empty if any can run the call.
+    std::string software = {};
 };
 
 /// The call can be sent immediately.
@@ -62,6 +64,8 @@
     std::optional<time_point> opens_at;
     /// Requests per second that the closed upstreams take together; 0 if one of them named none.
     double rate_per_s = 0;
+    /// No upstream of the required software version serves any more.
+    bool is_version_gone = false;
 
     friend bool operator==(const no_upstream&, const no_upstream&) = default;
 };
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -30,6 +30,8 @@
 // How long other gateways are told of an upstream that announced its stop; several reports may be
 // lost in that time.
 constexpr auto leaving_announcement_time = std::chrono::seconds(5);
+// How long it is remembered whether a software version serves.
+constexpr auto version_check_interval = std::chrono::milliseconds(100);
 // Weight of one result in the smoothed failure rate.
 constexpr double failure_smoothing = 0.12;
 // Consecutive failures after which an upstream is ejected for a while.
@@ -338,6 +340,7 @@
         std::erase_if(state.adapters,
                       [&](const auto& item) { return !item.second.is_requested(now); });
     }
+    std::erase_if(serving_versions_, [&](const auto& item) { return now >= item.second.second; });
     std::erase_if(former_, [&](const auto& item) { return now >= item.second.expires; });
     std::erase_if(states_, [&](const auto& item) {
         const auto& state = item.second;
@@ -368,6 +371,26 @@
            (!state.removal_at || now < *state.removal_at);
 }
 
+std::string upstream_table::software_of(const upstream_state& state)
+{
+    return state.entry.software;
+}
+
+bool upstream_table::has_version(const std::string& service, const std::string& software,
+                                 time_point now)
+{
+    auto& [serves, valid_until] = serving_versions_[{service, software}];
+    if (now >= valid_until) {
+        valid_until = now + version_check_interval;
+        serves = std::ranges::any_of(states_, [&](const auto& item) {
+            const auto& state = item.second;
+            return state.entry.service == service && is_serving(state, now) &&
+                   software_of(state) == software;
+        });
+    }
+    return serves;
+}
+
 bool upstream_table::can_load(const upstream_state& state, const std::string& model, time_point now)
 {
     if (!state.status || now - state.status_at > sidecar_status_lifetime) {
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace snipespar::control {
@@ -99,6 +100,13 @@
     /// Whether the upstream is listed and not about to stop. It may be closed for a while.
     static bool is_serving(const upstream_state& state, time_point now);
 
+    /// Software version of the process that runs there.
+    static std::string software_of(const upstream_state& state);
+
+    /// Whether an upstream of this version of the service serves. The result is kept for a moment,
+    /// as every stream that waits asks.
+    bool has_version(const std::string& service, const std::string& software, time_point now);
+
     /// Whether the upstream can load an adapter of the model soon.
     static bool can_load(const upstream_state& state, const std::string& model, time_point now);
 
@@ -115,6 +123,8 @@
     };
 
     std::map<upstream_id, upstream_state> states_;
+    /// Whether a version of a service serves, and until when that result is kept.
+    std::map<std::pair<std::string, std::string>, std::pair<bool, time_point>> serving_versions_;
     std::map<upstream_id, former_incarnation> former_;
     /// Until then an entry that reappears does not prove that its upstream runs.
     time_point restored_until_;
--- a/tests/gateway_upstream_selector_test.cpp
+++ b/tests/gateway_upstream_selector_test.cpp
@@ -128,6 +128,8 @@
     CPPUNIT_TEST(ejected_upstream_serves_when_it_is_the_only_one);
     CPPUNIT_TEST(overloaded_upstreams_are_avoided_and_give_the_time_to_return);
     CPPUNIT_TEST(call_without_permits_goes_where_no_rate_was_named);
+    CPPUNIT_TEST(stream_goes_only_to_the_version_that_began_it);
+    CPPUNIT_TEST(version_without_upstreams_is_told_from_a_busy_one);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -418,6 +420,58 @@
         CPPUNIT_ASSERT(choose(start) == placement(no_upstream{true, start + milliseconds(2000)}));
         CPPUNIT_ASSERT(choose(start + milliseconds(2000)) == placement(send_to{second}));
     }
+
+    // Guards against a stream that is continued by other software than began it.
+    void stream_goes_only_to_the_version_that_began_it()
+    {
+        upstream_table table;
+        for (int i = 0; i < 9; ++i) {
+            table.update({upstream_id(std::to_string(i)),
+                          "desk",
+                          {"10.0.0." + std::to_string(i), 80},
+                          i < 7 ? near : far,
+                          6,
+                          false,
+                          1,
+                          i < 7 ? "v1" : "v2"},
+                         start);
+        }
+        upstream_selector selector(near, 1);
+        placement_query query{"desk", "", "", 0, {}};
+        query.software = "v2";
+        for (int i = 0; i < 20; ++i) {
+            const auto chosen =
+                selector.choose(query, service_rule{"desk", 300, std::nullopt}, table, 1, start);
+            const auto target = std::get<send_to>(chosen.destination).upstream.str();
+            CPPUNIT_ASSERT(target == "7" || target == "8");
+        }
+    }
+
+    // Guards against waiting for a version of which no upstream serves any more.
+    void version_without_upstreams_is_told_from_a_busy_one()
+    {
+        upstream_table table;
+        const upstream_id old_one("old");
+        table.update({old_one, "desk", {"10.0.0.1", 80}, near, 6, false, 1, "v1"}, start);
+        table.update({upstream_id("new"), "desk", {"10.0.0.2", 80}, near, 6, false, 1, "v2"},
+                     start);
+        upstream_selector selector(near, 1);
+        const auto choose = [&](std::set<upstream_id> excluded, time_point now) {
+            placement_query query{"desk", "", "", 0, std::move(excluded)};
+            query.software = "v1";
+            const auto chosen =
+                selector.choose(query, service_rule{"desk", 300, std::nullopt}, table, 1, now);
+            return std::get<no_upstream>(chosen.destination);
+        };
+        CPPUNIT_ASSERT(!choose({old_one}, start).is_version_gone);
+        table.on_overloaded(old_one, milliseconds(700), start);
+        const auto closed = choose({}, start);
+        CPPUNIT_ASSERT(!closed.is_version_gone);
+        CPPUNIT_ASSERT(closed.opens_at == start + milliseconds(700));
+        table.update({old_one, "desk", {"10.0.0.1", 80}, near, 6, true, 1, "v1"}, start);
+        const auto gone = choose({}, start);
+        CPPUNIT_ASSERT(gone.is_version_gone && !gone.opens_at);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_upstream_selector_test);
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -19,6 +19,14 @@
     return {upstream_id(id), "llm", {ip, 80}, failure_domain_id("a"), 64, false};
 }
 
+upstream_entry of_version(const std::string& id, const std::string& software)
+{
+    auto item = entry(id, "10.0.0." + id.substr(2));
+    item.process_start_ms = 5;
+    item.software = software;
+    return item;
+}
+
 // Lists an engine whose sidecar has just sent a report with this sequence number.
 upstream_id report_engine(upstream_table& table, std::uint64_t sequence)
 {
@@ -65,6 +73,7 @@
     CPPUNIT_TEST(rate_holds_until_a_later_response_names_none);
     CPPUNIT_TEST(entry_back_from_an_old_copy_is_not_trusted);
     CPPUNIT_TEST(entry_lost_by_a_restored_registry_is_kept_until_renewed);
+    CPPUNIT_TEST(version_serves_while_one_of_its_upstreams_does);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -430,6 +439,17 @@
         CPPUNIT_ASSERT(is_open(table, "i-1", start + milliseconds(2000)));
         CPPUNIT_ASSERT(is_open(table, "i-1", start + milliseconds(9000)));
     }
+
+    void version_serves_while_one_of_its_upstreams_does()
+    {
+        upstream_table table;
+        table.update(of_version("i-1", "v1"), start);
+        CPPUNIT_ASSERT(table.has_version("llm", "v1", start));
+        CPPUNIT_ASSERT(!table.has_version("llm", "v2", start));
+        CPPUNIT_ASSERT(!table.has_version("desk", "v1", start));
+        table.remove(upstream_id("i-1"), start);
+        CPPUNIT_ASSERT(!table.has_version("llm", "v1", start + milliseconds(400)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_upstream_table_test);
