A server that is back under its name is told from its predecessor by its sidecar

Cause: a gateway that has not read the new entry of a restarted server, as in an outage of the store, sends a stream to it by the old entry, and the server accepts it under the same name with other software. Change: sidecars report the process start of their engine; if it differs from that of the entry, the version is unknown: no stream goes on there, one that begins there is bound to it alone. An entry with other software is another process, also without a process start. Not covered: services without sidecars, whose servers are not empty after a restart.

--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -82,6 +82,7 @@
     value["full"] = status.is_full;
     value["short"] = status.is_short_of_slots;
     value["paced"] = status.is_paced;
+    value["born"] = status.process_start_ms;
     value["gateways"] = content.gateways;
     return value;
 }
@@ -298,6 +299,7 @@
     status.is_short_of_slots = fields.flag("short");
     // Absent in messages of earlier builds.
     status.is_paced = fields.has("paced") && fields.flag("paced");
+    status.process_start_ms = fields.has("born") ? fields.integer<std::uint64_t>("born") : 0;
     content.gateways = fields.texts("gateways");
     return content;
 }
--- a/src/gateway/engine_status.h
+++ b/src/gateway/engine_status.h
@@ -17,6 +17,8 @@
     /// ones.
     std::uint64_t sidecar_start = 0;
     std::uint64_t sequence = 0;
+    /// Process start of the engine in Unix milliseconds; 0 if not stated.
+    std::uint64_t process_start_ms = 0;
     /// Base models that are loaded.
     std::vector<std::string> models;
     /// Version of each usable adapter, by `model/adapter`.
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -46,7 +46,8 @@
     auto [item, is_new] = states_.try_emplace(entry.id);
     auto& state = item->second;
     const bool is_other_process = state.entry.address != entry.address ||
-                                  state.entry.process_start_ms != entry.process_start_ms;
+                                  state.entry.process_start_ms != entry.process_start_ms ||
+                                  state.entry.software != entry.software;
     if (is_new || is_other_process) {
         ++membership_;
     }
@@ -387,7 +388,10 @@
 
 std::string upstream_table::software_of(const upstream_state& state)
 {
-    return state.entry.software;
+    const auto reported = state.status ? state.status->process_start_ms : 0;
+    const auto listed = state.entry.process_start_ms;
+    const bool is_other_process = reported != 0 && listed != 0 && reported != listed;
+    return is_other_process ? std::string() : state.entry.software;
 }
 
 bool upstream_table::has_version(const std::string& service, const std::string& software,
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -107,7 +107,8 @@
     /// Whether the upstream is listed and not about to stop. It may be closed for a while.
     static bool is_serving(const upstream_state& state, time_point now);
 
-    /// Software version of the process that runs there.
+    /// Software version of the process that runs there; empty if it is unknown, as the entry
+    /// describes an earlier one.
     static std::string software_of(const upstream_state& state);
 
     /// Whether an upstream of this version of the service serves. The result is kept for a moment,
--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -476,6 +476,7 @@
     if (!report_) {
         return status;
     }
+    status.process_start_ms = report_->process_start_ms;
     status.models = report_->models;
     for (const auto& [name, version] : report_->adapters) {
         const auto state = adapters_.find(name);
--- a/tests/control_message_test.cpp
+++ b/tests/control_message_test.cpp
@@ -60,6 +60,7 @@
         const permit_request permit{9,    upstream_id("i-1"),           5, 4.8,
                                     true, std::chrono::milliseconds(30)};
         const permit_answer permitted{9, true, true, std::chrono::milliseconds(210)};
+        report.status.process_start_ms = 1780444289142;
         const resume::stream_origin origin{"llm", "v1.2"};
         const origin_record record{{1, 2}, origin};
         const origin_question question{9, {1, 2}};
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(entry_lost_by_a_restored_registry_is_kept_until_renewed);
     CPPUNIT_TEST(version_serves_while_one_of_its_upstreams_does);
     CPPUNIT_TEST(sole_version_is_known_after_the_lifetime_of_streams);
+    CPPUNIT_TEST(process_newer_than_its_entry_has_no_known_version);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -470,14 +471,48 @@
         table.on_tick(now);
         CPPUNIT_ASSERT(!table.sole_version("llm", now));
         CPPUNIT_ASSERT(table.sole_version("llm", now + lifetime) == "v2");
+        now += lifetime;
+        // The same process name with other software.
+        table.update(of_version("i-2", "v3"), now);
+        CPPUNIT_ASSERT(!table.sole_version("llm", now + lifetime / 2));
         // What served during an outage of the registry is not known.
         now += lifetime + std::chrono::seconds(1);
-        CPPUNIT_ASSERT(table.sole_version("llm", now) == "v2");
+        CPPUNIT_ASSERT(table.sole_version("llm", now) == "v3");
         table.on_registry_lost();
         CPPUNIT_ASSERT(!table.sole_version("llm", now));
         table.on_registry_recovered(now);
         CPPUNIT_ASSERT(!table.sole_version("llm", now + lifetime / 2));
-        CPPUNIT_ASSERT(table.sole_version("llm", now + lifetime) == "v2");
+        CPPUNIT_ASSERT(table.sole_version("llm", now + lifetime) == "v3");
+    }
+
+    // Guards against a restarted engine that is taken for its predecessor until its entry arrives.
+    void process_newer_than_its_entry_has_no_known_version()
+    {
+        upstream_table table;
+        auto listed = of_version("i-1", "v1");
+        table.update(listed, start);
+        engine_status status;
+        status.engine = listed.address.str();
+        status.sidecar_start = 1;
+        status.sequence = 1;
+        status.models = {"base"};
+        const auto software = [&] {
+            return upstream_table::software_of(*table.find(upstream_id("i-1")));
+        };
+        table.on_engine_status(status, start);
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), software());
+        status.process_start_ms = listed.process_start_ms;
+        ++status.sequence;
+        table.on_engine_status(status, start);
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), software());
+        ++status.process_start_ms;
+        ++status.sequence;
+        table.on_engine_status(status, start);
+        CPPUNIT_ASSERT_EQUAL(std::string(), software());
+        listed.process_start_ms = status.process_start_ms;
+        listed.software = "v2";
+        table.update(listed, start);
+        CPPUNIT_ASSERT_EQUAL(std::string("v2"), software());
     }
 };
 
