--- a/tests/process/support/fleet.cpp
+++ b/tests/process/support/fleet.cpp
@@ -50,8 +50,11 @@
 
 fleet::fleet(const fleet_options& options) : options_(options), folder_(make_folder())
 {
-    auto engine_arguments = options_.engine_arguments;
     for (std::size_t i = 0; i < options_.engines; ++i) {
+        auto engine_arguments = options_.engine_arguments;
+        if (i < options_.engine_software.size()) {
+            engine_arguments.push_back("--software=" + options_.engine_software[i]);
+        }
         engines_.push_back(
             start_upstream(fmt::format("e{}", i + 1), "engine_stand_in", engine_arguments));
     }
--- a/tests/process/support/fleet.h
+++ b/tests/process/support/fleet.h
@@ -20,6 +20,8 @@
     std::vector<std::string> entry_arguments;
     std::vector<std::string> agent_arguments;
     std::vector<std::string> engine_arguments;
+    /// Software version of each engine, which its tokens end with; empty for one without marks.
+    std::vector<std::string> engine_software;
     /// Replaces the fleet's secret in the agents, to test a wrong one.
     std::string agent_secret;
 };
@@ -62,6 +64,7 @@
     entry_process& entry(std::size_t index = 0) { return entries_.at(index); }
     upstream_pair& engine(std::size_t index = 0) { return engines_.at(index); }
     upstream_pair& service(std::size_t index = 0) { return services_.at(index); }
+    std::size_t engines() const { return engines_.size(); }
 
     /// Restarts an agent or an entry with its original arguments.
     void restart_agent(upstream_pair& pair);
--- a/tools/engine_stand_in/engine.cpp
+++ b/tools/engine_stand_in/engine.cpp
@@ -32,8 +32,12 @@
 nlohmann::json engine::current_report() const
 {
     return {
-        {"running", queue_.running()}, {"waiting", queue_.waiting()}, {"loaded", slots_.loaded()},
-        {"loading", slots_.loading()}, {"incarnation", incarnation_},
+        {"running", queue_.running()},
+        {"waiting", queue_.waiting()},
+        {"loaded", slots_.loaded()},
+        {"loading", slots_.loading()},
+        {"incarnation", incarnation_},
+        {"software", options_.software.empty() ? "1" : options_.software},
     };
 }
 
--- a/tools/engine_stand_in/engine_options.h
+++ b/tools/engine_stand_in/engine_options.h
@@ -28,6 +28,8 @@
     bool checks_fencing = false;
     /// First incarnation in the load report; each cold restart adds one.
     std::uint64_t incarnation = 1;
+    /// Version of its software in the load report. If it is set, tokens end with it.
+    std::string software;
 };
 
 } // namespace engine_stand_in
--- a/tools/engine_stand_in/main.cpp
+++ b/tools/engine_stand_in/main.cpp
@@ -37,6 +37,7 @@
   --loads-at-once N    Concurrent loads at full speed [default: 16].
   --report-lag-ms N    Maximum age of the load report [default: 0].
   --incarnation N      First incarnation in the load report [default: 1].
+  --software TEXT      Software version in the load report; marks each token if given.
   --checks-fencing     Refuse orders with an old fencing number.
   --help               Show this text.
 
@@ -63,6 +64,7 @@
     options.full_speed_loads = count("--loads-at-once");
     options.report_lag = std::chrono::milliseconds(count("--report-lag-ms"));
     options.incarnation = count("--incarnation");
+    options.software = args["--software"] ? args["--software"].asString() : "";
     options.checks_fencing = args["--checks-fencing"].asBool();
     return options;
 }
--- a/tools/engine_stand_in/session.cpp
+++ b/tools/engine_stand_in/session.cpp
@@ -304,7 +304,8 @@
 asio::awaitable<bool> session::send_token(const completion_call& call, const std::string& echo,
                                           std::uint32_t index)
 {
-    const std::string text = token_text(call.model, call.prompt, index);
+    const std::string text =
+        token_text(call.model, call.prompt, index) + engine_.options().software;
     if (!call.stream) {
         text_ += text;
         co_return true;
