Entries and agents continue a stream only at the software version that began it

Callers saw: a stream joined from the tokens of two engine versions when its engine was lost. Change: engines state their software in GET /load; the agent reports it and names it when a run starts; the lifecycle binds the stream by its first token, asks for an engine of that version, and drops tokens of another; the agent refuses a stream of another version. A stream that an engine without a version began ends with it.

--- a/src/agent/request_runner.cpp
+++ b/src/agent/request_runner.cpp
@@ -153,6 +153,7 @@
         state.phase == upstream_phase::draining || state.phase == upstream_phase::drained;
     report.running = to_count(state.running);
     report.queued = to_count(state.queued);
+    report.software = software_;
     report.queue_delay_ms = to_milliseconds(state.queue_estimate);
     for (const auto& adapter : state.resident) {
         report.resident.push_back(adapter.str());
@@ -183,7 +184,7 @@
 {
     auto& request = requests_.at(action.id);
     request.call = std::make_shared<upstream_call>(
-        executor_, upstream_, request.request,
+        executor_, upstream_, request.request, software_,
         [this, id = action.id](const link::frame& message) { on_call_frame(id, message); });
     request.call->start([this, id = action.id] { on_call_finished(id); });
 }
@@ -361,6 +362,7 @@
     const auto now = steady_now();
     if (result.engine_state == probe_result::state::alive) {
         down_ = false;
+        software_ = result.software;
         apply(scheduler_.on_upstream_read(result.incarnation, result.resident_adapters,
                                           read_sent_at, now));
     }
--- a/src/agent/request_runner.h
+++ b/src/agent/request_runner.h
@@ -129,6 +129,8 @@
     request_number last_number_ = 0;
     time_point next_probe_{};
     bool down_ = false;
+    /// Version of the engine's software as last read; empty if it states none.
+    std::string software_;
     bool stopped_ = false;
 };
 
--- a/src/agent/upstream_call.cpp
+++ b/src/agent/upstream_call.cpp
@@ -114,10 +114,10 @@
 } // namespace
 
 upstream_call::upstream_call(const asio::any_io_executor& executor, upstream_address upstream,
-                             link::run_request request, emit_function emit)
+                             link::run_request request, std::string software, emit_function emit)
     : stream_(executor), window_changed_(executor), upstream_(std::move(upstream)),
-      request_(std::move(request)), emit_(std::move(emit)), window_(request_.window_bytes),
-      next_token_(request_.resume_from)
+      request_(std::move(request)), software_(std::move(software)), emit_(std::move(emit)),
+      window_(request_.window_bytes), next_token_(request_.resume_from)
 {
     window_changed_.expires_at(asio::steady_timer::time_point::max());
 }
@@ -148,7 +148,11 @@
 
 asio::awaitable<void> upstream_call::run()
 {
-    if (co_await connect()) {
+    if (request_.resume_from > 0 && request_.software != software_) {
+        emit(link::refused{request_.stream, "other_software", 0});
+        ended_ = true;
+    }
+    else if (co_await connect()) {
         co_await exchange();
     }
     stream_.close();
@@ -176,7 +180,7 @@
 asio::awaitable<void> upstream_call::exchange()
 {
     const auto message = make_request(request_);
-    emit(link::started{request_.stream});
+    emit(link::started{request_.stream, software_});
     started_ = true;
     stream_.expires_after(upstream_.progress_timeout);
     const auto [write_error, written] = co_await http::async_write(stream_, message, as_result);
--- a/src/agent/upstream_call.h
+++ b/src/agent/upstream_call.h
@@ -34,8 +34,10 @@
     /// Called once, after the last frame was emitted.
     using finished_function = std::function<void()>;
 
+    /// `software`: version of the upstream's software; empty if it states none. A stream that
+    /// another version began is refused.
     upstream_call(const boost::asio::any_io_executor& executor, upstream_address upstream,
-                  link::run_request request, emit_function emit);
+                  link::run_request request, std::string software, emit_function emit);
 
     /// Starts the exchange.
     void start(finished_function finished);
@@ -71,6 +73,7 @@
     boost::asio::steady_timer window_changed_;
     upstream_address upstream_;
     link::run_request request_;
+    std::string software_;
     emit_function emit_;
     std::uint64_t window_;
     std::uint64_t next_token_;
--- a/src/agent/upstream_probe.cpp
+++ b/src/agent/upstream_probe.cpp
@@ -80,6 +80,10 @@
     if (incarnation != load.body->end() && incarnation->is_number_unsigned()) {
         result.incarnation = incarnation->get<std::uint64_t>();
     }
+    const auto software = load.body->find("software");
+    if (software != load.body->end() && software->is_string()) {
+        result.software = software->get<std::string>();
+    }
     result.resident_adapters = listed_adapters(*models.body);
     result.engine_state = probe_result::state::alive;
     co_return result;
--- a/src/agent/upstream_probe.h
+++ b/src/agent/upstream_probe.h
@@ -25,6 +25,8 @@
     state engine_state = state::unknown;
     std::uint64_t incarnation = 0;
     std::set<adapter_ref> resident_adapters;
+    /// Version of its software; empty if it states none.
+    std::string software = {};
 };
 
 /// Reads the incarnation and the resident adapters of an engine.
--- a/src/entry/request_session.cpp
+++ b/src/entry/request_session.cpp
@@ -87,6 +87,7 @@
 
 void request_session::carry_out(const route::choose_upstream& action)
 {
+    need_.software = action.software;
     services_.choose(need_, action.tried,
                      [self = shared_from_this()](const route::upstream_choice& choice) {
                          asio::post(self->executor_, [self, choice] {
@@ -108,6 +109,7 @@
     link::run_request attempt = request_;
     attempt.attempt = action.attempt;
     attempt.resume_from = action.resume_from;
+    attempt.software = action.software;
     attempt.deadline_ms = static_cast<std::uint64_t>(
         std::max<std::int64_t>(0, to_milliseconds(lifecycle_.facts().deadline - now).count()));
     stream_owner owner;
@@ -164,8 +166,8 @@
         lifecycle_.on_queued(attempt, now);
         arm_timer();
     }
-    else if (std::holds_alternative<link::started>(current_frame_)) {
-        lifecycle_.on_started(attempt, now);
+    else if (const auto* begun = std::get_if<link::started>(&current_frame_)) {
+        lifecycle_.on_started(attempt, begun->software, now);
         arm_timer();
     }
     else if (const auto* token = std::get_if<link::token>(&current_frame_)) {
--- a/src/entry/upstream_chooser.cpp
+++ b/src/entry/upstream_chooser.cpp
@@ -53,6 +53,7 @@
     for (const auto& name : report.resident) {
         load.resident.push_back(parse_adapter(name));
     }
+    load.software = report.software;
     view_.on_report(id, std::move(load), now);
 }
 
@@ -90,6 +91,7 @@
         request.adapter = need.adapter;
         request.base_model = need.serves;
         request.prefix_hash = need.prefix_hash;
+        request.software = need.software;
         const auto adapter_hash = stable_hash(need.adapter.str());
         request.demand_tokens_per_s = tried.empty()
                                           ? demand_.on_request(adapter_hash, need.tokens, now)
--- a/src/entry/upstream_chooser.h
+++ b/src/entry/upstream_chooser.h
@@ -26,6 +26,8 @@
     std::uint64_t prefix_hash = 0;
     /// Tokens that the request may take.
     std::uint64_t tokens = 0;
+    /// The software version that began the stream; empty if any upstream can run the request.
+    std::string software = {};
 
     friend bool operator==(const upstream_need&, const upstream_need&) = default;
 };
--- a/src/link/frame/run_request.h
+++ b/src/link/frame/run_request.h
@@ -45,6 +45,8 @@
     std::uint64_t team_weight_milli = 1000;
     /// Configuration version under which the entry admitted the request.
     std::uint64_t config_version = 0;
+    /// The software version that produced the tokens which the caller already has.
+    std::string software;
 
     friend bool operator==(const run_request&, const run_request&) = default;
 };
--- a/src/link/frame/upstream_report.h
+++ b/src/link/frame/upstream_report.h
@@ -17,6 +17,8 @@
     std::uint64_t queue_delay_ms = 0;
     /// Resident adapters, as `adapter@version`.
     std::vector<std::string> resident;
+    /// Version of the upstream's software; empty if it states none.
+    std::string software;
 
     friend bool operator==(const upstream_report&, const upstream_report&) = default;
 };
--- a/src/link/frame_codec.cpp
+++ b/src/link/frame_codec.cpp
@@ -69,7 +69,7 @@
     io(f.stream, f.request_id, f.attempt, f.team, f.key, f.adapter, f.method, f.path, f.headers,
        f.body, f.prompt_tokens, f.max_tokens, f.resume_from, f.deadline_ms, f.window_bytes,
        f.idempotent, f.exclusive, f.fingerprint, f.traceparent, f.adapter_source,
-       f.team_weight_milli, f.config_version);
+       f.team_weight_milli, f.config_version, f.software);
 }
 
 template <class Archive>
@@ -93,7 +93,7 @@
 template <class Archive>
 void visit_fields(Archive& io, started& f)
 {
-    io(f.stream);
+    io(f.stream, f.software);
 }
 
 template <class Archive>
@@ -135,7 +135,7 @@
 template <class Archive>
 void visit_fields(Archive& io, upstream_report& f)
 {
-    io(f.ready, f.leaving, f.running, f.queued, f.queue_delay_ms, f.resident);
+    io(f.ready, f.leaving, f.running, f.queued, f.queue_delay_ms, f.resident, f.software);
 }
 
 template <class Archive>
--- a/src/route/lifecycle_action.h
+++ b/src/route/lifecycle_action.h
@@ -43,6 +43,8 @@
 /// Ask the ranking for an upstream that has not been tried; the result goes to on_choice().
 struct choose_upstream {
     std::vector<upstream_id> tried;
+    /// The software version that began the stream; empty if any upstream can run the request.
+    std::string software = {};
 
     friend bool operator==(const choose_upstream&, const choose_upstream&) = default;
 };
@@ -53,6 +55,8 @@
     upstream_id upstream;
     /// Number of tokens already forwarded to the caller.
     std::uint64_t resume_from = 0;
+    /// The software version that produced these tokens; empty if there are none.
+    std::string software = {};
 
     friend bool operator==(const send_attempt&, const send_attempt&) = default;
 };
--- a/src/route/load_report.h
+++ b/src/route/load_report.h
@@ -4,6 +4,7 @@
 #include "snipespar/time.h"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace snipespar::route {
@@ -18,6 +19,8 @@
     duration queue_estimate{};
     /// Adapters resident on the upstream.
     std::vector<adapter_ref> resident;
+    /// Version of the upstream's software; empty if it states none.
+    std::string software = {};
 
     friend bool operator==(const load_report&, const load_report&) = default;
 };
--- a/src/route/ranking.cpp
+++ b/src/route/ranking.cpp
@@ -149,10 +149,14 @@
 
 ranking::index_list ranking::select(const upstream_view& view, std::span<const std::uint32_t> order,
                                     std::span<const upstream_id> tried, std::size_t count,
-                                    health required, time_point now) const
+                                    health required, time_point now,
+                                    const std::string& software) const
 {
     index_list chosen;
     for (const std::uint32_t index : order) {
+        if (!software.empty() && view.upstreams()[index].report.software != software) {
+            continue;
+        }
         const availability state = view.availability_of(index, now);
         const bool healthy = state == availability::available;
         const bool usable =
@@ -175,15 +179,16 @@
 {
     adapter_entry& entry = find_or_add_entry(view, request, adapter_hash);
     const std::uint32_t width = update_width(entry, request.demand_tokens_per_s);
-    index_list candidates = select(view, entry.order, tried, width, health::healthy, now);
+    const auto& software = request.software;
+    index_list candidates = select(view, entry.order, tried, width, health::healthy, now, software);
     if (!candidates.empty() && (candidates.size() == width || entry.order.size() < width)) {
         return candidates;
     }
     const auto all_engines =
         rank_engines(view, request.base_model, adapter_hash, view.upstreams().size());
-    candidates = select(view, all_engines, tried, width, health::healthy, now);
+    candidates = select(view, all_engines, tried, width, health::healthy, now, software);
     if (candidates.empty()) {
-        candidates = select(view, all_engines, tried, width, health::any, now);
+        candidates = select(view, all_engines, tried, width, health::any, now, software);
     }
     return candidates;
 }
--- a/src/route/ranking.h
+++ b/src/route/ranking.h
@@ -48,6 +48,8 @@
     std::optional<std::uint64_t> prefix_hash;
     /// Demand for the adapter at this entry, in tokens per second.
     double demand_tokens_per_s = 0;
+    /// The software version that began the stream; empty if any engine can run the request.
+    std::string software = {};
 
     friend bool operator==(const engine_request&, const engine_request&) = default;
 };
@@ -92,7 +94,7 @@
     std::uint32_t update_width(adapter_entry& entry, double demand) const;
     index_list select(const upstream_view& view, std::span<const std::uint32_t> order,
                       std::span<const upstream_id> tried, std::size_t count, health required,
-                      time_point now) const;
+                      time_point now, const std::string& software = {}) const;
     index_list engine_candidates(const upstream_view& view, const engine_request& request,
                                  std::uint64_t adapter_hash, std::span<const upstream_id> tried,
                                  time_point now);
--- a/src/route/request_lifecycle.cpp
+++ b/src/route/request_lifecycle.cpp
@@ -107,8 +107,9 @@
     state_.upstream = *choice.upstream;
     state_.progress_at = now;
     state_.resume_from = state_.tokens_forwarded;
+    state_.attempt_software.clear();
     state_.tried.push_back(*choice.upstream);
-    return {send_attempt{state_.attempt, state_.upstream, state_.resume_from}};
+    return {send_attempt{state_.attempt, state_.upstream, state_.resume_from, state_.software}};
 }
 
 bool request_lifecycle::on_sent(attempt_number attempt, time_point now)
@@ -129,8 +130,12 @@
     mark_progress(attempt, attempt_phase::queued, now);
 }
 
-void request_lifecycle::on_started(attempt_number attempt, time_point now)
+void request_lifecycle::on_started(attempt_number attempt, const std::string& software,
+                                   time_point now)
 {
+    if (is_current(attempt)) {
+        state_.attempt_software = software;
+    }
     mark_progress(attempt, attempt_phase::started, now);
 }
 
@@ -153,6 +158,10 @@
     if (index < state_.tokens_forwarded) {
         return {};
     }
+    if (state_.tokens_forwarded > 0 && state_.attempt_software != state_.software) {
+        return fail_attempt(run_state::unknown, finish_reason::bad_answer);
+    }
+    state_.software = state_.attempt_software;
     ++state_.tokens_forwarded;
     return {forward_token{index}};
 }
@@ -308,7 +317,9 @@
     if (state_.may_have_run && !facts_.idempotent) {
         return false;
     }
-    return state_.head_status == 0;
+    // No upstream is known to be able to continue what an unstated version began.
+    const bool is_of_unknown_version = state_.tokens_forwarded > 0 && state_.software.empty();
+    return state_.head_status == 0 && !is_of_unknown_version;
 }
 
 duration request_lifecycle::inactivity_limit() const
@@ -348,7 +359,7 @@
 lifecycle_actions request_lifecycle::choose()
 {
     state_.phase = attempt_phase::choosing;
-    return {choose_upstream{state_.tried}};
+    return {choose_upstream{state_.tried, state_.software}};
 }
 
 lifecycle_actions request_lifecycle::fail_attempt(run_state ran, finish_reason reason)
--- a/src/route/request_lifecycle.h
+++ b/src/route/request_lifecycle.h
@@ -97,6 +97,10 @@
     time_point progress_at;
     std::uint64_t resume_from = 0;
     std::uint64_t tokens_forwarded = 0;
+    /// Software version of the current attempt's upstream, and the one that produced the forwarded
+    /// tokens; empty if not stated.
+    std::string attempt_software;
+    std::string software;
     std::uint64_t bytes_forwarded = 0;
     /// Status of the forwarded head; 0 if none was forwarded.
     int head_status = 0;
@@ -116,7 +120,8 @@
 /// parts of the response are forwarded to the caller, and the single final response.
 ///
 /// A non-idempotent request is retried only while it is certain that it did not run. A token
-/// stream that loses its upstream resumes on another without losing or repeating a token. Events
+/// stream that loses its upstream resumes on another one with the same software version, since what
+/// two versions produce does not fit together, without losing or repeating a token. Events
 /// of an earlier attempt are ignored, as is everything after the final response. `not_run` is
 /// reported only if no byte was sent or an agent reported it.
 class request_lifecycle {
@@ -137,8 +142,9 @@
     /// The agent accepted the request, or reports again that it is queued.
     void on_queued(attempt_number attempt, time_point now);
 
-    /// The agent is about to send the first byte to the upstream.
-    void on_started(attempt_number attempt, time_point now);
+    /// The agent is about to send the first byte to the upstream, which has this software version;
+    /// empty if it states none.
+    void on_started(attempt_number attempt, const std::string& software, time_point now);
 
     /// A token arrived; `index` counts from 0 over the whole response.
     lifecycle_actions on_token(attempt_number attempt, std::uint64_t index, time_point now);
--- a/tests/link_frame_codec_test.cpp
+++ b/tests/link_frame_codec_test.cpp
@@ -27,7 +27,9 @@
         CPPUNIT_ASSERT(decoded.ok());
         CPPUNIT_ASSERT(request == *decoded);
 
-        const frame report = upstream_report{true, false, 2, 3, 40, {"a@1", "b@2"}};
+        const frame report = upstream_report{true, false, 2, 3, 40, {"a@1", "b@2"}, "v1"};
+        const frame begun = started{7, "v1"};
+        CPPUNIT_ASSERT(begun == *decode(encode(begun)));
         CPPUNIT_ASSERT(report == *decode(encode(report)));
         const frame failure = failed{7, run_state::ran, "upstream_died", 100};
         CPPUNIT_ASSERT(failure == *decode(encode(failure)));
@@ -86,6 +88,7 @@
         request.max_tokens = 64;
         request.idempotent = true;
         request.fingerprint = ~std::uint64_t{0};
+        request.software = "v1";
         return request;
     }
 };
--- a/tests/route_ranking_test.cpp
+++ b/tests/route_ranking_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(idle_service_wins_and_own_domain_is_preferred);
     CPPUNIT_TEST(loss_of_one_engine_moves_only_its_adapters);
     CPPUNIT_TEST(outdated_report_is_ignored);
+    CPPUNIT_TEST(stream_goes_only_to_the_software_that_began_it);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -210,6 +211,25 @@
                        duration(std::chrono::seconds(9)));
     }
 
+    // Guards against an engine with other software, and against a guess if none has the same.
+    void stream_goes_only_to_the_software_that_began_it()
+    {
+        for (int i = 0; i < engines; ++i) {
+            const upstream_id id("e" + std::to_string(i));
+            view_.on_report(id, {0, 0, {}, {}, i == 3 ? "v2" : "v1"}, at({}));
+        }
+        auto needed = request(1);
+        needed.software = "v2";
+        for (int adapter = 0; adapter < 20; ++adapter) {
+            needed.adapter.adapter = adapter_id("a" + std::to_string(adapter));
+            CPPUNIT_ASSERT(chosen(engine(needed)) == upstream_id("e3"));
+        }
+        CPPUNIT_ASSERT(
+            !ranking_.choose_engine(view_, needed, {{upstream_id("e3")}}, at({})).upstream);
+        needed.software = "v3";
+        CPPUNIT_ASSERT(!engine(needed).upstream);
+    }
+
 private:
     static constexpr int engines = 9;
     static constexpr int services = 3;
--- a/tests/route_request_lifecycle_test.cpp
+++ b/tests/route_request_lifecycle_test.cpp
@@ -41,6 +41,8 @@
     return nullptr;
 }
 
+using std::chrono::milliseconds;
+
 constexpr time_point at(std::chrono::milliseconds moment)
 {
     return time_point(moment);
@@ -60,6 +62,8 @@
     CPPUNIT_TEST(a_refusal_carries_retry_after);
     CPPUNIT_TEST(a_withdrawn_key_cancels_immediately);
     CPPUNIT_TEST(nothing_goes_out_after_the_deadline);
+    CPPUNIT_TEST(stream_is_continued_by_the_software_that_began_it);
+    CPPUNIT_TEST(stream_of_unstated_software_is_not_continued);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -192,6 +196,31 @@
         CPPUNIT_ASSERT(find<finish_request>(end)->ran == run_state::not_run);
     }
 
+    // Guards against a stream that is joined from the tokens of two software versions.
+    void stream_is_continued_by_the_software_that_began_it()
+    {
+        retry_budget budget({1.0, 10});
+        request_lifecycle lifecycle = begun(budget, "v1");
+        const auto moved = lifecycle.on_link_lost(1, at(milliseconds(3)));
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), find<choose_upstream>(moved)->software);
+        const auto sent = lifecycle.on_choice({upstream_id("u2"), {}}, at(milliseconds(4)));
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), find<send_attempt>(sent)->software);
+        CPPUNIT_ASSERT(lifecycle.on_sent(2, at(milliseconds(4))));
+        lifecycle.on_started(2, "v2", at(milliseconds(5)));
+        const auto other = lifecycle.on_token(2, 1, at(milliseconds(6)));
+        CPPUNIT_ASSERT(find<forward_token>(other) == nullptr);
+        CPPUNIT_ASSERT(find<cancel_attempt>(other) != nullptr);
+    }
+
+    void stream_of_unstated_software_is_not_continued()
+    {
+        retry_budget budget({1.0, 10});
+        request_lifecycle lifecycle = begun(budget, "");
+        const auto ended = lifecycle.on_link_lost(1, at(milliseconds(3)));
+        CPPUNIT_ASSERT(find<choose_upstream>(ended) == nullptr);
+        CPPUNIT_ASSERT(find<finish_request>(ended)->reason == finish_reason::upstream_lost);
+    }
+
 private:
     static void send(request_lifecycle& request, const char* upstream)
     {
@@ -200,6 +229,20 @@
         CPPUNIT_ASSERT(request.on_sent(request.state().attempt, at({})));
     }
 
+    // A stream whose first token came from an upstream with this software.
+    static request_lifecycle begun(retry_budget& budget, const std::string& software)
+    {
+        request_lifecycle lifecycle({"r1", true, answer_kind::tokens, at(milliseconds(1000))}, {},
+                                    budget);
+        lifecycle.start(at(milliseconds(0)));
+        lifecycle.on_choice({upstream_id("u1"), {}}, at(milliseconds(1)));
+        CPPUNIT_ASSERT(lifecycle.on_sent(1, at(milliseconds(1))));
+        lifecycle.on_started(1, software, at(milliseconds(2)));
+        CPPUNIT_ASSERT(find<forward_token>(lifecycle.on_token(1, 0, at(milliseconds(2)))) !=
+                       nullptr);
+        return lifecycle;
+    }
+
     lifecycle_limits limits_;
     retry_budget budget_;
 };
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -297,7 +297,7 @@
             lifecycle_.on_queued(item.attempt, now_);
             return {};
         case frame_kind::started:
-            lifecycle_.on_started(item.attempt, now_);
+            lifecycle_.on_started(item.attempt, "v1", now_);
             return {};
         case frame_kind::item:
             return deliver_item(item);
