--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -12,6 +12,7 @@
 #include "gateway/upstream_channel.h"
 #include "net/steady_time.h"
 #include "platform/call_codec.h"
+#include "resume/origin_directory.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -80,9 +81,6 @@
 // newer one must be used from 5 s after the announcement.
 constexpr auto version_grace = milliseconds(3500);
 
-// Interval at which the origin of a running stream is recorded, so that its holders keep it.
-constexpr auto record_interval = std::chrono::seconds(20);
-
 constexpr std::string_view last_chunk = "0\r\n\r\n";
 
 std::string chunk(std::string_view bytes)
@@ -273,7 +271,7 @@
 
 void call_exchange::record_origin(time_point now)
 {
-    next_record_at_ = now + record_interval;
+    next_record_at_ = now + resume::origin_directory::record_interval;
     const auto team = team_ == nullptr ? team_id() : team_->id;
     context_.record_origin(resume::make_stream_key(team, call_.request_id),
                            {service_->name, version_.required()});
--- a/src/resume/origin_directory.h
+++ b/src/resume/origin_directory.h
@@ -46,6 +46,9 @@
 /// gateways were killed. An origin never changes, so that any holder's answer is right.
 class origin_directory {
 public:
+    /// How often the origin of a running stream is recorded again, as holders may have restarted.
+    static constexpr duration record_interval = std::chrono::seconds(5);
+
     /// The known members of the fleet.
     origin_holders& holders() { return holders_; }
 
