Engines whose agents have not read their software version can still be asked to continue a stream

Callers saw: a stream ended with upstream-lost though another engine could continue it. Change: such engines are offered; their agents read the version before they run anything and refuse a stream of another one.

--- a/src/route/ranking.cpp
+++ b/src/route/ranking.cpp
@@ -154,7 +154,10 @@
 {
     index_list chosen;
     for (const std::uint32_t index : order) {
-        if (!software.empty() && view.upstreams()[index].report.software != software) {
+        // An agent without a request so far may not have read its engine's version. It refuses the
+        // request if that differs.
+        const std::string& stated = view.upstreams()[index].report.software;
+        if (!software.empty() && !stated.empty() && stated != software) {
             continue;
         }
         const availability state = view.availability_of(index, now);
--- a/tests/route_ranking_test.cpp
+++ b/tests/route_ranking_test.cpp
@@ -228,6 +228,9 @@
             !ranking_.choose_engine(view_, needed, {{upstream_id("e3")}}, at({})).upstream);
         needed.software = "v3";
         CPPUNIT_ASSERT(!engine(needed).upstream);
+        // Not read yet: its agent decides.
+        view_.on_report(upstream_id("e5"), {}, at(std::chrono::seconds(1)));
+        CPPUNIT_ASSERT(chosen(engine(needed)) == upstream_id("e5"));
     }
 
 private:
