--- a/tests/resume_fleet_test.cpp
+++ b/tests/resume_fleet_test.cpp
@@ -24,7 +24,6 @@
 using gateway::send_to;
 using gateway::stream_version;
 using gateway::upstream_selector;
-using gateway::upstream_state;
 using gateway::upstream_table;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -579,6 +578,7 @@
 std::vector<std::string> mixed(int upstreams, int versions)
 {
     std::vector<std::string> software;
+    software.reserve(static_cast<std::size_t>(upstreams));
     for (int i = 0; i < upstreams; ++i) {
         software.push_back(fmt::format("v{}", i % versions));
     }
