Report the reason of an abnormal end in a last log line

A process that ended by a signal or an uncaught exception wrote nothing, and a sidecar whose main loop ended lived on silently. Change: ended_by_signal and ended_by_exception for all roles, round_failed for the sidecar. No decision changes.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 #include "operator/run_operator.h"
 #include "platform/wire_names.h"
 #include "sidecar/run_sidecar.h"
+#include "telemetry/end_report.h"
 
 #include <csignal>
 #include <fmt/core.h>
@@ -20,17 +21,27 @@
 
 // Runs the parsed command and returns the exit code.
 struct dispatcher {
-    int operator()(const cli::entry_settings& settings) const { return entry::run_entry(settings); }
+    int operator()(const cli::entry_settings& settings) const
+    {
+        telemetry::report_abnormal_end("entry", STDERR_FILENO);
+        return entry::run_entry(settings);
+    }
 
-    int operator()(const cli::agent_settings& settings) const { return agent::run_agent(settings); }
+    int operator()(const cli::agent_settings& settings) const
+    {
+        telemetry::report_abnormal_end("agent", STDERR_FILENO);
+        return agent::run_agent(settings);
+    }
 
     int operator()(const cli::gateway_settings& settings) const
     {
+        telemetry::report_abnormal_end("gateway", STDOUT_FILENO);
         return gateway::run_gateway(settings);
     }
 
     int operator()(const cli::sidecar_settings& settings) const
     {
+        telemetry::report_abnormal_end("sidecar", STDOUT_FILENO);
         return sidecar::run_sidecar(settings);
     }
 
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -10,9 +10,9 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <exception>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -114,7 +114,7 @@
         return admin.status();
     }
     admin_ = *std::move(admin);
-    asio::co_spawn(io_, run(), asio::detached);
+    asio::co_spawn(io_, run(), [this](const std::exception_ptr& error) { on_run_ended(error); });
     log_.info("started", {{"role", "sidecar"},
                           {"host", settings_.host.str()},
                           {"engine", settings_.engine.str()},
@@ -122,6 +122,19 @@
     return absl::OkStatus();
 }
 
+void sidecar_server::on_run_ended(const std::exception_ptr& error) const
+{
+    if (error == nullptr) {
+        return;
+    }
+    try {
+        std::rethrow_exception(error);
+    }
+    catch (const std::exception& cause) {
+        log_.error("round_failed", {{"reason", cause.what()}});
+    }
+}
+
 asio::awaitable<void> sidecar_server::run()
 {
     while (true) {
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -14,6 +14,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <exception>
 #include <map>
 #include <memory>
 
@@ -38,6 +39,7 @@
 
 private:
     boost::asio::awaitable<void> run();
+    void on_run_ended(const std::exception_ptr& error) const;
     boost::asio::awaitable<void> read_report();
     boost::asio::awaitable<void> give_orders();
     void on_message(const control::message& content, const cli::endpoint& from);
