--- a/tests/docs_coverage_test.cpp
+++ b/tests/docs_coverage_test.cpp
@@ -16,7 +16,7 @@
 
 namespace fs = std::filesystem;
 
-const fs::path root = fs::path(__FILE__).parent_path().parent_path();
+const fs::path root = SNIPESPAR_SOURCE_DIR;
 
 std::string read_file(const fs::path& path)
 {
