--- a/tests/cli_command_line_test.cpp
+++ b/tests/cli_command_line_test.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -39,6 +40,51 @@
     return std::get<entry_settings>(parsed);
 }
 
+// The shortest valid command line of a gateway. A flag of `more` replaces the one given before.
+std::vector<std::string> gateway_arguments(const std::vector<std::string>& more)
+{
+    std::map<std::string, std::string> flags{{"--listen", "127.0.0.1:1"},
+                                             {"--admin-listen", "127.0.0.1:2"},
+                                             {"--control-listen", "127.0.0.1:3"},
+                                             {"--platform", "127.0.0.1:4"},
+                                             {"--host", "h1"},
+                                             {"--failure-domain", "z1"}};
+    for (const auto& item : more) {
+        flags[item.substr(0, item.find('='))] = item.substr(item.find('=') + 1);
+    }
+    std::vector<std::string> arguments{"gateway"};
+    for (const auto& [flag, value] : flags) {
+        arguments.push_back(flag + "=" + value);
+    }
+    return arguments;
+}
+
+template <class Settings>
+Settings parse_role(const std::vector<std::string>& arguments, const text_map& variables)
+{
+    const auto parsed = parse_command_line(arguments, variables);
+    if (const auto* const printed = std::get_if<printed_text>(&parsed)) {
+        CPPUNIT_FAIL(printed->text);
+    }
+    return std::get<Settings>(parsed);
+}
+
+gateway_settings parse_gateway(const std::vector<std::string>& more, const text_map& variables = {})
+{
+    return parse_role<gateway_settings>(gateway_arguments(more), variables);
+}
+
+sidecar_settings parse_sidecar(const std::vector<std::string>& more, const text_map& variables = {})
+{
+    std::vector<std::string> arguments{"sidecar", "--control-listen=127.0.0.1:3",
+                                       "--admin-listen=127.0.0.1:2", "--engine=127.0.0.1:5"};
+    if (more.empty()) {
+        arguments.emplace_back("--host=h1");
+    }
+    arguments.insert(arguments.end(), more.begin(), more.end());
+    return parse_role<sidecar_settings>(arguments, variables);
+}
+
 printed_text parse_failure(const std::vector<std::string>& arguments, const text_map& variables)
 {
     const auto parsed = parse_command_line(arguments, variables);
@@ -72,6 +118,11 @@
     CPPUNIT_TEST(exactly_one_source_of_configuration);
     CPPUNIT_TEST(drain_shorter_than_a_request_is_a_finding);
     CPPUNIT_TEST(agent_settings_are_typed);
+    CPPUNIT_TEST(values_that_the_platform_renders_otherwise_are_read);
+    CPPUNIT_TEST(unusable_value_gives_way_to_the_default);
+    CPPUNIT_TEST(foreign_variable_does_not_end_a_start);
+    CPPUNIT_TEST(any_name_of_a_host_is_taken);
+    CPPUNIT_TEST(what_has_no_default_is_a_finding);
     CPPUNIT_TEST(operator_commands_are_typed);
     CPPUNIT_TEST(bad_usage_is_named);
     CPPUNIT_TEST(help_and_version_succeed);
@@ -148,6 +199,67 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, settings.seed);
     }
 
+    // Guards against gateways that do not start because a number has another spelling.
+    void values_that_the_platform_renders_otherwise_are_read()
+    {
+        for (const std::string text :
+             {"2000ms", "2000.0ms", "2e3ms", "2E+3ms", "2.0s", "+2000ms"}) {
+            const auto settings = parse_gateway({"--leave-bound=" + text});
+            CPPUNIT_ASSERT_MESSAGE(text, duration(2s) == settings.leave_bound);
+        }
+        CPPUNIT_ASSERT(duration{} == parse_gateway({"--leave-bound=0ms"}).leave_bound);
+        CPPUNIT_ASSERT(duration(2500us) == parse_gateway({"--leave-bound=2.5ms"}).leave_bound);
+        CPPUNIT_ASSERT_EQUAL(52.0, parse_gateway({"--retry-slack=5.2e1"}).retry_slack);
+    }
+
+    // Guards against gateways that do not start because an optional value is odd or absent.
+    void unusable_value_gives_way_to_the_default()
+    {
+        const auto standard = parse_gateway({});
+        for (const std::string text : {"ms", "", "nullms", "-5ms", "1e300ms", "nanms", "2000"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, standard.leave_bound ==
+                                             parse_gateway({"--leave-bound=" + text}).leave_bound);
+            CPPUNIT_ASSERT_MESSAGE(text,
+                                   standard.drain_timeout ==
+                                       parse_gateway({"--drain-timeout=" + text}).drain_timeout);
+        }
+        for (const std::string text : {"", "false", "-1", "inf", "1,5"}) {
+            CPPUNIT_ASSERT_EQUAL(standard.retry_ratio,
+                                 parse_gateway({"--retry-ratio=" + text}).retry_ratio);
+            CPPUNIT_ASSERT_EQUAL(standard.retry_slack,
+                                 parse_gateway({"--retry-slack=" + text}).retry_slack);
+        }
+        CPPUNIT_ASSERT_EQUAL(standard.seed, parse_gateway({"--seed=soon"}).seed);
+    }
+
+    // Guards against roles that do not start beside variables that the platform sets.
+    void foreign_variable_does_not_end_a_start()
+    {
+        const text_map variables{{"SNIPESPAR_ZONE", "a"}, {"SNIPESPAR_LEAVE_BOUND", ""}};
+        CPPUNIT_ASSERT(parse_gateway({}).leave_bound == parse_gateway({}, variables).leave_bound);
+        CPPUNIT_ASSERT_EQUAL(std::string("h1"), parse_sidecar({}, variables).host.str());
+    }
+
+    // Guards against roles that do not start because the platform names hosts otherwise.
+    void any_name_of_a_host_is_taken()
+    {
+        for (const std::string& name : {std::string("front/a:1"), std::string("h\xc3\xa9"),
+                                        std::string(200, 'a'), std::string("i-1@b#2")}) {
+            CPPUNIT_ASSERT_EQUAL(name, parse_gateway({"--host=" + name}).host.str());
+            CPPUNIT_ASSERT_EQUAL(name, parse_sidecar({"--host=" + name}).host.str());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             parse_gateway({"--failure-domain="}).failure_domain.str());
+    }
+
+    void what_has_no_default_is_a_finding()
+    {
+        assert_contains(parse_failure(gateway_arguments({"--listen=nowhere"}), {}).text,
+                        "--listen: \"nowhere\"");
+        assert_contains(parse_failure(gateway_arguments({"--platform="}), {}).text, "--platform: ");
+        assert_contains(parse_failure(gateway_arguments({"--host="}), {}).text, "--host: ");
+    }
+
     void operator_commands_are_typed()
     {
         const std::string platform = "--platform=127.0.0.1:7000";
--- a/tests/process/support/child_process.cpp
+++ b/tests/process/support/child_process.cpp
@@ -11,6 +11,7 @@
 #include <fmt/core.h>
 #include <stdexcept>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -64,6 +65,34 @@
     return WIFSIGNALED(status) ? signal_exit_base + WTERMSIG(status) : WEXITSTATUS(status);
 }
 
+// Called in the forked child.
+void redirect_output(program_output kind, const std::array<int, 2>& pipe)
+{
+    if (kind == program_output::closed) {
+        close(STDOUT_FILENO);
+        close(STDERR_FILENO);
+        return;
+    }
+    if (kind == program_output::reader_gone) {
+        std::array<int, 2> abandoned{};
+        if (pipe2(abandoned.data(), O_CLOEXEC) == 0) {
+            dup2(abandoned[1], STDOUT_FILENO);
+            dup2(abandoned[1], STDERR_FILENO);
+        }
+        return;
+    }
+    dup2(pipe[1], STDOUT_FILENO);
+    dup2(pipe[1], STDERR_FILENO);
+}
+
+void limit_descriptors(std::size_t count)
+{
+    const rlimit limit{count, count};
+    if (count != 0) {
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
 } // namespace
 
 std::string program_path(const std::string& name)
@@ -88,8 +117,8 @@
     if (id_ == 0) {
         // Only async-signal-safe calls are allowed after fork() in a multithreaded process.
         prctl(PR_SET_PDEATHSIG, SIGKILL);
-        dup2(output[1], STDOUT_FILENO);
-        dup2(output[1], STDERR_FILENO);
+        redirect_output(start.output, output);
+        limit_descriptors(start.max_descriptors);
         execve(argument_pointers[0], argument_pointers.data(), variable_pointers.data());
         _exit(exec_failed);
     }
--- a/tests/process/support/child_process.h
+++ b/tests/process/support/child_process.h
@@ -3,6 +3,7 @@
 #include "support/http_probe.h"
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -16,6 +17,15 @@
 /// Path of one of the project's programs, in the parent of the test program's folder.
 std::string program_path(const std::string& name);
 
+/// Where the standard output and error of a program go.
+enum class program_output {
+    captured,
+    /// A pipe that nobody reads.
+    reader_gone,
+    /// Both descriptors are closed.
+    closed,
+};
+
 /// Program to start, with its arguments and environment.
 struct program_start {
     /// Name of one of the project's programs.
@@ -23,6 +33,9 @@
     std::vector<std::string> arguments;
     /// Added to a minimal environment, which inherits only the sanitizer options.
     std::map<std::string, std::string> environment;
+    program_output output = program_output::captured;
+    /// Limit of open descriptors; 0 for that of the test program.
+    std::size_t max_descriptors = 0;
 };
 
 /// A running program of the project. Captures its standard output and error; the process is killed
