A log whose reader has gone does not end a process

Callers saw their requests lost with the whole gateway: at the next line of its log it ended by SIGPIPE (exit status 141). Entries and agents ended by the exception that fmt::print throws for a failed write. Change: SIGPIPE is ignored by all commands, and log lines are written without exceptions. Sockets were safe already, as Asio sends with MSG_NOSIGNAL.

--- a/src/agent/run_agent.cpp
+++ b/src/agent/run_agent.cpp
@@ -4,11 +4,11 @@
 #include "cli/agent_settings.h"
 #include "cli/exit_code.h"
 #include "net/stop_signals.h"
+#include "telemetry/logger.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
-#include <fmt/core.h>
 
 namespace snipespar::agent {
 
@@ -20,17 +20,17 @@
 
 int run_agent(const cli::agent_settings& settings)
 {
+    const telemetry::logger log;
     boost::asio::io_context context(1);
     agent_server server(context, settings);
     if (const auto status = server.start(); !status.ok()) {
-        fmt::print(stderr, "level=error event=start_failed reason=\"{}\"\n",
-                   std::string(status.message()));
+        log.error("start_failed", {{"reason", std::string(status.message())}});
         return static_cast<int>(cli::exit_code::failed);
     }
     auto code = cli::exit_code::ok;
     boost::asio::steady_timer deadline(context);
     const auto force = [&] {
-        fmt::print(stderr, "level=warning event=forced_stop\n");
+        log.warning("forced_stop");
         code = cli::exit_code::failed;
         server.stop();
         context.stop();
@@ -44,7 +44,7 @@
         });
     };
     const auto drain = [&] {
-        fmt::print(stderr, "level=info event=draining\n");
+        log.info("draining");
         server.drain(finish);
         deadline.expires_after(settings.drain_timeout);
         deadline.async_wait([&](const auto& error) {
@@ -54,7 +54,7 @@
         });
     };
     net::stop_signals signals(context, drain, force);
-    fmt::print(stderr, "level=info event=started listen={}\n", settings.listen.str());
+    log.info("started", {{"listen", settings.listen.str()}});
     context.run();
     return static_cast<int>(code);
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,7 +8,7 @@
 #include "telemetry/end_report.h"
 
 #include <csignal>
-#include <fmt/core.h>
+#include <cstdio>
 #include <string>
 #include <string_view>
 #include <unistd.h>
@@ -53,7 +53,7 @@
     int operator()(const cli::printed_text& printed) const
     {
         const bool is_error = printed.code != cli::exit_code::ok;
-        fmt::print(is_error ? stderr : stdout, "{}", printed.text);
+        std::fputs(printed.text.c_str(), is_error ? stderr : stdout);
         return static_cast<int>(printed.code);
     }
 };
@@ -79,6 +79,8 @@
 {
     // A SIGHUP that arrives before its handler is installed must not end the process.
     std::signal(SIGHUP, SIG_IGN);
+    // A log whose reader has gone must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     return std::visit(dispatcher{}, cli::parse_command_line(arguments, read_environment()));
 }
--- a/src/telemetry/logger.cpp
+++ b/src/telemetry/logger.cpp
@@ -6,6 +6,7 @@
 #include <fmt/core.h>
 #include <fmt/format.h>
 #include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace snipespar::telemetry {
@@ -90,7 +91,13 @@
     return line;
 }
 
-logger::logger() : logger([](std::string_view line) { fmt::print(stderr, "{}", line); }) {}
+// Unlike fmt::print, fwrite does not throw when the output is closed or full.
+logger::logger()
+    : logger([](std::string_view line) {
+          std::ignore = std::fwrite(line.data(), 1, line.size(), stderr);
+      })
+{
+}
 
 logger::logger(sink output) : output_(std::move(output)) {}
 
