Log without making a shared output non-blocking

O_NONBLOCK belongs to the open file: set on standard output it also held for standard error and for all other processes that share the pipe, whose lines were cut or lost. Change: a pipe or terminal is opened again for this process alone; where that is not possible, it is polled for room, and a socket is written to with MSG_DONTWAIT.

--- a/src/telemetry/bounded_output.h
+++ b/src/telemetry/bounded_output.h
@@ -10,8 +10,11 @@
 /// the descriptor has no room for, are dropped and counted. For use by one thread.
 class bounded_output {
 public:
-    /// Makes the descriptor non-blocking. It must stay open.
+    /// The descriptor may be shared with other processes, closed, or a pipe without a reader.
     bounded_output(int descriptor, double lines_per_s, double burst);
+    bounded_output(const bounded_output&) = delete;
+    bounded_output& operator=(const bounded_output&) = delete;
+    ~bounded_output();
 
     void write(std::string_view line);
 
@@ -19,7 +22,20 @@
     std::uint64_t dropped() const { return dropped_; }
 
 private:
+    /// How a line is written without blocking.
+    enum class access {
+        /// The descriptor never blocks.
+        direct,
+        socket,
+        /// A blocking descriptor is written to when it has room.
+        polled,
+    };
+
+    bool put(std::string_view line) const;
+
     int descriptor_;
+    access access_ = access::direct;
+    bool owns_descriptor_ = false;
     double lines_per_s_;
     double burst_;
     double available_;
