Processes wait for an address that their predecessor still holds

Seen: a gateway or sidecar that starts while any of its three addresses is held ends at once with exit code 1, again at each restart, so that each counts as an end by itself and the host is missed for as long as the supervisor pauses. Change: binding is repeated, with pauses of at most 250 ms, while the address is held or not yet configured; other errors end the start as before. The readiness address is bound first, so that the supervisor sees a process that is not ready, and the listener last, as the kernel accepts callers from then on. SIGTERM ends the wait with exit code 0. Why no bound in time: an exit would not free the address, and each repeated line says what is held.

--- a/src/control/datagram_socket.cpp
+++ b/src/control/datagram_socket.cpp
@@ -1,5 +1,7 @@
 #include "control/datagram_socket.h"
 
+#include "net/bind_status.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <string_view>
@@ -27,7 +29,9 @@
         std::ignore = socket_.non_blocking(true, error);
     }
     if (error) {
-        return absl::UnavailableError("cannot bind " + listen.str() + ": " + error.message());
+        boost::system::error_code ignored;
+        std::ignore = socket_.close(ignored);
+        return net::bind_status(listen.str(), error);
     }
     receive();
     return absl::OkStatus();
--- a/src/control/datagram_socket.h
+++ b/src/control/datagram_socket.h
@@ -21,9 +21,11 @@
 
     explicit datagram_socket(const boost::asio::any_io_executor& executor) : socket_(executor) {}
 
-    /// Binds the address and starts receiving.
+    /// Binds the address and starts receiving. Unavailable: another attempt may succeed.
     absl::Status open(const cli::endpoint& listen, receiver received);
 
+    bool is_open() const { return socket_.is_open(); }
+
     void send(const cli::endpoint& to, const std::string& bytes);
 
     /// Number of datagrams that could not be decoded.
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -3,6 +3,7 @@
 #include "gateway/call_exchange.h"
 #include "gateway/caller_connection.h"
 #include "gateway/connect_probe.h"
+#include "net/bind_status.h"
 #include "net/start_number.h"
 #include "net/steady_time.h"
 #include "platform/adapter_version_codec.h"
@@ -90,8 +91,8 @@
                                telemetry::logger& log)
     : io_(io), settings_(settings), start_(net::start_number()),
       context_(io.get_executor(), settings.failure_domain, start_, seed_of(settings.seed), log),
-      peers_(settings.control_listen), permits_(steady_now()), acceptor_(io), tick_timer_(io),
-      datagrams_(io.get_executor()),
+      peers_(settings.control_listen), permits_(steady_now()), acceptor_(io),
+      tick_timer_(io), datagrams_(io.get_executor()),
       config_watch_(make_watch(platform::wire::config_kind, {}, &gateway_server::on_config_listed,
                                &gateway_server::on_config_changed)),
       upstream_watch_(
@@ -154,32 +155,18 @@
          }});
 }
 
+// The listener comes last, as the kernel accepts callers from then on.
 absl::Status gateway_server::start()
 {
-    if (auto status = listen(); !status.ok()) {
+    if (auto status = listen_for_admins(); !status.ok()) {
         return status;
     }
-    auto status =
-        datagrams_.open(settings_.control_listen, [this](const auto& content, const auto& from) {
-            on_message(content, from);
-        });
-    if (!status.ok()) {
+    if (auto status = open_datagrams(); !status.ok()) {
         return status;
     }
-    telemetry::admin_handlers handlers{
-        [this] { return context_.metrics.registry.exposition(); },
-        [this] { return readiness(); },
-        [this] { return this->status(); },
-    };
-    boost::system::error_code error;
-    const auto address = asio::ip::make_address(settings_.admin_listen.ip, error);
-    auto admin = telemetry::admin_server::make(io_.get_executor(),
-                                               tcp::endpoint(address, settings_.admin_listen.port),
-                                               std::move(handlers));
-    if (!admin.ok()) {
-        return admin.status();
+    if (auto status = listen(); !status.ok()) {
+        return status;
     }
-    admin_ = *std::move(admin);
     config_watch_.start();
     upstream_watch_.start();
     version_watch_.start();
@@ -194,6 +181,37 @@
     return absl::OkStatus();
 }
 
+absl::Status gateway_server::listen_for_admins()
+{
+    if (admin_ != nullptr) {
+        return absl::OkStatus();
+    }
+    telemetry::admin_handlers handlers{
+        [this] { return context_.metrics.registry.exposition(); },
+        [this] { return readiness(); },
+        [this] { return this->status(); },
+    };
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(settings_.admin_listen.ip, error);
+    auto admin = telemetry::admin_server::make(io_.get_executor(),
+                                               tcp::endpoint(address, settings_.admin_listen.port),
+                                               std::move(handlers));
+    if (admin.ok()) {
+        admin_ = *std::move(admin);
+    }
+    return admin.status();
+}
+
+absl::Status gateway_server::open_datagrams()
+{
+    if (datagrams_.is_open()) {
+        return absl::OkStatus();
+    }
+    return datagrams_.open(settings_.control_listen, [this](const auto& content, const auto& from) {
+        on_message(content, from);
+    });
+}
+
 absl::Status gateway_server::listen()
 {
     boost::system::error_code error;
@@ -211,9 +229,11 @@
     if (!error) {
         std::ignore = acceptor_.listen(listen_backlog, error);
     }
-    return error ? absl::UnavailableError("cannot listen on " + settings_.listen.str() + ": " +
-                                          error.message())
-                 : absl::OkStatus();
+    if (error) {
+        boost::system::error_code ignored;
+        std::ignore = acceptor_.close(ignored);
+    }
+    return net::bind_status(settings_.listen.str(), error);
 }
 
 void gateway_server::accept()
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -43,7 +43,8 @@
     gateway_server(const gateway_server&) = delete;
     gateway_server& operator=(const gateway_server&) = delete;
 
-    /// Binds the addresses and starts. Fails when one cannot be bound.
+    /// Binds the addresses and starts. Unavailable: an address is held by another process, and
+    /// another attempt may succeed.
     absl::Status start();
 
     /// Stops accepting new work; `done` is called once all answers are written and all connections
@@ -58,6 +59,8 @@
     make_watch(const std::string& kind, platform::object_watch_timing timing,
                void (gateway_server::*listed)(const std::vector<platform::watched_object>&),
                void (gateway_server::*changed)(const platform::watched_object&));
+    absl::Status listen_for_admins();
+    absl::Status open_datagrams();
     absl::Status listen();
     void accept();
     void add_connection(boost::asio::ip::tcp::socket socket);
--- a/src/gateway/run_gateway.cpp
+++ b/src/gateway/run_gateway.cpp
@@ -4,6 +4,7 @@
 #include "cli/gateway_settings.h"
 #include "gateway/gateway_server.h"
 #include "net/process_signals.h"
+#include "net/start_attempts.h"
 #include "telemetry/bounded_output.h"
 #include "telemetry/logger.h"
 
@@ -29,10 +30,19 @@
     telemetry::logger log([&](std::string_view line) { output.write(line); });
     boost::asio::io_context io(1);
     gateway_server server(io, settings, log);
-    if (const auto status = server.start(); !status.ok()) {
-        log.error("start_failed", {{"reason", std::string(status.message())}});
-        return static_cast<int>(cli::exit_code::failed);
-    }
+    auto code = cli::exit_code::ok;
+    const net::start_attempts attempts(
+        io, {.start = [&] { return server.start(); },
+             .waiting =
+                 [&](const absl::Status& status) {
+                     log.warning("address_in_use", {{"reason", std::string(status.message())}});
+                 },
+             .failed =
+                 [&](const absl::Status& status) {
+                     log.error("start_failed", {{"reason", std::string(status.message())}});
+                     code = cli::exit_code::failed;
+                     io.stop();
+                 }});
     boost::asio::steady_timer deadline(io);
     const auto force = [&] {
         server.log_unfinished();
@@ -40,21 +50,26 @@
         // Requests in progress still refer to the server, so it must not be destroyed.
         std::_Exit(static_cast<int>(cli::exit_code::ok));
     };
-    net::process_signals signals(io, {.stop =
-                                          [&] {
-                                              server.drain([&] { io.stop(); });
-                                              deadline.expires_after(settings.drain_timeout);
-                                              deadline.async_wait([&](const auto& error) {
-                                                  if (!error) {
-                                                      force();
-                                                  }
-                                              });
-                                          },
-                                      .stop_again = force,
-                                      // Flags and environment variables cannot change at run time.
-                                      .reload = [&] { log.info("reloaded", {{"changes", 0}}); }});
+    net::process_signals signals(
+        io, {.stop =
+                 [&] {
+                     if (!attempts.is_started()) {
+                         log.info("stopped", {{"role", "gateway"}, {"forced", false}});
+                         return io.stop();
+                     }
+                     server.drain([&] { io.stop(); });
+                     deadline.expires_after(settings.drain_timeout);
+                     deadline.async_wait([&](const auto& error) {
+                         if (!error) {
+                             force();
+                         }
+                     });
+                 },
+             .stop_again = force,
+             // Flags and environment variables cannot change at run time.
+             .reload = [&] { log.info("reloaded", {{"changes", 0}}); }});
     io.run();
-    std::_Exit(static_cast<int>(cli::exit_code::ok));
+    std::_Exit(static_cast<int>(code));
 }
 
 } // namespace snipespar::gateway
--- a/src/sidecar/run_sidecar.cpp
+++ b/src/sidecar/run_sidecar.cpp
@@ -3,6 +3,7 @@
 #include "cli/exit_code.h"
 #include "cli/sidecar_settings.h"
 #include "net/process_signals.h"
+#include "net/start_attempts.h"
 #include "sidecar/sidecar_server.h"
 #include "telemetry/bounded_output.h"
 #include "telemetry/logger.h"
@@ -27,10 +28,19 @@
     telemetry::logger log([&](std::string_view line) { output.write(line); });
     boost::asio::io_context io(1);
     sidecar_server server(io, settings, log);
-    if (const auto status = server.start(); !status.ok()) {
-        log.error("start_failed", {{"reason", std::string(status.message())}});
-        return static_cast<int>(cli::exit_code::failed);
-    }
+    auto code = cli::exit_code::ok;
+    const net::start_attempts attempts(
+        io, {.start = [&] { return server.start(); },
+             .waiting =
+                 [&](const absl::Status& status) {
+                     log.warning("address_in_use", {{"reason", std::string(status.message())}});
+                 },
+             .failed =
+                 [&](const absl::Status& status) {
+                     log.error("start_failed", {{"reason", std::string(status.message())}});
+                     code = cli::exit_code::failed;
+                     io.stop();
+                 }});
     const auto stop = [&] {
         log.info("stopped", {{"role", "sidecar"}, {"forced", false}});
         io.stop();
@@ -40,7 +50,7 @@
                                       }});
     io.run();
     // The coroutines still refer to the server, so it must not be destroyed.
-    std::_Exit(static_cast<int>(cli::exit_code::ok));
+    std::_Exit(static_cast<int>(code));
 }
 
 } // namespace snipespar::sidecar
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -85,13 +85,25 @@
 
 absl::Status sidecar_server::start()
 {
-    auto status =
-        datagrams_.open(settings_.control_listen, [this](const auto& content, const auto& from) {
-            on_message(content, from);
-        });
-    if (!status.ok()) {
+    if (auto status = listen_for_admins(); !status.ok()) {
+        return status;
+    }
+    if (auto status = open_datagrams(); !status.ok()) {
         return status;
     }
+    asio::co_spawn(io_, run(), [this](const std::exception_ptr& error) { on_run_ended(error); });
+    log_.info("started", {{"role", "sidecar"},
+                          {"host", settings_.host.str()},
+                          {"engine", settings_.engine.str()},
+                          {"start", start_}});
+    return absl::OkStatus();
+}
+
+absl::Status sidecar_server::listen_for_admins()
+{
+    if (admin_ != nullptr) {
+        return absl::OkStatus();
+    }
     telemetry::admin_handlers handlers{
         [this] { return metrics_.registry.exposition(); },
         [this] {
@@ -110,16 +122,20 @@
     auto admin = telemetry::admin_server::make(
         io_.get_executor(), asio::ip::tcp::endpoint(address, settings_.admin_listen.port),
         std::move(handlers));
-    if (!admin.ok()) {
-        return admin.status();
+    if (admin.ok()) {
+        admin_ = *std::move(admin);
     }
-    admin_ = *std::move(admin);
-    asio::co_spawn(io_, run(), [this](const std::exception_ptr& error) { on_run_ended(error); });
-    log_.info("started", {{"role", "sidecar"},
-                          {"host", settings_.host.str()},
-                          {"engine", settings_.engine.str()},
-                          {"start", start_}});
-    return absl::OkStatus();
+    return admin.status();
+}
+
+absl::Status sidecar_server::open_datagrams()
+{
+    if (datagrams_.is_open()) {
+        return absl::OkStatus();
+    }
+    return datagrams_.open(settings_.control_listen, [this](const auto& content, const auto& from) {
+        on_message(content, from);
+    });
 }
 
 void sidecar_server::on_run_ended(const std::exception_ptr& error) const
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -34,10 +34,13 @@
     sidecar_server(const sidecar_server&) = delete;
     sidecar_server& operator=(const sidecar_server&) = delete;
 
-    /// Binds the addresses and starts. Fails when one cannot be bound.
+    /// Binds the addresses and starts. Unavailable: an address is held by another process, and
+    /// another attempt may succeed.
     absl::Status start();
 
 private:
+    absl::Status listen_for_admins();
+    absl::Status open_datagrams();
     boost::asio::awaitable<void> run();
     void on_run_ended(const std::exception_ptr& error) const;
     boost::asio::awaitable<void> read_report();
--- a/src/telemetry/admin_server.cpp
+++ b/src/telemetry/admin_server.cpp
@@ -1,5 +1,8 @@
 #include "telemetry/admin_server.h"
 
+#include "cli/endpoint.h"
+#include "net/bind_status.h"
+
 #include <absl/status/status.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -92,12 +95,6 @@
     return response;
 }
 
-absl::Status bind_error(const tcp::endpoint& listen, const boost::system::error_code& error)
-{
-    return absl::UnavailableError("cannot listen on " + listen.address().to_string() + ":" +
-                                  std::to_string(listen.port()) + ": " + error.message());
-}
-
 } // namespace
 
 // Shared by the server and its coroutines, which may outlive the server while they unwind.
@@ -210,7 +207,8 @@
 {
     auto shared = std::make_shared<state>(executor, std::move(handlers));
     if (const auto error = shared->open(listen); error) {
-        return bind_error(listen, error);
+        return net::bind_status(cli::endpoint{listen.address().to_string(), listen.port()}.str(),
+                                error);
     }
     shared->start();
     return std::unique_ptr<admin_server>(new admin_server(std::move(shared)));
--- a/tests/process/process_start_test.cpp
+++ b/tests/process/process_start_test.cpp
@@ -70,6 +70,8 @@
         : socket_(context_,
                   typename Protocol::endpoint(asio::ip::make_address(address.ip), address.port))
     {
+        // The process under test must not inherit it.
+        fcntl(socket_.native_handle(), F_SETFD, FD_CLOEXEC);
     }
 
 private:
