A gateway without free descriptors does not spin

Seen: with 64 descriptors and 100 callers accept() failed at once again and again; the gateway took 710 ms of processor time in 2 s, and on its fifth of a core served nobody else. Change: the next attempt follows after 50 ms, and accept_failed tells of it every five seconds.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -63,6 +63,9 @@
 // that restart with a full budget.
 constexpr double retry_budget_share = 0.6;
 constexpr int listen_backlog = 1024;
+// Pause after a connection could not be accepted.
+constexpr auto accept_retry_delay = milliseconds(50);
+constexpr auto accept_failure_interval = std::chrono::seconds(5);
 // A host that is reached answers a connection within a few milliseconds.
 constexpr auto probe_timeout = milliseconds(300);
 // Slow ticks in which the fleet repeats its refusals once.
@@ -91,7 +94,7 @@
                                telemetry::logger& log)
     : io_(io), settings_(settings), start_(net::start_number()),
       context_(io.get_executor(), settings.failure_domain, start_, seed_of(settings.seed), log),
-      peers_(settings.control_listen), permits_(steady_now()), acceptor_(io),
+      peers_(settings.control_listen), permits_(steady_now()), acceptor_(io), accept_timer_(io),
       tick_timer_(io), datagrams_(io.get_executor()),
       config_watch_(make_watch(platform::wire::config_kind, {}, &gateway_server::on_config_listed,
                                &gateway_server::on_config_changed)),
@@ -243,7 +246,27 @@
         if (!error) {
             add_connection(std::move(socket));
         }
-        if (acceptor_.is_open()) {
+        if (!acceptor_.is_open()) {
+            return;
+        }
+        if (!error) {
+            return accept();
+        }
+        accept_later(error);
+    });
+}
+
+// Without free descriptors the next attempt would fail at once.
+void gateway_server::accept_later(const boost::system::error_code& error)
+{
+    if (const auto now = steady_now(); now - accept_failure_logged_at_ >= accept_failure_interval) {
+        accept_failure_logged_at_ = now;
+        context_.log.warning("accept_failed",
+                             {{"reason", error.message()}, {"connections", connections_.size()}});
+    }
+    accept_timer_.expires_after(accept_retry_delay);
+    accept_timer_.async_wait([this](const auto& wait_error) {
+        if (!wait_error && acceptor_.is_open()) {
             accept();
         }
     });
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -63,6 +63,7 @@
     absl::Status open_datagrams();
     absl::Status listen();
     void accept();
+    void accept_later(const boost::system::error_code& error);
     void add_connection(boost::asio::ip::tcp::socket socket);
     void close_listener();
     void take_stop_step(time_point now);
@@ -112,6 +113,8 @@
     std::uint64_t known_peers_ = 0;
     std::uint64_t known_config_ = 0;
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer accept_timer_;
+    time_point accept_failure_logged_at_;
     boost::asio::steady_timer tick_timer_;
     control::datagram_socket datagrams_;
     platform::object_watch config_watch_;
