Odd values of optional settings do not end a start

Seen: a bound that the platform renders as 2000.0, 2e3, empty or false, a further variable with our prefix, or a host name with other characters ended every gateway at every start with exit code 2. Change for gateway and sidecar, which the platform starts: durations and numbers are read with fraction and exponent; a value that cannot be used gives way to its default with a line setting_ignored; names of other systems are taken as they are. Addresses and the host have no default and still end a start. entry, agent and the operator commands keep their strict check: people write their settings, and a misspelt one must not be lost.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -209,6 +209,13 @@
     };
 }
 
+// Whether the platform starts the command, with values that it fills in. Only what nothing can
+// replace ends such a start.
+bool is_started_by_platform(const command& item)
+{
+    return item.name == "gateway" || item.name == "sidecar";
+}
+
 gateway_settings read_gateway(settings_reader& reader)
 {
     return {
@@ -216,13 +223,15 @@
         .admin_listen = reader.read_or_empty("admin-listen", parse_listen_endpoint),
         .control_listen = reader.read_or_empty("control-listen", parse_listen_endpoint),
         .platform = reader.read_or_empty("platform", parse_endpoint),
-        .host = host_id(reader.read_or_empty("host", parse_name)),
-        .failure_domain = failure_domain_id(reader.read_or_empty("failure-domain", parse_name)),
-        .drain_timeout = reader.read_or_empty("drain-timeout", parse_duration),
-        .leave_bound = reader.read_or_empty("leave-bound", parse_duration),
-        .retry_ratio = reader.read_or_empty("retry-ratio", parse_real),
-        .retry_slack = reader.read_or_empty("retry-slack", parse_real),
-        .seed = reader.read_or_empty("seed", parse_number),
+        .host = host_id(reader.read_or_empty("host", parse_foreign_name)),
+        .failure_domain =
+            failure_domain_id(reader.read_or_empty("failure-domain", parse_optional_foreign_name)),
+        .drain_timeout = reader.read_or_default("drain-timeout", parse_positive_time_span),
+        .leave_bound = reader.read_or_default("leave-bound", parse_time_span),
+        .retry_ratio = reader.read_or_default("retry-ratio", parse_real),
+        .retry_slack = reader.read_or_default("retry-slack", parse_real),
+        .seed = reader.read_or_default("seed", parse_number),
+        .ignored = {},
     };
 }
 
@@ -232,7 +241,8 @@
         .control_listen = reader.read_or_empty("control-listen", parse_listen_endpoint),
         .admin_listen = reader.read_or_empty("admin-listen", parse_listen_endpoint),
         .engine = reader.read_or_empty("engine", parse_endpoint),
-        .host = host_id(reader.read_or_empty("host", parse_name)),
+        .host = host_id(reader.read_or_empty("host", parse_foreign_name)),
+        .ignored = {},
     };
 }
 
@@ -350,10 +360,16 @@
 
     settings_reader reader(item.table, given_flags(values, item.table), environment);
     auto parsed = read_command(item, reader, values);
-    reader.check_variables(known_variables());
+    reader.check_variables(known_variables(), is_started_by_platform(item));
     if (!reader.found().empty()) {
         return printed_text{to_string(reader.found()), exit_code::usage};
     }
+    if (auto* gateway = std::get_if<gateway_settings>(&parsed)) {
+        gateway->ignored = reader.warnings();
+    }
+    if (auto* sidecar = std::get_if<sidecar_settings>(&parsed)) {
+        sidecar->ignored = reader.warnings();
+    }
     return parsed;
 }
 
--- a/src/cli/gateway_settings.h
+++ b/src/cli/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cli/endpoint.h"
+#include "snipespar/finding.h"
 #include "snipespar/ids.h"
 #include "snipespar/time.h"
 
@@ -28,6 +29,8 @@
     double retry_slack = 0;
     /// 0 requests a random seed.
     std::uint64_t seed = 0;
+    /// Settings that were ignored because of their text.
+    findings ignored;
 
     friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
 };
--- a/src/cli/settings_reader.cpp
+++ b/src/cli/settings_reader.cpp
@@ -43,12 +43,24 @@
     findings_.push_back({std::string(place), std::string(message)});
 }
 
-void settings_reader::check_variables(std::span<const std::string> known)
+void settings_reader::add_warning(std::string_view place, std::string_view message)
 {
+    warnings_.push_back({std::string(place), std::string(message)});
+}
+
+void settings_reader::check_variables(std::span<const std::string> known, bool warns_only)
+{
+    constexpr std::string_view message = "names no setting of any command";
     for (const auto& [name, text] : environment_) {
         const bool is_known = std::find(known.begin(), known.end(), name) != known.end();
-        if (name.starts_with("SNIPESPAR_") && !is_known) {
-            add_finding(name, "names no setting of any command");
+        if (!name.starts_with("SNIPESPAR_") || is_known) {
+            continue;
+        }
+        if (warns_only) {
+            add_warning(name, message);
+        }
+        else {
+            add_finding(name, message);
         }
     }
 }
--- a/src/cli/sidecar_settings.h
+++ b/src/cli/sidecar_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cli/endpoint.h"
+#include "snipespar/finding.h"
 #include "snipespar/ids.h"
 
 namespace snipespar::cli {
@@ -14,6 +15,8 @@
     /// The engine on this host, as gateways address it.
     endpoint engine;
     host_id host;
+    /// Settings that were ignored because of their text.
+    findings ignored;
 
     friend bool operator==(const sidecar_settings&, const sidecar_settings&) = default;
 };
--- a/src/cli/value_parsers.cpp
+++ b/src/cli/value_parsers.cpp
@@ -1,6 +1,7 @@
 #include "cli/value_parsers.h"
 
 #include "base/text_view.h"
+#include "base/utf8.h"
 
 #include <absl/status/status.h>
 #include <absl/strings/ascii.h>
@@ -20,6 +21,7 @@
 namespace {
 
 constexpr std::size_t max_name_length = 63;
+constexpr std::size_t max_foreign_name_length = 253;
 constexpr std::uint32_t max_threads = 1024;
 
 struct unit {
@@ -113,6 +115,25 @@
            character == '_' || character == '-';
 }
 
+bool is_decimal_character(char character)
+{
+    return absl::ascii_isdigit(static_cast<unsigned char>(character)) || character == '.' ||
+           character == 'e' || character == 'E' || character == '+' || character == '-';
+}
+
+// Parses a finite decimal number that is not negative.
+bool parse_decimal(std::string_view text, double& number)
+{
+    return std::ranges::all_of(text, is_decimal_character) &&
+           absl::SimpleAtod(to_absl(text), &number) && number >= 0 && std::isfinite(number);
+}
+
+bool is_visible(char character)
+{
+    const auto code = static_cast<unsigned char>(character);
+    return code > ' ' && code != 0x7f;
+}
+
 } // namespace
 
 absl::StatusOr<duration> parse_duration(std::string_view text)
@@ -125,6 +146,34 @@
     return duration(static_cast<duration::rep>(*microseconds));
 }
 
+absl::StatusOr<duration> parse_time_span(std::string_view text)
+{
+    constexpr std::string_view expected = "a duration, such as 250ms or 2.5s";
+    const auto* const found = std::ranges::find_if(
+        time_units, [&](const unit& item) { return text.ends_with(item.suffix); });
+    double number = 0;
+    if (found == time_units.end() ||
+        !parse_decimal(text.substr(0, text.size() - found->suffix.size()), number)) {
+        return unexpected(text, expected);
+    }
+    // A century is far longer than any wait, and far from overflowing.
+    constexpr double max_microseconds = 3.2e15;
+    const double microseconds = number * static_cast<double>(found->factor);
+    if (microseconds > max_microseconds) {
+        return unexpected(text, fmt::format("{} (too large)", expected));
+    }
+    return duration(std::llround(microseconds));
+}
+
+absl::StatusOr<duration> parse_positive_time_span(std::string_view text)
+{
+    auto span = parse_time_span(text);
+    if (span.ok() && *span <= duration{}) {
+        return unexpected(text, "a positive duration, such as 250ms or 2.5s");
+    }
+    return span;
+}
+
 absl::StatusOr<std::uint64_t> parse_byte_size(std::string_view text)
 {
     return parse_quantity(text, byte_units, "a positive size, such as 64KiB or 1MiB");
@@ -203,6 +252,23 @@
     return std::string(text);
 }
 
+absl::StatusOr<std::string> parse_optional_foreign_name(std::string_view text)
+{
+    if (text.size() > max_foreign_name_length || !is_utf8(text) ||
+        !std::ranges::all_of(text, is_visible)) {
+        return unexpected(text, "a name of at most 253 bytes of UTF-8 without spaces");
+    }
+    return std::string(text);
+}
+
+absl::StatusOr<std::string> parse_foreign_name(std::string_view text)
+{
+    if (text.empty()) {
+        return unexpected(text, "a name");
+    }
+    return parse_optional_foreign_name(text);
+}
+
 absl::StatusOr<std::string> parse_path(std::string_view text)
 {
     if (text.empty()) {
--- a/src/cli/value_parsers.h
+++ b/src/cli/value_parsers.h
@@ -16,6 +16,13 @@
 /// A positive duration: a whole number with one of the units us, ms, s, m, h.
 absl::StatusOr<duration> parse_duration(std::string_view text);
 
+/// A duration that another program has rendered: a decimal number that is not negative, with or
+/// without fraction and exponent, and a unit as above.
+absl::StatusOr<duration> parse_time_span(std::string_view text);
+
+/// As `parse_time_span`, but not zero.
+absl::StatusOr<duration> parse_positive_time_span(std::string_view text);
+
 /// A positive number of bytes: a whole number, alone or with one of the units B, KiB, MiB, GiB.
 absl::StatusOr<std::uint64_t> parse_byte_size(std::string_view text);
 
@@ -40,6 +47,12 @@
 /// A name of 1 to 63 letters, digits, dots, underscores and hyphens.
 absl::StatusOr<std::string> parse_name(std::string_view text);
 
+/// A name given by another system: 1 to 253 bytes of UTF-8 without spaces and control characters.
+absl::StatusOr<std::string> parse_foreign_name(std::string_view text);
+
+/// As `parse_foreign_name`; the name may be empty.
+absl::StatusOr<std::string> parse_optional_foreign_name(std::string_view text);
+
 /// A path of a file; not empty.
 absl::StatusOr<std::string> parse_path(std::string_view text);
 
--- a/src/gateway/run_gateway.cpp
+++ b/src/gateway/run_gateway.cpp
@@ -30,6 +30,9 @@
     telemetry::logger log([&](std::string_view line) { output.write(line); });
     boost::asio::io_context io(1);
     gateway_server server(io, settings, log);
+    for (const auto& item : settings.ignored) {
+        log.warning("setting_ignored", {{"setting", item.place}, {"reason", item.message}});
+    }
     auto code = cli::exit_code::ok;
     const net::start_attempts attempts(
         io, {.start = [&] { return server.start(); },
