--- a/tests/telemetry_admin_server_test.cpp
+++ b/tests/telemetry_admin_server_test.cpp
@@ -2,11 +2,13 @@
 
 #include "support/http_probe.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -22,6 +24,7 @@
     CPPUNIT_TEST(other_methods_and_paths_are_refused);
     CPPUNIT_TEST(malformed_request_is_refused_and_the_server_continues);
     CPPUNIT_TEST(taken_port_is_an_error);
+    CPPUNIT_TEST(failing_handler_ends_its_request_only);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -86,14 +89,32 @@
         CPPUNIT_ASSERT(!second.ok());
     }
 
+    // Guards against a connection that is dropped without an answer and remembered for ever.
+    void failing_handler_ends_its_request_only()
+    {
+        status_fails_ = true;
+        const auto reply = testing::send_call(address_, {"GET", "/status", {}, {}});
+        CPPUNIT_ASSERT(reply.ok());
+        CPPUNIT_ASSERT_EQUAL(500U, reply->status);
+        CPPUNIT_ASSERT_EQUAL(200U, get("/livez").status);
+    }
+
 private:
+    std::string status() const
+    {
+        if (status_fails_) {
+            throw std::runtime_error("a text that is not UTF-8");
+        }
+        return "{}";
+    }
+
     absl::StatusOr<std::unique_ptr<admin_server>> make()
     {
         const boost::asio::ip::tcp::endpoint any(boost::asio::ip::address_v4::loopback(), 0);
         return admin_server::make(context_->get_executor(), any,
                                   {.metrics = [] { return std::string("a_total 1\n"); },
                                    .ready = [this] { return readiness_; },
-                                   .status = [] { return std::string("{}"); }});
+                                   .status = [this] { return status(); }});
     }
 
     http_reply call(const std::string& method, const std::string& target)
@@ -110,6 +131,7 @@
 
     std::unique_ptr<boost::asio::io_context> context_;
     readiness readiness_{true, ""};
+    std::atomic<bool> status_fails_ = false;
     std::unique_ptr<admin_server> server_;
     cli::endpoint address_;
     std::thread thread_;
