A failing handler of the admin server ends its request only

Seen: an exception in a handler, such as the text of a status that is not UTF-8, ended the coroutine of its connection. The scraper got no answer, and the server kept a pointer to the destroyed stream, which it uses when it stops. failing_handler_ends_its_request_only failed before. Change: the request gets 500, and the stream is forgotten however its coroutine ends.

--- a/src/telemetry/admin_server.cpp
+++ b/src/telemetry/admin_server.cpp
@@ -3,6 +3,7 @@
 #include "cli/endpoint.h"
 #include "net/bind_status.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/status/status.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -15,6 +16,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <exception>
 #include <set>
 #include <string_view>
 #include <tuple>
@@ -77,13 +79,23 @@
     return plain_text(http::status::not_found, "no such path");
 }
 
+response_type answer_path(const admin_handlers& handlers, std::string_view path)
+{
+    try {
+        return handle_path(handlers, path);
+    }
+    catch (const std::exception& error) {
+        return plain_text(http::status::internal_server_error, error.what());
+    }
+}
+
 response_type handle_request(const admin_handlers& handlers, const request_type& request)
 {
     const std::string target(request.target());
     const auto path = std::string_view(target).substr(0, target.find('?'));
     const bool is_get = request.method() == http::verb::get;
     const bool is_head = request.method() == http::verb::head;
-    auto response = is_get || is_head ? handle_path(handlers, path)
+    auto response = is_get || is_head ? answer_path(handlers, path)
                                       : plain_text(http::status::method_not_allowed,
                                                    "only GET and HEAD are allowed");
     response.version(request.version());
@@ -164,10 +176,10 @@
     static asio::awaitable<void> serve(std::shared_ptr<state> self, beast::tcp_stream stream)
     {
         self->streams_.insert(&stream);
+        const absl::Cleanup forget = [&] { self->streams_.erase(&stream); };
         beast::flat_buffer buffer;
         while (co_await self->serve_one(stream, buffer)) {
         }
-        self->streams_.erase(&stream);
     }
 
     // Serves one request; false when the connection is to be closed.
