A sidecar goes on after a round or an order that fails

Change: each round and each order is a unit of work with a boundary (telemetry/work_boundary). A failed order counts as refused, so that the others go on; after three failed rounds in a row the sidecar is not ready. What leaves a handler all the same is logged and does not end the process.

--- a/src/sidecar/run_sidecar.cpp
+++ b/src/sidecar/run_sidecar.cpp
@@ -3,6 +3,7 @@
 #include "cli/exit_code.h"
 #include "cli/sidecar_settings.h"
 #include "net/process_signals.h"
+#include "net/run_contained.h"
 #include "net/start_attempts.h"
 #include "sidecar/sidecar_server.h"
 #include "telemetry/bounded_output.h"
@@ -51,7 +52,7 @@
     net::process_signals signals(io, {.stop = stop, .stop_again = stop, .reload = [&] {
                                           log.info("reloaded", {{"changes", 0}});
                                       }});
-    io.run();
+    net::run_contained(io, log);
     // The coroutines still refer to the server, so it must not be destroyed.
     std::_Exit(static_cast<int>(code));
 }
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -6,10 +6,12 @@
 #include "platform/engine_codec.h"
 #include "telemetry/admin_handlers.h"
 #include "telemetry/admin_server.h"
+#include "telemetry/work_boundary.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <exception>
@@ -45,6 +47,8 @@
 constexpr auto whole_report_interval = milliseconds(1800);
 // A single report may be lost while the engine is healthy.
 constexpr int missed_report_limit = 2;
+// Rounds that fail in a row before the sidecar is not ready.
+constexpr int failed_round_limit = 3;
 // Shortest time between two rounds of admission.
 constexpr auto min_pace_interval = milliseconds(2);
 constexpr std::size_t max_report_bytes = 1024UL * 1024;
@@ -91,7 +95,7 @@
     if (auto status = open_datagrams(); !status.ok()) {
         return status;
     }
-    asio::co_spawn(io_, run(), [this](const std::exception_ptr& error) { on_run_ended(error); });
+    asio::co_spawn(io_, run(), asio::detached);
     log_.info("started", {{"role", "sidecar"},
                           {"host", settings_.host.str()},
                           {"engine", settings_.engine.str()},
@@ -106,10 +110,7 @@
     }
     telemetry::admin_handlers handlers{
         [this] { return metrics_.registry.exposition(); },
-        [this] {
-            return telemetry::readiness{is_engine_reached_,
-                                        is_engine_reached_ ? "" : "the engine does not respond"};
-        },
+        [this] { return readiness(); },
         [this] {
             return nlohmann::json{{"gateways", gateways_.size()},
                                   {"sequence", sequence_},
@@ -134,33 +135,40 @@
         return absl::OkStatus();
     }
     return datagrams_.open(settings_.control_listen, [this](const auto& content, const auto& from) {
-        on_message(content, from);
+        telemetry::contain(log_, "message", from.str(), [&] { on_message(content, from); });
     });
 }
 
-void sidecar_server::on_run_ended(const std::exception_ptr& error) const
+telemetry::readiness sidecar_server::readiness() const
 {
-    if (error == nullptr) {
-        return;
+    if (!is_engine_reached_) {
+        return {false, "the engine does not respond"};
     }
-    try {
-        std::rethrow_exception(error);
-    }
-    catch (const std::exception& cause) {
-        log_.error("round_failed", {{"reason", cause.what()}});
+    if (rounds_failed_ >= failed_round_limit) {
+        return {false, "internal errors"};
     }
+    return {true, {}};
 }
 
 asio::awaitable<void> sidecar_server::run()
 {
     while (true) {
         is_urgent_ = false;
-        co_await read_report();
-        co_await give_orders();
-        publish();
+        try {
+            co_await read_report();
+            co_await give_orders();
+            publish();
+            rounds_failed_ = 0;
+        }
+        catch (const std::exception& error) {
+            ++rounds_failed_;
+            is_urgent_ = false;
+            log_.error("round_failed", {{"reason", error.what()}, {"in_a_row", rounds_failed_}});
+        }
         if (!is_urgent_) {
-            poll_timer_.expires_after(planner_.has_outstanding_work() ? busy_interval
-                                                                      : idle_interval);
+            poll_timer_.expires_after(rounds_failed_ == 0 && planner_.has_outstanding_work()
+                                          ? busy_interval
+                                          : idle_interval);
             co_await poll_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
         }
     }
@@ -207,7 +215,12 @@
         if (!order->upstream.empty()) {
             message.set(platform::engine_order_upstream_field, order->upstream);
         }
-        message.body() = platform::encode_order(*order, settings_.host.str());
+        const auto body = encode(*order);
+        if (!body) {
+            planner_.on_order_result(*order, order_result::refused, steady_now());
+            continue;
+        }
+        message.body() = *body;
         metrics_.orders.add();
         const auto response = co_await engine_.call(std::move(message), order_timeout);
         auto result = order_result::unknown;
@@ -243,6 +256,15 @@
     }
 }
 
+// An order that cannot be written must not hold up the others.
+std::optional<std::string> sidecar_server::encode(const engine_order& order) const
+{
+    std::optional<std::string> body;
+    telemetry::contain(log_, "order", order.model + "/" + order.adapter,
+                       [&] { body = platform::encode_order(order, settings_.host.str()); });
+    return body;
+}
+
 void sidecar_server::on_message(const control::message& content, const cli::endpoint& from)
 {
     if (const auto* demand = std::get_if<control::adapter_demand>(&content)) {
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -8,15 +8,17 @@
 #include "sidecar/adapter_planner.h"
 #include "sidecar/prompt_pacer.h"
 #include "sidecar/sidecar_metrics.h"
+#include "telemetry/admin_handlers.h"
 #include "telemetry/logger.h"
 
 #include <absl/status/status.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <exception>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace snipespar::telemetry {
 class admin_server;
@@ -42,7 +44,8 @@
     absl::Status listen_for_admins();
     absl::Status open_datagrams();
     boost::asio::awaitable<void> run();
-    void on_run_ended(const std::exception_ptr& error) const;
+    telemetry::readiness readiness() const;
+    std::optional<std::string> encode(const engine_order& order) const;
     boost::asio::awaitable<void> read_report();
     boost::asio::awaitable<void> give_orders();
     void on_message(const control::message& content, const cli::endpoint& from);
@@ -88,6 +91,8 @@
     bool is_engine_reached_ = false;
     /// Consecutive reports that could not be read.
     int reports_missed_ = 0;
+    /// Consecutive rounds that ended by an exception.
+    int rounds_failed_ = 0;
     bool is_urgent_ = false;
 };
 
