An exception ends one unit of work, not the gateway

Change: connections, exchanges, messages and ticks are units of work; an exception is logged with the unit's id and ends that unit, whose caller gets a closed connection, which promises nothing. Timers and the listener are armed before or independently of the work, so that no loop ends with it.

--- a/src/control/datagram_socket.cpp
+++ b/src/control/datagram_socket.cpp
@@ -2,6 +2,7 @@
 
 #include "net/bind_status.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <string_view>
@@ -54,16 +55,17 @@
             if (error == asio::error::operation_aborted) {
                 return;
             }
-            if (!error) {
-                const auto content = decode(std::string_view(receive_buffer_.data(), count));
-                if (content.ok()) {
-                    received_(*content, {from_.address().to_string(), from_.port()});
-                }
-                else {
-                    ++rejected_;
-                }
+            const absl::Cleanup receive_next = [this] { receive(); };
+            if (error) {
+                return;
+            }
+            const auto content = decode(std::string_view(receive_buffer_.data(), count));
+            if (content.ok()) {
+                received_(*content, {from_.address().to_string(), from_.port()});
+            }
+            else {
+                ++rejected_;
             }
-            receive();
         });
 }
 
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -1376,6 +1376,17 @@
     finish();
 }
 
+void call_exchange::abort()
+{
+    if (is_done_) {
+        return;
+    }
+    release_upstream(call_result::refused, false);
+    const auto caller = caller_;
+    finish();
+    caller->abort();
+}
+
 void call_exchange::finish()
 {
     if (is_done_) {
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -49,6 +49,12 @@
     /// The caller closed its connection: cancels the work.
     void on_caller_disconnected();
 
+    /// Ends the exchange after an internal fault; its caller gets no answer, which promises
+    /// nothing.
+    void abort();
+
+    const std::string& request_id() const { return call_.request_id; }
+
     /// Checks the timeouts.
     void on_tick(time_point now);
 
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -7,6 +7,7 @@
 #include "net/socket_options.h"
 #include "net/steady_time.h"
 #include "platform/call_codec.h"
+#include "telemetry/work_boundary.h"
 
 #include <absl/strings/match.h>
 #include <boost/asio/buffer.hpp>
@@ -64,10 +65,19 @@
     socket_.async_read_some(asio::buffer(read_buffer_),
                             [self = shared_from_this()](const auto& error, std::size_t count) {
                                 self->is_reading_ = false;
-                                self->on_read(error, count);
+                                self->contain([&] { self->on_read(error, count); });
                             });
 }
 
+// A fault in one request ends its connection only.
+void caller_connection::contain(const std::function<void()>& action)
+{
+    const auto current = exchange_;
+    telemetry::contain(context_.log, "connection",
+                       current == nullptr ? std::string_view() : current->request_id(), action,
+                       [&] { on_disconnected(); });
+}
+
 void caller_connection::on_read(const boost::system::error_code& error, std::size_t count)
 {
     if (is_closed_) {
@@ -211,8 +221,10 @@
     if (!input_.empty()) {
         asio::post(context_.executor, [self = shared_from_this()] {
             if (!self->is_closed_ && self->exchange_ == nullptr) {
-                self->parse();
-                self->read();
+                self->contain([&] {
+                    self->parse();
+                    self->read();
+                });
             }
         });
     }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -48,6 +49,7 @@
 
     void reset_parser();
     void read();
+    void contain(const std::function<void()>& action);
     void on_read(const boost::system::error_code& error, std::size_t count);
     void parse();
     void start_request();
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -11,6 +11,7 @@
 #include "platform/upstream_entry_codec.h"
 #include "platform/wire_names.h"
 #include "telemetry/admin_server.h"
+#include "telemetry/work_boundary.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -211,7 +212,7 @@
         return absl::OkStatus();
     }
     return datagrams_.open(settings_.control_listen, [this](const auto& content, const auto& from) {
-        on_message(content, from);
+        telemetry::contain(context_.log, "message", from.str(), [&] { on_message(content, from); });
     });
 }
 
@@ -244,7 +245,8 @@
     acceptor_.async_accept([this](const auto& error, tcp::socket socket) {
         // Accepted just before the listener was closed, perhaps.
         if (!error) {
-            add_connection(std::move(socket));
+            telemetry::contain(context_.log, "connection", "new",
+                               [&] { add_connection(std::move(socket)); });
         }
         if (!acceptor_.is_open()) {
             return;
@@ -338,6 +340,12 @@
 
 void gateway_server::tick()
 {
+    tick_timer_.expires_after(tick_interval);
+    tick_timer_.async_wait([this](const auto& error) {
+        if (!error) {
+            tick();
+        }
+    });
     const auto now = steady_now();
     if (last_tick_at_ && now - *last_tick_at_ > standstill_time) {
         context_.teams.on_resumed(now);
@@ -349,21 +357,22 @@
     perform(origins_.on_tick(now));
     const auto active = context_.exchanges;
     for (const auto& exchange : active) {
-        exchange->on_tick(now);
+        contain_exchange(*exchange, [&] { exchange->on_tick(now); });
     }
     if (now - slow_tick_at_ >= slow_tick_interval) {
         slow_tick_at_ = now;
-        slow_tick(now);
+        telemetry::contain(context_.log, "tick", "slow", [&] { slow_tick(now); });
     }
     if (drained_) {
         take_stop_step(now);
     }
-    tick_timer_.expires_after(tick_interval);
-    tick_timer_.async_wait([this](const auto& error) {
-        if (!error) {
-            tick();
-        }
-    });
+}
+
+// A fault in one exchange ends that exchange only.
+void gateway_server::contain_exchange(call_exchange& exchange, const std::function<void()>& action)
+{
+    telemetry::contain(context_.log, "exchange", exchange.request_id(), action,
+                       [&] { exchange.abort(); });
 }
 
 void gateway_server::slow_tick(time_point now)
@@ -692,7 +701,7 @@
     const auto active = context_.exchanges;
     for (const auto& exchange : active) {
         for (const auto& id : affected) {
-            exchange->on_engine_status(id);
+            contain_exchange(*exchange, [&] { exchange->on_engine_status(id); });
         }
     }
 }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -31,6 +31,7 @@
 
 namespace snipespar::gateway {
 
+class call_exchange;
 class caller_connection;
 
 /// One gateway process: accepts callers, watches configuration and upstreams, and exchanges state
@@ -68,6 +69,7 @@
     void close_listener();
     void take_stop_step(time_point now);
     void tick();
+    void contain_exchange(call_exchange& exchange, const std::function<void()>& action);
     void slow_tick(time_point now);
     telemetry::readiness readiness() const;
     std::string status() const;
--- a/src/gateway/run_gateway.cpp
+++ b/src/gateway/run_gateway.cpp
@@ -4,6 +4,7 @@
 #include "cli/gateway_settings.h"
 #include "gateway/gateway_server.h"
 #include "net/process_signals.h"
+#include "net/run_contained.h"
 #include "net/start_attempts.h"
 #include "telemetry/bounded_output.h"
 #include "telemetry/logger.h"
@@ -71,7 +72,7 @@
              .stop_again = force,
              // Flags and environment variables cannot change at run time.
              .reload = [&] { log.info("reloaded", {{"changes", 0}}); }});
-    io.run();
+    net::run_contained(io, log);
     std::_Exit(static_cast<int>(code));
 }
 
--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
+#include <exception>
 #include <fmt/core.h>
 #include <utility>
 
@@ -151,7 +152,12 @@
     const auto self = shared_from_this();
     input_.append(read_buffer_.data(), count);
     boost::system::error_code error;
-    while (is_busy_ && !is_closed_ && parse(error)) {
+    try {
+        while (is_busy_ && !is_closed_ && parse(error)) {
+        }
+    }
+    catch (const std::exception& failure) {
+        return fail(absl::UnknownError(failure.what()));
     }
     if (error) {
         return fail(absl::UnknownError(error.message()));
