--- /dev/null
+++ b/tests/process/gateway_odd_entries_test.cpp
@@ -0,0 +1,218 @@
+#include "process/support/gateway_fleet.h"
+#include "process/support/wait_until.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <cstddef>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace snipespar::testing {
+
+namespace {
+
+constexpr std::chrono::seconds follow_limit{6};
+constexpr std::size_t deep = 100'000;
+
+std::string object(const std::string& name, const std::string& spec)
+{
+    return fmt::format(R"({{"metadata":{{"name":{},"revision":1}},"spec":{},"status":null}})", name,
+                       spec);
+}
+
+// An entry of an upstream with one field set to a raw text.
+std::string entry_with(const std::string& field, const std::string& value)
+{
+    std::string spec =
+        R"({"upstream":"desk","address":"127.0.3.1:9","zone":"a","version":"v1","slots":4,"state":"ready")";
+    const auto known = spec.find('"' + field + "\":");
+    if (known != std::string::npos) {
+        const auto start = known + field.size() + 3;
+        auto end = spec.find(",\"", start);
+        end = end == std::string::npos ? spec.size() : end;
+        spec.replace(start, end - start, value);
+    }
+    else {
+        spec += fmt::format(R"(,"{}":{})", field, value);
+    }
+    return object("\"odd\"", spec + "}");
+}
+
+std::string repeated(const std::string& text, std::size_t count)
+{
+    std::string result;
+    result.reserve(text.size() * count);
+    for (std::size_t i = 0; i < count; ++i) {
+        result += text;
+    }
+    return result;
+}
+
+// Objects that another writer may leave. None names an upstream to use.
+std::vector<std::pair<std::string, std::string>> odd_objects()
+{
+    const auto deep_array = std::string(deep, '[') + std::string(deep, ']');
+    const auto deep_object = repeated("{\"a\":", deep) + "1" + std::string(deep, '}');
+    return {
+        {"deep array", entry_with("x", deep_array)},
+        {"deep object", entry_with("x", deep_object)},
+        {"deep spec", object("\"odd\"", deep_array)},
+        {"deep name", object(deep_array, "{}")},
+        {"deep item", deep_array},
+        {"large number", entry_with("slots", "1e400")},
+        {"large number elsewhere", entry_with("x", "-1e999")},
+        {"many digits", entry_with("born", std::string(400, '9'))},
+        {"negative", entry_with("slots", "-1")},
+        {"port out of range", entry_with("address", "\"127.0.3.1:65536\"")},
+        {"port of many digits", entry_with("address", "\"127.0.3.1:99999999999999999999\"")},
+        {"port zero", entry_with("address", "\"127.0.3.1:0\"")},
+        {"no address", entry_with("address", "\"nowhere\"")},
+        {"number as address", entry_with("address", "5")},
+        {"zone not UTF-8", entry_with("zone", "\"\xff\xfe\"")},
+        {"lone surrogate", entry_with("zone", "\"\\ud800\"")},
+        {"control character", entry_with("zone", "\"a\\u0000b\"")},
+        {"long zone", entry_with("zone", '"' + std::string(100'000, 'z') + '"')},
+        {"unknown state", entry_with("state", "\"dancing\"")},
+        {"name is a number", object("7", "{}")},
+        {"name is null", object("null", "{}")},
+        {"name not UTF-8", object("\"\xff\"", "{}")},
+        {"no metadata", R"({"spec":{}})"},
+        {"metadata is a text", R"({"metadata":"odd","spec":{}})"},
+        {"spec is a text", object("\"odd\"", "\"x\"")},
+        {"number", "7"},
+        {"null", "null"},
+        {"syntax error", R"({"metadata":{"name":"odd"},"spec":{"a":}})"},
+    };
+}
+
+bool put_raw(const gateway_fleet& fleet, const std::string& kind, const std::string& name,
+             const std::string& text)
+{
+    const auto reply =
+        send_call(fleet.store.address, {"PUT", fmt::format("/raw/{}/{}", kind, name), {}, text});
+    return reply.ok() && reply->status == 200;
+}
+
+nlohmann::json status_of(const fleet_member& gateway)
+{
+    const auto reply = send_call(gateway.admin, {"GET", "/status", {}, {}});
+    return reply.ok() && reply->status == 200 ? nlohmann::json::parse(reply->body)
+                                              : nlohmann::json{{"upstreams", {}}, {"config", 0}};
+}
+
+// Whether the gateway knows exactly the upstreams of the fleet, this one as draining or not.
+bool knows(const fleet_member& gateway, std::size_t upstreams, const std::string& id,
+           bool is_draining)
+{
+    const auto status = status_of(gateway);
+    bool is_found = false;
+    for (const auto& item : status["upstreams"]) {
+        is_found = is_found || (item["id"] == id && item["draining"] == is_draining);
+    }
+    return is_found && status["upstreams"].size() == upstreams;
+}
+
+} // namespace
+
+/// Objects of the store that no one can read, beside sound ones.
+class gateway_odd_entries_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(gateway_odd_entries_test);
+    CPPUNIT_TEST(upstreams_are_followed_beside_an_odd_entry);
+    CPPUNIT_TEST(gateway_starts_beside_odd_entries);
+    CPPUNIT_TEST(configuration_is_followed_beside_an_odd_one);
+    CPPUNIT_TEST(adapter_versions_are_followed_beside_an_odd_one);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against gateways that end, or follow no entry, because of one entry in an event.
+    void upstreams_are_followed_beside_an_odd_entry()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 2});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        bool is_draining = false;
+        for (const auto& [name, text] : odd_objects()) {
+            CPPUNIT_ASSERT(put_raw(fleet, "servers", "odd", text));
+            is_draining = !is_draining;
+            CPPUNIT_ASSERT(fleet.announce(fleet.services[0], "desk", is_draining));
+            CPPUNIT_ASSERT_MESSAGE(
+                name + "\n" + gateway.process->output(),
+                wait_until([&] { return knows(gateway, 2, fleet.services[0].id, is_draining); },
+                           follow_limit));
+            CPPUNIT_ASSERT_MESSAGE(name, gateway.process->running());
+        }
+    }
+
+    // Guards against gateways that never become ready, or end at each start.
+    void gateway_starts_beside_odd_entries()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 2});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        // Each entry has a name of its own in the store and sorts before, between or after others.
+        int number = 0;
+        for (const auto& [name, text] : odd_objects()) {
+            CPPUNIT_ASSERT(put_raw(fleet, "servers", fmt::format("h-{}", number), text));
+            ++number;
+        }
+        auto& gateway = fleet.gateways.front();
+        gateway.process->kill();
+        gateway.restart();
+        CPPUNIT_ASSERT_MESSAGE(
+            gateway.process->output(),
+            wait_until([&] { return knows(gateway, 2, fleet.services[0].id, false); },
+                       follow_limit));
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT_EQUAL(200U,
+                             send_call(gateway.address, fleet.make_call("/safe/x", "r1"))->status);
+        CPPUNIT_ASSERT(gateway.process->output().find("event=object_unreadable") !=
+                       std::string::npos);
+    }
+
+    // Guards against gateways that follow no configuration any more.
+    void configuration_is_followed_beside_an_odd_one()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        auto& gateway = fleet.gateways.front();
+        for (const auto& [name, text] : odd_objects()) {
+            CPPUNIT_ASSERT(put_raw(fleet, "config", "odd", text));
+            std::uint64_t version = 0;
+            CPPUNIT_ASSERT(fleet.change_config(
+                [&](auto& config) { version = config["version"].template get<std::uint64_t>(); }));
+            CPPUNIT_ASSERT_MESSAGE(
+                name + "\n" + gateway.process->output(),
+                wait_until([&] { return status_of(gateway)["config"] == version; }, follow_limit));
+        }
+        gateway.process->kill();
+        gateway.restart();
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+    }
+
+    void adapter_versions_are_followed_beside_an_odd_one()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        int version = 0;
+        for (const auto& [name, text] : odd_objects()) {
+            CPPUNIT_ASSERT(put_raw(fleet, "versions", "odd", text));
+            ++version;
+            CPPUNIT_ASSERT(put_raw(
+                fleet, "versions", "base.a1",
+                object("\"base.a1\"",
+                       fmt::format(R"({{"model":"base","adapter":"a1","version":{}}})", version))));
+            CPPUNIT_ASSERT_MESSAGE(
+                name + "\n" + gateway.process->output(),
+                gateway.process->wait_for_output(
+                    fmt::format("event=version_announced model=base adapter=a1 version={}\n",
+                                version),
+                    follow_limit));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_odd_entries_test);
+
+} // namespace snipespar::testing
--- a/tools/users_platform_stand_in/store.cpp
+++ b/tools/users_platform_stand_in/store.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <utility>
 
 namespace users_platform_stand_in {
@@ -71,6 +73,10 @@
         restore();
         co_return co_await answer(socket, message, json_answer(200, "{}"));
     }
+    if (parts.path.front() == "raw" && parts.path.size() == 3) {
+        co_return co_await answer(socket, message,
+                                  write_raw(message, parts.path[1], parts.path[2]));
+    }
     if (parts.path.front() != "objects" || parts.path.size() < 2) {
         co_return co_await answer(socket, message, json_answer(404, "{}"));
     }
@@ -113,19 +119,24 @@
 
 response store::list(const std::string& kind, const std::string& after) const
 {
-    json items = json::array();
-    bool has_more = false;
+    std::map<std::string, std::string> following;
     if (const auto found = objects_.find(kind); found != objects_.end()) {
         for (auto item = found->second.upper_bound(after); item != found->second.end(); ++item) {
-            has_more = items.size() == page_size;
-            if (has_more) {
-                break;
-            }
-            items.push_back(item->second);
+            following[item->first] = item->second.dump();
+        }
+    }
+    if (const auto found = raw_objects_.find(kind); found != raw_objects_.end()) {
+        following.insert(found->second.upper_bound(after), found->second.end());
+    }
+    std::vector<std::string> items;
+    for (const auto& [name, text] : following) {
+        if (items.size() < page_size) {
+            items.push_back(text);
         }
     }
-    return json_answer(
-        200, json{{"items", items}, {"has_more", has_more}, {"current_rev", revision_}}.dump());
+    return json_answer(200,
+                       fmt::format(R"({{"items":[{}],"has_more":{},"current_rev":{}}})",
+                                   fmt::join(items, ","), following.size() > page_size, revision_));
 }
 
 asio::awaitable<response> store::watch(std::string kind, std::uint64_t from, std::uint64_t wait_ms)
@@ -136,14 +147,15 @@
         if (from < history_begins_ || from > revision_ || era != era_) {
             co_return json_answer(410, "{}");
         }
-        json events = json::array();
+        std::vector<std::string> events;
         for (const auto& item : history_) {
             if (item.revision > from && item.kind == kind) {
                 events.push_back(item.event);
             }
         }
         if (!events.empty() || std::chrono::steady_clock::now() >= deadline) {
-            co_return json_answer(200, json{{"events", events}, {"current_rev", revision_}}.dump());
+            co_return json_answer(200, fmt::format(R"({{"events":[{}],"current_rev":{}}})",
+                                                   fmt::join(events, ","), revision_));
         }
         changed_.expires_at(std::max(changed_.expiry(), deadline));
         co_await changed_.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -174,7 +186,7 @@
     const auto revision = revision_ + 1;
     stored[key] = {
         {"metadata", {{"name", key}, {"revision", revision}}}, {"spec", spec}, {"status", nullptr}};
-    record(kind, stored[key], false);
+    record(kind, stored[key].dump(), false);
     return json_answer(200, stored[key].dump());
 }
 
@@ -185,15 +197,29 @@
     if (found == stored.end()) {
         return json_answer(404, "{}");
     }
-    record(kind, found->second, true);
+    record(kind, found->second.dump(), true);
     stored.erase(found);
     return json_answer(200, "{}");
 }
 
-void store::record(const std::string& kind, const json& object, bool is_removed)
+response store::write_raw(const request& message, const std::string& kind, const std::string& name)
+{
+    auto& stored = raw_objects_[kind];
+    if (message.body().empty()) {
+        record(kind, json{{"metadata", {{"name", name}}}}.dump(), true);
+        stored.erase(name);
+        return json_answer(200, "{}");
+    }
+    stored[name] = message.body();
+    record(kind, message.body(), false);
+    return json_answer(200, "{}");
+}
+
+void store::record(const std::string& kind, const std::string& object, bool is_removed)
 {
     ++revision_;
-    history_.push_back({revision_, kind, {{"object", object}, {"removed", is_removed}}});
+    history_.push_back(
+        {revision_, kind, fmt::format(R"({{"object":{},"removed":{}}})", object, is_removed)});
     changed_.cancel();
 }
 
--- a/tools/users_platform_stand_in/store.h
+++ b/tools/users_platform_stand_in/store.h
@@ -15,7 +15,9 @@
 /// The users' metadata store: objects by kind and name, paged lists, conditional writes, and
 /// watches as long polls. `DELETE /history` drops the history, so that older watches get 410.
 /// `POST /copy` takes a copy, and `POST /restore` brings it back in a new era, which all answers
-/// state: revisions are assigned again from that of the copy.
+/// state: revisions are assigned again from that of the copy. `PUT /raw/KIND/NAME` stores any bytes
+/// as an object, as another writer may, and returns them unchanged in lists and events; an empty
+/// body removes them.
 class store {
 public:
     explicit store(boost::asio::io_context& context) : changed_(context) {}
@@ -27,7 +29,8 @@
     struct change {
         std::uint64_t revision = 0;
         std::string kind;
-        nlohmann::json event;
+        /// JSON text, except for what raw objects hold.
+        std::string event;
     };
 
     boost::asio::awaitable<bool> answer(boost::asio::ip::tcp::socket& socket,
@@ -38,9 +41,11 @@
                                            std::uint64_t wait_ms);
     response write(const request& message, const std::string& kind, const std::string& name);
     response remove(const std::string& kind, const std::string& name);
-    void record(const std::string& kind, const nlohmann::json& object, bool is_removed);
+    void record(const std::string& kind, const std::string& object, bool is_removed);
+    response write_raw(const request& message, const std::string& kind, const std::string& name);
 
     std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
+    std::map<std::string, std::map<std::string, std::string>> raw_objects_;
     std::vector<change> history_;
     std::uint64_t revision_ = 1;
     std::uint64_t history_begins_ = 1;
