An object of the store that cannot be read leaves the others unaffected

Callers saw gateways end again and again (SIGSEGV while a value nested 200,000 deep was copied), or no longer follow servers that were drained, and fresh gateways never ready: one response of the store was parsed as a whole, so that one string that is not UTF-8, or one number that no type holds, voided it and counted as an outage of the store. Change: a response is split into objects first, without recursion; each is read alone, with bounds on depth, size and names (platform/object_codec), in lists, pages and events of every watched kind. An unreadable one is named in the log and counted; if its name is readable it names no upstream, as before for fields of a wrong type. Names in queries are percent-encoded. Why it works: nothing that another writer can store reaches a recursive operation or decides over anything but its own object.

--- a/src/base/json_reader.h
+++ b/src/base/json_reader.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/json_text.h"
+
 #include <absl/status/status.h>
 #include <cstdint>
 #include <fmt/core.h>
@@ -7,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <utility>
 #include <vector>
 
 namespace snipespar {
@@ -17,14 +20,14 @@
 public:
     using json = nlohmann::json;
 
-    /// Parses text; a syntax error is stored in `status`.
+    /// Parses text of bounded depth; an error is stored in `status`.
     static json parse(std::string_view text, absl::Status& status)
     {
-        auto value = json::parse(text, nullptr, false);
-        if (value.is_discarded() && status.ok()) {
-            status = absl::InvalidArgumentError("not valid JSON");
+        auto value = parse_json(text);
+        if (!value.ok() && status.ok()) {
+            status = value.status();
         }
-        return value;
+        return value.ok() ? *std::move(value) : json(json::value_t::discarded);
     }
 
     /// `status` must be OK at first and outlive the reader; it receives the first error.
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -39,6 +39,9 @@
         "snipespar_gateway_adapter_waits_total", "Requests that waited for an adapter.");
     telemetry::counter& log_lines_dropped = registry.make_counter(
         "snipespar_gateway_log_lines_dropped_total", "Log lines dropped to bound the volume.");
+    telemetry::counter& unreadable_objects =
+        registry.make_counter("snipespar_gateway_unreadable_objects_total",
+                              "Objects of the platform's store that could not be read.");
     telemetry::gauge& in_flight =
         registry.make_gauge("snipespar_gateway_in_flight", "Requests in progress.");
     telemetry::summary& latency = registry.make_summary(
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -154,6 +154,9 @@
         {[this, listed](const auto& objects) { (this->*listed)(objects); },
          [this, changed](const auto& object) { (this->*changed)(object); },
          [this, kind](std::uint64_t era) { on_restored(kind, era); },
+         [this, kind](const std::string& name, const std::string& reason) {
+             on_unreadable(kind, name, reason);
+         },
          [this, kind](bool is_reached, const std::string& reason) {
              on_contact(kind, is_reached, reason);
          }});
@@ -557,6 +560,13 @@
     context_.upstreams.update(*entry, now);
 }
 
+void gateway_server::on_unreadable(const std::string& kind, const std::string& name,
+                                   const std::string& reason)
+{
+    context_.metrics.unreadable_objects.add();
+    context_.log.warning("object_unreadable", {{"kind", kind}, {"name", name}, {"reason", reason}});
+}
+
 void gateway_server::on_versions_listed(const std::vector<platform::watched_object>& objects)
 {
     for (const auto& object : objects) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -80,6 +80,7 @@
     void on_upstream_changed(const platform::watched_object& object);
     void on_versions_listed(const std::vector<platform::watched_object>& objects);
     void on_version_changed(const platform::watched_object& object);
+    void on_unreadable(const std::string& kind, const std::string& name, const std::string& reason);
     void on_contact(const std::string& kind, bool is_reached, const std::string& reason);
 
     void on_restored(const std::string& kind, std::uint64_t era);
--- /dev/null
+++ b/src/platform/object_codec.cpp
@@ -0,0 +1,121 @@
+#include "platform/object_codec.h"
+
+#include "base/json_text.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <optional>
+#include <utility>
+
+namespace snipespar::platform {
+
+namespace {
+
+// The store keeps no larger ones.
+constexpr std::size_t max_object_bytes = 2UL * 1024 * 1024;
+constexpr std::size_t max_name_bytes = 253;
+
+using members = std::vector<std::pair<std::string_view, std::string_view>>;
+
+// The raw text of a member; empty if it is absent.
+std::string_view member(const members& object, std::string_view name)
+{
+    const auto found =
+        std::ranges::find_if(object, [&](const auto& item) { return item.first == name; });
+    return found == object.end() ? std::string_view() : found->second;
+}
+
+std::optional<std::string> read_name(const members& object)
+{
+    const auto metadata = split_json_object(member(object, "metadata"));
+    if (!metadata.ok()) {
+        return std::nullopt;
+    }
+    const auto name = parse_json(member(*metadata, "name"));
+    if (!name.ok() || !name->is_string()) {
+        return std::nullopt;
+    }
+    auto text = name->get<std::string>();
+    if (text.empty() || text.size() > max_name_bytes) {
+        return std::nullopt;
+    }
+    return text;
+}
+
+// Adds the object to the page, to its unreadable ones or, if only its name is readable, to both.
+void read_object(std::string_view text, bool is_removed, object_page& page)
+{
+    if (text.size() > max_object_bytes) {
+        page.unreadable.push_back({{}, "too large"});
+        return;
+    }
+    const auto object = split_json_object(text);
+    if (!object.ok()) {
+        page.unreadable.push_back({{}, std::string(object.status().message())});
+        return;
+    }
+    const auto name = read_name(*object);
+    if (!name) {
+        page.unreadable.push_back({{}, "no readable name"});
+        return;
+    }
+    watched_object result{*name, {}, is_removed};
+    if (!is_removed) {
+        auto content = parse_json(member(*object, "spec"));
+        if (content.ok()) {
+            result.content = *std::move(content);
+        }
+        else {
+            page.unreadable.push_back({*name, std::string(content.status().message())});
+        }
+    }
+    page.objects.push_back(std::move(result));
+}
+
+void read_event(std::string_view text, object_page& page)
+{
+    const auto event = split_json_object(text);
+    if (!event.ok()) {
+        page.unreadable.push_back({{}, std::string(event.status().message())});
+        return;
+    }
+    read_object(member(*event, "object"), member(*event, "removed") == "true", page);
+}
+
+} // namespace
+
+absl::StatusOr<object_page> decode_object_page(std::string_view text)
+{
+    const auto response = split_json_object(text);
+    if (!response.ok()) {
+        return response.status();
+    }
+    const auto revision = parse_json(member(*response, "current_rev"));
+    if (!revision.ok() || !revision->is_number_unsigned()) {
+        return absl::InvalidArgumentError("current_rev: must be an unsigned integer");
+    }
+    object_page page;
+    page.revision = revision->get<std::uint64_t>();
+    page.has_more = member(*response, "has_more") == "true";
+    for (const std::string_view name : {"items", "events"}) {
+        const auto list = member(*response, name);
+        if (list.empty()) {
+            continue;
+        }
+        const auto elements = split_json_array(list);
+        if (!elements.ok()) {
+            return elements.status();
+        }
+        for (const auto element : *elements) {
+            if (name == "items") {
+                read_object(element, false, page);
+            }
+            else {
+                read_event(element, page);
+            }
+        }
+    }
+    return page;
+}
+
+} // namespace snipespar::platform
--- /dev/null
+++ b/src/platform/object_codec.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "platform/watched_object.h"
+
+#include <absl/status/statusor.h>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace snipespar::platform {
+
+/// An object of a list or an event that could not be read.
+struct unreadable_object {
+    /// Empty if the name could not be read either.
+    std::string name;
+    std::string reason;
+};
+
+/// One page of a list, or the events that a poll has returned.
+struct object_page {
+    std::uint64_t revision = 0;
+    /// The list continues behind the last name.
+    bool has_more = false;
+    /// Readable objects. One whose name alone is readable has no content.
+    std::vector<watched_object> objects;
+    std::vector<unreadable_object> unreadable;
+};
+
+/// Reads a page of a list (`items`) or the response to a poll (`events`). Objects are split first
+/// and read one by one, so that an unreadable one leaves the others unaffected. Invalid argument:
+/// the response itself is malformed.
+absl::StatusOr<object_page> decode_object_page(std::string_view text);
+
+} // namespace snipespar::platform
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -1,19 +1,22 @@
 #include "platform/object_watch.h"
 
 #include "base/backoff.h"
-#include "base/json_reader.h"
 #include "net/http_client.h"
+#include "platform/object_codec.h"
 #include "platform/watch_position.h"
 #include "platform/wire_names.h"
 
 #include <absl/strings/numbers.h>
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <exception>
 #include <fmt/core.h>
+#include <iterator>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace snipespar::platform {
@@ -31,21 +34,22 @@
 // A list is at most about one megabyte.
 constexpr std::size_t max_response_bytes = 8UL * 1024 * 1024;
 
-watched_object read_object(const nlohmann::json& item, bool is_removed)
+constexpr std::string_view unreserved_characters =
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~";
+
+// Percent-encodes a value of a query.
+std::string escaped(std::string_view text)
 {
-    watched_object object;
-    object.is_removed = is_removed;
-    if (!item.is_object()) {
-        return object;
-    }
-    if (const auto metadata = item.find("metadata");
-        metadata != item.end() && metadata->is_object()) {
-        object.name = metadata->value("name", std::string());
-    }
-    if (const auto spec = item.find("spec"); spec != item.end() && !is_removed) {
-        object.content = *spec;
+    std::string result;
+    for (const char character : text) {
+        if (unreserved_characters.find(character) != std::string_view::npos) {
+            result += character;
+        }
+        else {
+            result += fmt::format("%{:02X}", static_cast<unsigned char>(character));
+        }
     }
-    return object;
+    return result;
 }
 
 } // namespace
@@ -143,7 +147,7 @@
         }
     }
 
-    asio::awaitable<absl::StatusOr<nlohmann::json>> get(std::string target, duration timeout)
+    asio::awaitable<absl::StatusOr<object_page>> get(std::string target, duration timeout)
     {
         net::http_client::request message{http::verb::get, target, 11};
         auto response = co_await client_.call(std::move(message), timeout);
@@ -159,11 +163,7 @@
         if (response->result() != http::status::ok) {
             co_return absl::UnavailableError(fmt::format("status {}", response->result_int()));
         }
-        auto value = nlohmann::json::parse(response->body(), nullptr, false);
-        if (!value.is_object()) {
-            co_return absl::DataLossError("the response is not a JSON object");
-        }
-        co_return value;
+        co_return decode_object_page(response->body());
     }
 
     // Aborted: the store was restored since the last response. Unavailable: the response is from
@@ -190,34 +190,32 @@
     asio::awaitable<absl::Status> list(std::uint64_t generation)
     {
         std::vector<watched_object> objects;
+        std::vector<unreadable_object> unreadable;
         std::optional<std::uint64_t> revision;
         std::string after;
         bool has_more = true;
         while (has_more) {
-            const auto target = after.empty() ? fmt::format("/objects/{}", kind_)
-                                              : fmt::format("/objects/{}?after={}", kind_, after);
+            const auto target = after.empty()
+                                    ? fmt::format("/objects/{}", kind_)
+                                    : fmt::format("/objects/{}?after={}", kind_, escaped(after));
             auto page = co_await get(target, response_timeout);
             if (!page.ok()) {
                 co_return page.status();
             }
-            absl::Status status;
-            const json_reader fields(*page, kind_, status);
             // A watch from the first page's revision reports changes made between two pages.
-            revision = revision.value_or(fields.integer<std::uint64_t>("current_rev"));
-            has_more = fields.has("has_more") && fields.flag("has_more");
-            if (const auto items = page->find("items"); items != page->end()) {
-                for (const auto& item : *items) {
-                    objects.push_back(read_object(item, false));
-                }
-            }
-            if (!status.ok()) {
-                co_return status;
+            revision = revision.value_or(page->revision);
+            has_more = page->has_more;
+            const auto last = page->objects.empty() ? after : page->objects.back().name;
+            std::ranges::move(page->objects, std::back_inserter(objects));
+            std::ranges::move(page->unreadable, std::back_inserter(unreadable));
+            if (has_more && last == after) {
+                co_return absl::DataLossError("a page without a readable name");
             }
-            has_more = has_more && !objects.empty() && objects.back().name != after;
-            after = objects.empty() ? std::string() : objects.back().name;
+            after = last;
         }
         if (generation == generation_) {
             position_.on_listed(*revision);
+            report(unreadable);
             handler_.listed(objects);
         }
         co_return absl::OkStatus();
@@ -226,34 +224,30 @@
     asio::awaitable<absl::Status> poll(std::uint64_t generation)
     {
         const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(poll_wait_);
-        auto response = co_await get(fmt::format("/objects/{}?watch={}&wait_ms={}", kind_,
-                                                 position_.revision(), wait.count()),
-                                     poll_wait_ + response_timeout);
+        const auto response = co_await get(fmt::format("/objects/{}?watch={}&wait_ms={}", kind_,
+                                                       position_.revision(), wait.count()),
+                                           poll_wait_ + response_timeout);
         if (!response.ok()) {
             co_return response.status();
         }
         if (generation != generation_) {
             co_return absl::OkStatus();
         }
-        absl::Status status;
-        const json_reader fields(*response, kind_, status);
-        const auto revision = fields.integer<std::uint64_t>("current_rev");
-        if (!status.ok()) {
-            co_return status;
-        }
-        if (const auto events = response->find("events"); events != response->end()) {
-            for (const auto& event : *events) {
-                const bool is_removed = event.is_object() && event.value("removed", false);
-                const auto object = event.is_object() ? event.find("object") : event.end();
-                if (object != event.end()) {
-                    handler_.changed(read_object(*object, is_removed));
-                }
-            }
+        report(response->unreadable);
+        for (const auto& object : response->objects) {
+            handler_.changed(object);
         }
-        position_.on_polled(revision);
+        position_.on_polled(response->revision);
         co_return absl::OkStatus();
     }
 
+    void report(const std::vector<unreadable_object>& unreadable) const
+    {
+        for (const auto& object : unreadable) {
+            handler_.unreadable(object.name, object.reason);
+        }
+    }
+
     void report_reachability(bool is_reachable, const std::string& reason)
     {
         if (is_reachable_ != is_reachable) {
--- a/src/platform/object_watch.h
+++ b/src/platform/object_watch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cli/endpoint.h"
+#include "platform/watched_object.h"
 #include "snipespar/time.h"
 
 #include <absl/status/statusor.h>
@@ -8,20 +9,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
 namespace snipespar::platform {
 
-/// One object of the platform's store, or its removal.
-struct watched_object {
-    std::string name;
-    /// The value that its writer stored; null for a removed object.
-    nlohmann::json content;
-    bool is_removed = false;
-};
-
 /// Events of an object watch. All are called on the watch's executor.
 struct object_watch_handler {
     /// All objects of the kind, as listed; replaces everything reported before.
@@ -30,6 +22,9 @@
     /// The store was restored from a copy some seconds old; its era is now this one. All objects
     /// are listed next.
     std::function<void(std::uint64_t era)> restored;
+    /// An object could not be read and is left out, or has no content if `name` is not empty.
+    /// Called once for each list and event that holds it.
+    std::function<void(const std::string& name, const std::string& reason)> unreadable;
     /// The store has become reachable, or unreachable for a reason.
     std::function<void(bool is_reachable, const std::string& reason)> reachability_changed;
 };
--- a/src/platform/upstream_entry_codec.cpp
+++ b/src/platform/upstream_entry_codec.cpp
@@ -4,6 +4,8 @@
 #include "base/text_view.h"
 #include "cli/value_parsers.h"
 
+#include <absl/strings/ascii.h>
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace snipespar::platform {
@@ -13,6 +15,21 @@
 // Far longer than any version name; bounds what an entry can make a gateway keep and send.
 constexpr std::size_t max_software_bytes = 128;
 
+// Names of services and failure domains; longer ones would be kept and sent for each entry.
+constexpr std::size_t max_name_bytes = 253;
+
+std::string read_name(const json_reader& fields, const char* name)
+{
+    auto text = fields.text(name);
+    const bool has_control = std::ranges::any_of(text, [](char character) {
+        return absl::ascii_iscntrl(static_cast<unsigned char>(character));
+    });
+    if (text.size() > max_name_bytes || has_control) {
+        fields.fail(fields.path() + "." + name, "is not a name");
+    }
+    return text;
+}
+
 std::string read_software(const gateway::upstream_entry& entry, const nlohmann::json& content)
 {
     const auto version = content.find("version");
@@ -36,8 +53,8 @@
     gateway::upstream_entry entry;
     entry.id = upstream_id(id);
     // The platform calls a service an "upstream".
-    entry.service = fields.text("upstream");
-    entry.failure_domain = failure_domain_id(fields.text("zone"));
+    entry.service = read_name(fields, "upstream");
+    entry.failure_domain = failure_domain_id(read_name(fields, "zone"));
     entry.slots = static_cast<int>(fields.integer<std::uint16_t>("slots"));
     const auto state = fields.text("state");
     entry.is_draining = state == "draining";
--- /dev/null
+++ b/src/platform/watched_object.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace snipespar::platform {
+
+/// One object of the platform's store, or its removal.
+struct watched_object {
+    std::string name;
+    /// The value that its writer stored; null for a removed or unreadable object.
+    nlohmann::json content;
+    bool is_removed = false;
+};
+
+} // namespace snipespar::platform
