--- a/src/agent/upstream_call.cpp
+++ b/src/agent/upstream_call.cpp
@@ -1,5 +1,6 @@
 #include "agent/upstream_call.h"
 
+#include "base/json_reader.h"
 #include "net/event_stream_parser.h"
 
 #include <array>
@@ -41,8 +42,8 @@
 // Returns the caller's body with the fields that the agent sets for the engine.
 std::string engine_body(const link::run_request& request)
 {
-    constexpr bool allow_exceptions = false;
-    json body = json::parse(request.body, nullptr, allow_exceptions);
+    absl::Status malformed;
+    json body = json_reader::parse(request.body, malformed);
     if (!body.is_object()) {
         body = json::object();
     }
@@ -270,8 +271,8 @@
         end_seen_ = true;
         return true;
     }
-    constexpr bool allow_exceptions = false;
-    const json value = json::parse(event, nullptr, allow_exceptions);
+    absl::Status malformed;
+    const json value = json_reader::parse(event, malformed);
     if (!value.is_object() || end_seen_) {
         return false;
     }
--- a/src/agent/upstream_probe.cpp
+++ b/src/agent/upstream_probe.cpp
@@ -1,5 +1,7 @@
 #include "agent/upstream_probe.h"
 
+#include "base/json_reader.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
@@ -35,8 +37,8 @@
     if (!response.ok()) {
         co_return json_response{!absl::IsUnavailable(response.status()), std::nullopt};
     }
-    constexpr bool allow_exceptions = false;
-    json body = json::parse(response->body(), nullptr, allow_exceptions);
+    absl::Status malformed;
+    json body = json_reader::parse(response->body(), malformed);
     if (response->result() != http::status::ok || !body.is_object()) {
         co_return json_response{};
     }
--- a/src/entry/claim_gate.cpp
+++ b/src/entry/claim_gate.cpp
@@ -1,5 +1,6 @@
 #include "entry/claim_gate.h"
 
+#include "base/json_reader.h"
 #include "claims/claim_codec.h"
 #include "entry/peer_links.h"
 #include "net/steady_time.h"
@@ -33,7 +34,8 @@
 {
     claims::read_result result{status, version, std::nullopt};
     if (status == claims::read_status::found) {
-        const auto json = nlohmann::json::parse(value, nullptr, false);
+        absl::Status malformed;
+        const auto json = json_reader::parse(value, malformed);
         auto object = claims::decode_object(json);
         if (object.ok()) {
             result.value = *std::move(object);
--- a/src/entry/completion_writer.cpp
+++ b/src/entry/completion_writer.cpp
@@ -1,5 +1,6 @@
 #include "entry/completion_writer.h"
 
+#include "base/json_reader.h"
 #include "entry/refusal.h"
 #include "entry/response_part.h"
 
@@ -33,8 +34,8 @@
 
 void completion_writer::add(const std::string& event)
 {
-    constexpr bool allow_exceptions = false;
-    const json value = json::parse(event, nullptr, allow_exceptions);
+    absl::Status malformed;
+    const json value = json_reader::parse(event, malformed);
     const json::json_pointer pointer(chat_ ? "/choices/0/delta/content" : "/choices/0/text");
     if (!value.is_discarded() && value.contains(pointer) && value[pointer].is_string()) {
         text_ += value[pointer].get<std::string>();
--- a/src/entry/platform_records.cpp
+++ b/src/entry/platform_records.cpp
@@ -1,5 +1,6 @@
 #include "entry/platform_records.h"
 
+#include "base/json_reader.h"
 #include "cli/entry_settings.h"
 #include "limits/limits_codec.h"
 
@@ -27,9 +28,8 @@
     if (!reply.status.ok() || reply.objects.empty()) {
         return std::nullopt;
     }
-    constexpr bool allow_exceptions = false;
-    const auto value =
-        nlohmann::json::parse(reply.objects.front().value, nullptr, allow_exceptions);
+    absl::Status malformed;
+    const auto value = json_reader::parse(reply.objects.front().value, malformed);
     const auto table = limits::decode_table(value);
     if (!table.ok()) {
         return std::nullopt;
