--- a/tests/process/gateway_faulty_answers_test.cpp
+++ b/tests/process/gateway_faulty_answers_test.cpp
@@ -5,6 +5,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 #include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
 #include <string>
 
 namespace snipespar::testing {
@@ -73,6 +75,8 @@
     CPPUNIT_TEST(answers_without_a_length_are_delivered_whole);
     CPPUNIT_TEST(answer_without_a_length_that_is_reset_is_not_complete);
     CPPUNIT_TEST(stream_that_ends_inside_an_event_goes_on_elsewhere);
+    CPPUNIT_TEST(status_of_a_refusal_after_a_run_is_a_failure);
+    CPPUNIT_TEST(repeated_refusal_speaks_for_no_other_request);
     CPPUNIT_TEST(endless_head_is_cut);
     CPPUNIT_TEST(endless_bytes_that_are_no_answer_are_cut);
     CPPUNIT_TEST(endless_interim_answers_are_cut);
@@ -122,6 +126,51 @@
         }
     }
 
+    // Guards against callers that are told "not run" because an upstream failed with such a status.
+    void status_of_a_refusal_after_a_run_is_a_failure()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        for (const int status : {503, 429, 408}) {
+            CPPUNIT_ASSERT(
+                set_faults(fleet.services[0], fmt::format(R"({{"fail_status": {}}})", status)));
+            for (const std::string path : {"/unsafe/x", "/safe/x"}) {
+                const auto id = fmt::format("{}-{}", path.substr(1, 4), status);
+                CPPUNIT_ASSERT_EQUAL(502U,
+                                     send(fleet.gateways[0], fleet.make_call(path, id)).status);
+            }
+        }
+    }
+
+    // Guards against a refusal on a kept connection that is taken for the answer to a later
+    // request.
+    void repeated_refusal_speaks_for_no_other_request()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 2});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        // Leaves a kept connection to each upstream.
+        for (int i = 0; i < 8; ++i) {
+            send(fleet.gateways[0], fleet.make_call("/unsafe/x", fmt::format("first-{}", i)));
+        }
+        for (const auto& service : fleet.services) {
+            CPPUNIT_ASSERT(set_faults(service, R"({"repeat_refusal": true})"));
+        }
+        for (int i = 0; i < 8; ++i) {
+            const auto reply =
+                send(fleet.gateways[0], fleet.make_call("/unsafe/x", fmt::format("u{}", i)));
+            CPPUNIT_ASSERT(reply.status == 502 || reply.status == 200);
+        }
+        std::map<std::string, int> runs;
+        for (const auto& service : fleet.services) {
+            for (const auto& run : fleet.runs(service)["runs"]) {
+                ++runs[run["id"].get<std::string>()];
+            }
+        }
+        for (const auto& [id, count] : runs) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 1, count);
+        }
+    }
+
     void endless_head_is_cut() { check_endless_answer("head"); }
     void endless_bytes_that_are_no_answer_are_cut() { check_endless_answer("rubbish"); }
 
--- /dev/null
+++ b/tests/process/gateway_upstream_channel_test.cpp
@@ -0,0 +1,210 @@
+#include "gateway/upstream_channel.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace snipespar::gateway {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr auto step_time = milliseconds(100);
+
+std::string head(const std::string& status_line, const std::string& id,
+                 const std::string& more = {})
+{
+    return "HTTP/1.1 " + status_line + "\r\n" +
+           (id.empty() ? std::string() : "Request-Id: " + id + "\r\n") + more + "\r\n";
+}
+
+std::string answer(const std::string& id, const std::string& body)
+{
+    return head("200 OK", id, "Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
+}
+
+std::string refusal(const std::string& id)
+{
+    return head("503 Service Unavailable", id, "Not-Executed: 1\r\nContent-Length: 0\r\n");
+}
+
+// What the handler of one exchange was told.
+struct outcome {
+    std::vector<answer_header> headers;
+    std::string body;
+    bool has_ended = false;
+    std::optional<absl::StatusCode> failure;
+
+    bool is_not_run() const { return has_ended && headers.size() == 1 && headers[0].is_not_run; }
+};
+
+} // namespace
+
+/// One connection to an upstream that sends what it should not.
+class gateway_upstream_channel_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(gateway_upstream_channel_test);
+    CPPUNIT_TEST(answers_are_matched_by_id);
+    CPPUNIT_TEST(refusal_without_id_speaks_for_the_first_request_only);
+    CPPUNIT_TEST(refusal_of_another_request_is_dropped);
+    CPPUNIT_TEST(connection_with_an_extra_answer_is_not_kept);
+    CPPUNIT_TEST(bytes_before_a_request_are_not_its_answer);
+    CPPUNIT_TEST(closed_idle_connection_is_not_used);
+    CPPUNIT_TEST(length_that_cannot_be_allocated_ends_its_exchange_only);
+    CPPUNIT_TEST(interim_answer_is_not_the_final_one);
+    CPPUNIT_TEST(unknown_transfer_coding_is_a_failure);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        context_ = std::make_unique<boost::asio::io_context>();
+        acceptor_ = std::make_unique<tcp::acceptor>(
+            *context_, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        channel_ = std::make_shared<upstream_channel>(
+            context_->get_executor(),
+            cli::endpoint{"127.0.0.1", acceptor_->local_endpoint().port()});
+        peer_.emplace(*context_);
+    }
+
+    void tearDown() override
+    {
+        channel_.reset();
+        peer_.reset();
+        acceptor_.reset();
+        context_.reset();
+    }
+
+    void answers_are_matched_by_id()
+    {
+        const auto first = exchange("r1", answer("r1", "one"));
+        CPPUNIT_ASSERT(first.has_ended);
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), first.body);
+        CPPUNIT_ASSERT(channel_->is_reusable());
+        CPPUNIT_ASSERT(exchange("r2", refusal("r2")).is_not_run());
+    }
+
+    // Guards against "not run" for a request that an upstream runs: it repeats an earlier refusal.
+    void refusal_without_id_speaks_for_the_first_request_only()
+    {
+        CPPUNIT_ASSERT(exchange("r1", refusal("")).is_not_run());
+        const auto second = exchange("r2", refusal(""));
+        CPPUNIT_ASSERT(!second.is_not_run());
+        CPPUNIT_ASSERT(second.failure == absl::StatusCode::kUnknown);
+        CPPUNIT_ASSERT(!channel_->is_reusable());
+    }
+
+    void refusal_of_another_request_is_dropped()
+    {
+        exchange("r1", refusal("r1"));
+        const auto second = exchange("r2", refusal("r1") + answer("r2", "two"));
+        CPPUNIT_ASSERT(second.has_ended);
+        CPPUNIT_ASSERT(!second.is_not_run());
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), second.body);
+    }
+
+    void connection_with_an_extra_answer_is_not_kept()
+    {
+        exchange("r1", answer("r1", "one"));
+        CPPUNIT_ASSERT(exchange("r2", answer("r1", "one") + answer("r2", "two")).has_ended);
+        CPPUNIT_ASSERT(!channel_->is_reusable());
+    }
+
+    // Guards against bytes on an idle connection that are read as the answer to the next request.
+    void bytes_before_a_request_are_not_its_answer()
+    {
+        exchange("r1", answer("r1", "one"));
+        CPPUNIT_ASSERT(channel_->is_reusable());
+        boost::asio::write(*peer_, boost::asio::buffer(refusal("")));
+        wait_for_bytes();
+        CPPUNIT_ASSERT(!channel_->is_reusable());
+    }
+
+    void closed_idle_connection_is_not_used()
+    {
+        exchange("r1", answer("r1", "one"));
+        peer_->close();
+        wait_for_bytes();
+        CPPUNIT_ASSERT(!channel_->is_reusable());
+    }
+
+    // Guards against gateways that end because an upstream names a length.
+    void length_that_cannot_be_allocated_ends_its_exchange_only()
+    {
+        for (const std::string length : {"9223372036854775000", "1000000000000"}) {
+            tearDown();
+            setUp();
+            const auto broken =
+                exchange("r1", head("200 OK", "r1", "Content-Length: " + length + "\r\n") + "x");
+            CPPUNIT_ASSERT(!broken.has_ended);
+            peer_->close();
+            context_->restart();
+            context_->run_for(step_time);
+            CPPUNIT_ASSERT(current_.failure == absl::StatusCode::kUnknown);
+        }
+    }
+
+    void interim_answer_is_not_the_final_one()
+    {
+        const auto only = exchange("r1", head("103 Early Hints", "r1") + answer("r1", "one"));
+        CPPUNIT_ASSERT(only.has_ended);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, only.headers.size());
+        CPPUNIT_ASSERT_EQUAL(200U, only.headers[0].status);
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), only.body);
+    }
+
+    void unknown_transfer_coding_is_a_failure()
+    {
+        for (const std::string coding : {"gzip", "chunked, identity", "xchunked", "identity"}) {
+            tearDown();
+            setUp();
+            const auto broken =
+                exchange("r1", head("200 OK", "r1", "Transfer-Encoding: " + coding + "\r\n") + "x");
+            CPPUNIT_ASSERT_MESSAGE(coding, broken.failure == absl::StatusCode::kUnknown);
+        }
+    }
+
+private:
+    // Sends a request and has the upstream respond with these bytes.
+    outcome exchange(const std::string& id, const std::string& bytes)
+    {
+        current_ = {};
+        if (!peer_->is_open()) {
+            acceptor_->async_accept(*peer_, [](const auto& /*error*/) {});
+        }
+        channel_->exchange(
+            "GET / HTTP/1.1\r\nRequest-Id: " + id + "\r\n\r\n", {}, id, false, step_time,
+            {.header = [this](const auto& item) { current_.headers.push_back(item); },
+             .body = [this](auto text) { current_.body += text; },
+             .ended = [this] { current_.has_ended = true; },
+             .failed = [this](const auto& status) { current_.failure = status.code(); }});
+        context_->restart();
+        context_->run_for(step_time);
+        boost::asio::write(*peer_, boost::asio::buffer(bytes));
+        context_->restart();
+        context_->run_for(step_time);
+        return current_;
+    }
+
+    // The bytes arrive without an event being handled.
+    static void wait_for_bytes() { std::this_thread::sleep_for(step_time); }
+
+    std::unique_ptr<boost::asio::io_context> context_;
+    std::unique_ptr<tcp::acceptor> acceptor_;
+    std::shared_ptr<upstream_channel> channel_;
+    std::optional<tcp::socket> peer_;
+    outcome current_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_upstream_channel_test);
+
+} // namespace snipespar::gateway
--- a/tools/users_platform_stand_in/worker.cpp
+++ b/tools/users_platform_stand_in/worker.cpp
@@ -125,6 +125,11 @@
     }
     ++running_;
     bool is_open = true;
+    if (repeats_refusal_ && !options_.is_engine) {
+        const std::string refusal =
+            "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(refusal), as_result);
+    }
     if (!endless_.empty()) {
         co_await send_endless(socket, message);
         is_open = false;
@@ -147,6 +152,9 @@
         auto answer = json_answer(200, text(message, "Request-Id") + message.body());
         answer.body().resize(std::max(answer.body().size(), min_answer_bytes_), '.');
         answer.set("Response-Seal", seal(options_.id, text(message, "Request-Id")));
+        if (fail_status_ != 0) {
+            answer = json_answer(fail_status_, "{}");
+        }
         answer = marked(std::move(answer));
         is_open = co_await send(socket, message, answer);
         if (repeats_answers_ && is_open) {
@@ -338,6 +346,8 @@
     rate_limit_ = body.value("rate_limit", rate_limit_);
     trickles_ = body.value("trickle", trickles_);
     repeats_answers_ = body.value("repeat_answers", repeats_answers_);
+    repeats_refusal_ = body.value("repeat_refusal", repeats_refusal_);
+    fail_status_ = body.value("fail_status", fail_status_);
     silence_ = std::chrono::milliseconds(body.value("pause_ms", std::int64_t{silence_.count()}));
     min_answer_bytes_ = body.value("answer_bytes", min_answer_bytes_);
     shed_until_ = std::chrono::steady_clock::now() +
--- a/tools/users_platform_stand_in/worker.h
+++ b/tools/users_platform_stand_in/worker.h
@@ -34,10 +34,12 @@
 /// TEXT}` makes it announce its stop in all its answers, turn away requests with a Retry-After for
 /// that long, or end `crash_after_ms` after it has begun to run a request whose body contains the
 /// text, also if its caller has left; send single bytes instead of events after the third one; or
-/// send each plain answer twice. With `pause_ms` it falls silent for that long after the third
-/// event of a stream and before a plain answer, and `answer_bytes` pads plain answers to that size;
-/// with `crash_on_part` it ends after the first event of a stream whose prompt has that part. The
-/// requests turned away are counted in `GET /runs`.
+/// send each plain answer twice. `fail_status` makes it answer plain requests with that status
+/// after it has run them, without saying that it has not; with `repeat_refusal` it writes a
+/// refusal, which names no request, before it runs a plain request. With `pause_ms` it falls silent
+/// for that long after the third event of a stream and before a plain answer, and `answer_bytes`
+/// pads plain answers to that size; with `crash_on_part` it ends after the first event of a stream
+/// whose prompt has that part. The requests turned away are counted in `GET /runs`.
 ///
 /// A stream has `events` events whose data is the request id, the number and the version of the
 /// worker's software if it has one, which may continue any stream; a plain response is
@@ -79,6 +81,8 @@
     bool is_leaving_ = false;
     bool trickles_ = false;
     bool repeats_answers_ = false;
+    bool repeats_refusal_ = false;
+    unsigned fail_status_ = 0;
     std::chrono::milliseconds silence_{};
     std::size_t min_answer_bytes_ = 0;
     /// Named in all answers; 0 for none.
