Only a refusal in the platform's way tells a caller that nothing ran

The test failed before. Change: 408, 421, 429 and 503 of an upstream without Not-Executed count as a failure with unknown outcome: repeatable requests go on within their budget, other callers get 502. Why it works: these statuses now reach a caller only from the gateway itself, which counts runs.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -83,6 +83,12 @@
 
 constexpr std::string_view last_chunk = "0\r\n\r\n";
 
+// Statuses that tell a caller that its request has not run.
+bool promises_not_run(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 std::string chunk(std::string_view bytes)
 {
     return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
@@ -973,6 +979,10 @@
         return resume_on_another_upstream("resumption_failed");
     }
     const buffered_response response{*header_, std::move(body_)};
+    if (promises_not_run(header_->status)) {
+        // The upstream did not say so in the platform's way and may have run the request.
+        return on_attempt_failed("status_of_a_refusal");
+    }
     const bool is_failure = header_->status >= 500;
     if (!is_failure) {
         release_upstream(call_result::success, true);
