A length that an upstream names is never allocated as named

Answers with a transfer coding other than chunked were read up to the end of the connection and passed on as they were. Change: bodies grow with what has arrived (net/growing_body), within the bounds for kept answers that exist; an answer with another transfer coding is a failure, as its end is not known.

--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -3,6 +3,7 @@
 #include "net/socket_options.h"
 #include "platform/call_codec.h"
 
+#include <absl/strings/match.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,6 +11,7 @@
 #include <boost/beast/http/error.hpp>
 #include <exception>
 #include <fmt/core.h>
+#include <string>
 #include <utility>
 
 namespace snipespar::gateway {
@@ -26,6 +28,16 @@
 // Received bytes that the parser cannot use before more arrive, such as the header of a chunk.
 constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
 
+// Only a body of a stated length, in chunks, or up to the end of the connection has a known end
+// (RFC 9112, section 6.3).
+bool has_known_framing(const http::fields& header)
+{
+    const auto codings = header.count(http::field::transfer_encoding);
+    return codings == 0 ||
+           (codings == 1 &&
+            absl::EqualsIgnoreCase(std::string(header[http::field::transfer_encoding]), "chunked"));
+}
+
 } // namespace
 
 upstream_channel::upstream_channel(const asio::any_io_executor& executor, cli::endpoint upstream)
@@ -223,6 +235,10 @@
 // Checks which exchange the response belongs to; returns whether the exchange continues.
 bool upstream_channel::handle_header()
 {
+    if (!has_known_framing(parser_->get())) {
+        fail(absl::UnknownError("unknown transfer coding"));
+        return false;
+    }
     auto response = platform::decode_answer(parser_->get());
     const bool is_own =
         response.request_id == request_id_ || (response.request_id.empty() && response.is_not_run);
--- a/src/gateway/upstream_channel.h
+++ b/src/gateway/upstream_channel.h
@@ -2,6 +2,7 @@
 
 #include "cli/endpoint.h"
 #include "gateway/answer_header.h"
+#include "net/growing_body.h"
 #include "snipespar/time.h"
 
 #include <absl/status/status.h>
@@ -9,7 +10,6 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -59,7 +59,7 @@
     const cli::endpoint& upstream() const { return upstream_; }
 
 private:
-    using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using parser = boost::beast::http::response_parser<net::growing_body>;
 
     void connect(duration timeout);
     void write();
