An answer on a kept connection speaks for its own request only

Callers were told "not run, try again" for requests that an upstream had run or was running, and such a request ran at a second upstream: a refusal without an id was taken for the answer to whatever was under way, and bytes that had arrived on an idle connection for the answer to the next request. After an answer of another request or an interim one, which bore the id and was passed on as final before, the connection is not kept. Before a connection is used again it is checked for bytes and for its end, also those to the store and to the engine (net/http_client). Why it works: "not run" now needs the id of the request that it speaks for, on an answer that came after it was sent.

--- a/src/gateway/channel_pool.cpp
+++ b/src/gateway/channel_pool.cpp
@@ -23,7 +23,7 @@
     while (!list.empty()) {
         auto last = std::move(list.back());
         list.pop_back();
-        if (last.expires > now && last.channel->is_reusable()) {
+        if (last.expires > now && last.channel->can_take_request()) {
             return last.channel;
         }
         last.channel->abandon();
--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -9,9 +9,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
+#include <cerrno>
 #include <exception>
-#include <fmt/core.h>
 #include <string>
+#include <sys/socket.h>
 #include <utility>
 
 namespace snipespar::gateway {
@@ -232,6 +233,19 @@
     return false;
 }
 
+upstream_channel::response_owner upstream_channel::owner_of(const answer_header& response) const
+{
+    constexpr unsigned first_final_status = 200;
+    if (response.status < first_final_status) {
+        return response_owner::none;
+    }
+    if (response.request_id == request_id_) {
+        return response_owner::this_exchange;
+    }
+    return response.request_id.empty() && response.is_not_run ? response_owner::unknown
+                                                              : response_owner::none;
+}
+
 // Checks which exchange the response belongs to; returns whether the exchange continues.
 bool upstream_channel::handle_header()
 {
@@ -240,11 +254,17 @@
         return false;
     }
     auto response = platform::decode_answer(parser_->get());
-    const bool is_own =
-        response.request_id == request_id_ || (response.request_id.empty() && response.is_not_run);
-    if (!is_own) {
+    switch (owner_of(response)) {
+    case response_owner::this_exchange:
+        break;
+    case response_owner::none:
         is_stale_response_ = true;
+        // Where the responses of this connection end is in doubt.
+        can_reuse_ = false;
         return true;
+    case response_owner::unknown:
+        fail(absl::UnknownError("a refusal that names no request"));
+        return false;
     }
     has_response_ = true;
     keep_alive_s_ = response.keep_alive_s;
@@ -303,6 +323,15 @@
     return can_reuse_ && is_connected_ && !is_closed_ && !is_busy_;
 }
 
+bool upstream_channel::can_take_request()
+{
+    char byte = 0;
+    // Would block if neither bytes nor the end of the connection have arrived.
+    return is_reusable() &&
+           ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           errno == EAGAIN;
+}
+
 void upstream_channel::watch_idle(std::function<void()> closed)
 {
     socket_.async_wait(asio::ip::tcp::socket::wait_read,
--- a/src/gateway/upstream_channel.h
+++ b/src/gateway/upstream_channel.h
@@ -35,7 +35,8 @@
     upstream_channel(const boost::asio::any_io_executor& executor, cli::endpoint upstream);
 
     /// Connects if needed and sends one request. A response with another request id than
-    /// `request_id` belongs to an earlier exchange and is dropped.
+    /// `request_id` belongs to an earlier exchange and is dropped. A refusal without an id may
+    /// be that of any request and ends the exchange with an unknown outcome.
     void exchange(std::string head, std::string body, std::string request_id, bool is_head_request,
                   duration connect_timeout, channel_handler handler);
 
@@ -47,6 +48,10 @@
     /// Whether another exchange may use the connection.
     bool is_reusable() const;
 
+    /// Whether it may do so now: bytes that have arrived before its request would be taken for its
+    /// response.
+    bool can_take_request();
+
     /// Watches the idle connection; `closed` is called once if the upstream closes it or sends
     /// unrequested data.
     void watch_idle(std::function<void()> closed);
@@ -61,12 +66,21 @@
 private:
     using parser = boost::beast::http::response_parser<net::growing_body>;
 
+    /// What a response belongs to.
+    enum class response_owner {
+        this_exchange,
+        /// An earlier exchange, or it is an interim response.
+        none,
+        unknown,
+    };
+
     void connect(duration timeout);
     void write();
     void read();
     void on_bytes(std::size_t count);
     bool parse(boost::system::error_code& error);
     bool handle_header();
+    response_owner owner_of(const answer_header& response) const;
     void forward_body();
     void reset_parser();
     void finish();
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -11,8 +11,10 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
 #include <chrono>
 #include <fmt/core.h>
+#include <sys/socket.h>
 #include <vector>
 
 namespace snipespar::net {
@@ -45,6 +47,14 @@
     std::chrono::steady_clock::time_point idle_since;
 };
 
+// Whether bytes, which belong to no request, or the end of the connection have arrived.
+bool has_input(connection& idle)
+{
+    char byte = 0;
+    return ::recv(idle.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+           errno != EAGAIN;
+}
+
 } // namespace
 
 class http_client::pool {
@@ -64,7 +74,7 @@
         while (!idle_.empty()) {
             auto last = std::move(idle_.back());
             idle_.pop_back();
-            if (last->idle_since > oldest) {
+            if (last->idle_since > oldest && !has_input(*last)) {
                 return last;
             }
         }
--- a/tests/process/gateway_upstream_channel_test.cpp
+++ b/tests/process/gateway_upstream_channel_test.cpp
@@ -54,7 +54,7 @@
 class gateway_upstream_channel_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(gateway_upstream_channel_test);
     CPPUNIT_TEST(answers_are_matched_by_id);
-    CPPUNIT_TEST(refusal_without_id_speaks_for_the_first_request_only);
+    CPPUNIT_TEST(refusal_without_id_speaks_for_no_request);
     CPPUNIT_TEST(refusal_of_another_request_is_dropped);
     CPPUNIT_TEST(connection_with_an_extra_answer_is_not_kept);
     CPPUNIT_TEST(bytes_before_a_request_are_not_its_answer);
@@ -94,9 +94,15 @@
     }
 
     // Guards against "not run" for a request that an upstream runs: it repeats an earlier refusal.
-    void refusal_without_id_speaks_for_the_first_request_only()
+    void refusal_without_id_speaks_for_no_request()
     {
-        CPPUNIT_ASSERT(exchange("r1", refusal("")).is_not_run());
+        const auto first = exchange("r1", refusal(""));
+        CPPUNIT_ASSERT(!first.is_not_run());
+        CPPUNIT_ASSERT(first.failure == absl::StatusCode::kUnknown);
+        CPPUNIT_ASSERT(!channel_->is_reusable());
+        tearDown();
+        setUp();
+        CPPUNIT_ASSERT(exchange("r1", refusal("r1")).is_not_run());
         const auto second = exchange("r2", refusal(""));
         CPPUNIT_ASSERT(!second.is_not_run());
         CPPUNIT_ASSERT(second.failure == absl::StatusCode::kUnknown);
@@ -123,10 +129,10 @@
     void bytes_before_a_request_are_not_its_answer()
     {
         exchange("r1", answer("r1", "one"));
-        CPPUNIT_ASSERT(channel_->is_reusable());
+        CPPUNIT_ASSERT(channel_->can_take_request());
         boost::asio::write(*peer_, boost::asio::buffer(refusal("")));
         wait_for_bytes();
-        CPPUNIT_ASSERT(!channel_->is_reusable());
+        CPPUNIT_ASSERT(!channel_->can_take_request());
     }
 
     void closed_idle_connection_is_not_used()
@@ -134,7 +140,7 @@
         exchange("r1", answer("r1", "one"));
         peer_->close();
         wait_for_bytes();
-        CPPUNIT_ASSERT(!channel_->is_reusable());
+        CPPUNIT_ASSERT(!channel_->can_take_request());
     }
 
     // Guards against gateways that end because an upstream names a length.
