--- a/src/net/start_attempts.h
+++ b/src/net/start_attempts.h
@@ -26,6 +26,7 @@
     start_attempts(boost::asio::io_context& io, handlers callbacks);
     start_attempts(const start_attempts&) = delete;
     start_attempts& operator=(const start_attempts&) = delete;
+    ~start_attempts() = default;
 
     bool is_started() const { return is_started_; }
 
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -123,10 +123,11 @@
     auto admin = telemetry::admin_server::make(
         io_.get_executor(), asio::ip::tcp::endpoint(address, settings_.admin_listen.port),
         std::move(handlers));
-    if (admin.ok()) {
-        admin_ = *std::move(admin);
+    if (!admin.ok()) {
+        return admin.status();
     }
-    return admin.status();
+    admin_ = *std::move(admin);
+    return absl::OkStatus();
 }
 
 absl::Status sidecar_server::open_datagrams()
--- a/src/telemetry/work_boundary.h
+++ b/src/telemetry/work_boundary.h
@@ -13,8 +13,8 @@
 /// unit only: it is logged as `unit_failed` with the unit's kind and id, and `on_failure` undoes
 /// what the unit has begun. Returns whether the unit completed.
 template <std::invocable Action, std::invocable Failure>
-bool contain(const logger& log, std::string_view unit, std::string_view id, Action action,
-             Failure on_failure)
+bool contain(const logger& log, std::string_view unit, std::string_view id, const Action& action,
+             const Failure& on_failure)
 {
     try {
         action();
@@ -34,7 +34,7 @@
 }
 
 template <std::invocable Action>
-bool contain(const logger& log, std::string_view unit, std::string_view id, Action action)
+bool contain(const logger& log, std::string_view unit, std::string_view id, const Action& action)
 {
     return contain(log, unit, id, action, [] {});
 }
--- a/tests/cli_command_line_test.cpp
+++ b/tests/cli_command_line_test.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 #include <map>
 #include <string>
 #include <variant>
@@ -54,7 +55,7 @@
     }
     std::vector<std::string> arguments{"gateway"};
     for (const auto& [flag, value] : flags) {
-        arguments.push_back(flag + "=" + value);
+        arguments.push_back(fmt::format("{}={}", flag, value));
     }
     return arguments;
 }
--- a/tests/process/process_start_test.cpp
+++ b/tests/process/process_start_test.cpp
@@ -221,6 +221,7 @@
         child_process process(start);
         CPPUNIT_ASSERT(process.wait_for_output("event=started"));
         std::vector<std::unique_ptr<raw_caller>> connections;
+        connections.reserve(callers);
         for (int i = 0; i < callers; ++i) {
             connections.push_back(std::make_unique<raw_caller>(addresses.listen));
         }
