--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -779,7 +779,7 @@
     if (service_->engine) {
         attempt.urgency = urgency();
     }
-    channel_ = context_.channels.acquire(address, now);
+    channel_ = context_.channels.acquire(address, call_.request_id, now);
     ++sends_;
     ++runs_;
     const auto self = shared_from_this();
--- a/src/gateway/channel_pool.cpp
+++ b/src/gateway/channel_pool.cpp
@@ -17,13 +17,13 @@
 } // namespace
 
 std::shared_ptr<upstream_channel> channel_pool::acquire(const cli::endpoint& upstream,
-                                                        time_point now)
+                                                        std::string_view request_id, time_point now)
 {
     auto& list = idle_[upstream];
     while (!list.empty()) {
         auto last = std::move(list.back());
         list.pop_back();
-        if (last.expires > now && last.channel->can_take_request()) {
+        if (last.expires > now && last.channel->can_take_request(request_id)) {
             return last.channel;
         }
         last.channel->abandon();
--- a/src/gateway/channel_pool.h
+++ b/src/gateway/channel_pool.h
@@ -6,6 +6,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <map>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 namespace snipespar::gateway {
@@ -20,8 +21,10 @@
     {
     }
 
-    /// Returns an idle connection, or a new one that is not connected yet.
-    std::shared_ptr<upstream_channel> acquire(const cli::endpoint& upstream, time_point now);
+    /// Returns an idle connection that can take the request, or a new one that is not connected
+    /// yet.
+    std::shared_ptr<upstream_channel> acquire(const cli::endpoint& upstream,
+                                              std::string_view request_id, time_point now);
 
     /// Returns a connection to the pool after an exchange if it is reusable.
     void release(std::shared_ptr<upstream_channel> channel, time_point now);
--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -323,7 +323,7 @@
     return can_reuse_ && is_connected_ && !is_closed_ && !is_busy_;
 }
 
-bool upstream_channel::can_take_request()
+bool upstream_channel::can_take_request(std::string_view /*request_id*/)
 {
     char byte = 0;
     // Would block if neither bytes nor the end of the connection have arrived.
--- a/src/gateway/upstream_channel.h
+++ b/src/gateway/upstream_channel.h
@@ -48,9 +48,9 @@
     /// Whether another exchange may use the connection.
     bool is_reusable() const;
 
-    /// Whether it may do so now: bytes that have arrived before its request would be taken for its
-    /// response.
-    bool can_take_request();
+    /// Whether it may do so now for the request with this id: bytes that have arrived before it
+    /// would be taken for its response.
+    bool can_take_request(std::string_view request_id);
 
     /// Watches the idle connection; `closed` is called once if the upstream closes it or sends
     /// unrequested data.
--- a/tests/process/gateway_upstream_channel_test.cpp
+++ b/tests/process/gateway_upstream_channel_test.cpp
@@ -55,6 +55,9 @@
     CPPUNIT_TEST_SUITE(gateway_upstream_channel_test);
     CPPUNIT_TEST(answers_are_matched_by_id);
     CPPUNIT_TEST(refusal_without_id_speaks_for_no_request);
+    CPPUNIT_TEST(answer_without_id_is_a_failure);
+    CPPUNIT_TEST(connection_is_not_used_for_a_request_that_it_refused);
+    CPPUNIT_TEST(exchange_begun_at_the_end_of_another_reads_its_own_bytes);
     CPPUNIT_TEST(refusal_of_another_request_is_dropped);
     CPPUNIT_TEST(connection_with_an_extra_answer_is_not_kept);
     CPPUNIT_TEST(bytes_before_a_request_are_not_its_answer);
@@ -109,6 +112,61 @@
         CPPUNIT_ASSERT(!channel_->is_reusable());
     }
 
+    // Guards against callers that wait until their time limit for an answer that was dropped.
+    void answer_without_id_is_a_failure()
+    {
+        const auto broken = exchange("r1", head("500 Error", "", "Content-Length: 0\r\n"));
+        CPPUNIT_ASSERT(broken.failure == absl::StatusCode::kUnknown);
+    }
+
+    // Guards against "not run" for a request that is sent again where it was refused: a repetition
+    // of that refusal bears its id, too.
+    void connection_is_not_used_for_a_request_that_it_refused()
+    {
+        CPPUNIT_ASSERT(exchange("r1", refusal("r1")).is_not_run());
+        CPPUNIT_ASSERT(!channel_->can_take_request("r1"));
+        CPPUNIT_ASSERT(channel_->can_take_request("r2"));
+    }
+
+    // Guards against two reads into one buffer, which corrupt the second answer.
+    void exchange_begun_at_the_end_of_another_reads_its_own_bytes()
+    {
+        constexpr std::size_t size = 256UL * 1024;
+        std::string body(size, ' ');
+        for (std::size_t i = 0; i < size; ++i) {
+            body[i] = static_cast<char>('a' + i / 7 % 26);
+        }
+        outcome second;
+        acceptor_->async_accept(*peer_, [](const auto& /*error*/) {});
+        channel_->exchange("GET / HTTP/1.1\r\n\r\n", {}, "r1", false, step_time,
+                           {.header = [](const auto& /*header*/) {},
+                            .body = [](auto /*text*/) {},
+                            .ended =
+                                [&] {
+                                    channel_->exchange(
+                                        "GET / HTTP/1.1\r\n\r\n", {}, "r2", false, step_time,
+                                        {.header = [](const auto& /*header*/) {},
+                                         .body = [&](auto text) { second.body += text; },
+                                         .ended = [&] { second.has_ended = true; },
+                                         .failed = [](const auto& /*status*/) {}});
+                                },
+                            .failed = [](const auto& /*status*/) {}});
+        context_->run_for(step_time);
+        boost::asio::write(*peer_, boost::asio::buffer(refusal("r1")));
+        context_->restart();
+        context_->run_for(step_time);
+        std::thread writer([&] {
+            boost::system::error_code ignored;
+            boost::asio::write(*peer_, boost::asio::buffer(answer("r2", body)), ignored);
+        });
+        context_->restart();
+        context_->run_for(5 * step_time);
+        channel_->abandon();
+        writer.join();
+        CPPUNIT_ASSERT(second.has_ended);
+        CPPUNIT_ASSERT(second.body == body);
+    }
+
     void refusal_of_another_request_is_dropped()
     {
         exchange("r1", refusal("r1"));
@@ -129,10 +187,10 @@
     void bytes_before_a_request_are_not_its_answer()
     {
         exchange("r1", answer("r1", "one"));
-        CPPUNIT_ASSERT(channel_->can_take_request());
+        CPPUNIT_ASSERT(channel_->can_take_request("r2"));
         boost::asio::write(*peer_, boost::asio::buffer(refusal("")));
         wait_for_bytes();
-        CPPUNIT_ASSERT(!channel_->can_take_request());
+        CPPUNIT_ASSERT(!channel_->can_take_request("r2"));
     }
 
     void closed_idle_connection_is_not_used()
@@ -140,7 +198,7 @@
         exchange("r1", answer("r1", "one"));
         peer_->close();
         wait_for_bytes();
-        CPPUNIT_ASSERT(!channel_->can_take_request());
+        CPPUNIT_ASSERT(!channel_->can_take_request("r2"));
     }
 
     // Guards against gateways that end because an upstream names a length.
--- a/tests/process/process_start_test.cpp
+++ b/tests/process/process_start_test.cpp
@@ -127,6 +127,8 @@
     CPPUNIT_TEST(process_survives_a_closed_log);
     CPPUNIT_TEST(output_shared_with_other_processes_stays_blocking);
     CPPUNIT_TEST(gateway_without_free_descriptors_does_not_spin);
+    CPPUNIT_TEST(no_datagram_ends_a_process);
+    CPPUNIT_TEST(process_survives_a_log_file_that_is_full);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -239,6 +241,43 @@
         CPPUNIT_ASSERT(process.running());
     }
 
+    // Guards against datagrams whose decoding exhausts the stack.
+    void no_datagram_ends_a_process()
+    {
+        constexpr std::size_t most_bytes = 65'000;
+        const process_addresses gateway_addresses;
+        const process_addresses sidecar_addresses;
+        child_process gateway(gateway_start(gateway_addresses));
+        child_process sidecar(sidecar_start(sidecar_addresses));
+        CPPUNIT_ASSERT(gateway.wait_for_output("event=started"));
+        CPPUNIT_ASSERT(sidecar.wait_for_output("event=started"));
+        asio::io_context context;
+        asio::ip::udp::socket socket(context, asio::ip::udp::v4());
+        // Strings of indefinite length, arrays, objects, tags and breaks within each other.
+        for (const char byte : {'\x5f', '\x7f', '\x81', '\x9f', '\xa1', '\xbf', '\xc6', '\xff'}) {
+            for (const auto& address : {gateway_addresses.control, sidecar_addresses.control}) {
+                const std::string text =
+                    "\xa1\x61" + std::string("a") + std::string(most_bytes, byte);
+                const asio::ip::udp::endpoint peer(asio::ip::make_address(address.ip),
+                                                   address.port);
+                socket.send_to(asio::buffer(text), peer);
+                socket.send_to(asio::buffer(std::string(most_bytes, byte)), peer);
+            }
+            CPPUNIT_ASSERT(wait_until([&] { return is_alive(gateway_addresses.admin); },
+                                      std::chrono::seconds(5)));
+            CPPUNIT_ASSERT(wait_until([&] { return is_alive(sidecar_addresses.admin); },
+                                      std::chrono::seconds(5)));
+        }
+        CPPUNIT_ASSERT(gateway.running());
+        CPPUNIT_ASSERT(sidecar.running());
+    }
+
+    // Guards against processes that end by SIGXFSZ at a line of their log.
+    void process_survives_a_log_file_that_is_full()
+    {
+        check_lives_without_log(program_output::full_file);
+    }
+
 private:
     static void check_lives_without_log(program_output output)
     {
--- a/tests/process/support/child_process.cpp
+++ b/tests/process/support/child_process.cpp
@@ -12,6 +12,7 @@
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -73,6 +74,14 @@
         close(STDERR_FILENO);
         return;
     }
+    if (kind == program_output::full_file) {
+        const int file = open("/tmp", O_TMPFILE | O_RDWR | O_CLOEXEC, S_IRUSR | S_IWUSR);
+        const rlimit none{0, 0};
+        setrlimit(RLIMIT_FSIZE, &none);
+        dup2(file, STDOUT_FILENO);
+        dup2(file, STDERR_FILENO);
+        return;
+    }
     if (kind == program_output::reader_gone) {
         std::array<int, 2> abandoned{};
         if (pipe2(abandoned.data(), O_CLOEXEC) == 0) {
--- a/tests/process/support/child_process.h
+++ b/tests/process/support/child_process.h
@@ -24,6 +24,8 @@
     reader_gone,
     /// Both descriptors are closed.
     closed,
+    /// A file that has reached the largest size that the process may write.
+    full_file,
 };
 
 /// Program to start, with its arguments and environment.
