No datagram ends a process

One datagram of 65,000 bytes of nested indefinite-length strings ended a gateway or sidecar by SIGSEGV: the check of depth counted arrays and objects only, and was itself made by the recursive decoder. Change: heads of CBOR are read without recursion first; indefinite lengths, tags and deep nesting, which our encoder does not write, are malformed.

--- a/src/base/cbor.cpp
+++ b/src/base/cbor.cpp
@@ -1,8 +1,10 @@
 #include "base/cbor.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <vector>
 
 namespace snipespar {
 
@@ -10,56 +12,108 @@
 
 using nlohmann::json;
 
-constexpr int max_depth = 32;
+constexpr std::size_t max_depth = 32;
 
-// Inputs below this size cannot nest deeply enough to exhaust the decoder's stack.
-constexpr std::size_t max_unchecked_bytes = 2048;
-
-// SAX handler that accepts all events while the nesting stays below max_depth.
-class depth_checker : public nlohmann::json_sax<json> {
+// Reads heads of data items from left to right, without recursion (RFC 8949, section 3).
+class head_reader {
 public:
-    bool null() override { return true; }
-    bool boolean(bool /*value*/) override { return true; }
-    bool number_integer(std::int64_t /*value*/) override { return true; }
-    bool number_unsigned(std::uint64_t /*value*/) override { return true; }
-    bool number_float(double /*value*/, const std::string& /*text*/) override { return true; }
-    bool string(std::string& /*value*/) override { return true; }
-    bool binary(json::binary_t& /*value*/) override { return true; }
-    bool key(std::string& /*name*/) override { return true; }
-    bool start_object(std::size_t /*size*/) override { return ++depth_ < max_depth; }
-    bool start_array(std::size_t /*size*/) override { return ++depth_ < max_depth; }
+    explicit head_reader(std::string_view bytes) : bytes_(bytes) {}
 
-    bool end_object() override
+    // Whether all items are whole, nest less than `max_depth` deep and have a definite length.
+    // `to_cbor` writes no others, and the decoder recurses for them.
+    bool is_sound()
     {
-        --depth_;
-        return true;
+        // Items that are still expected at each level.
+        std::vector<std::uint64_t> expected{1};
+        while (!expected.empty()) {
+            if (expected.back() == 0) {
+                expected.pop_back();
+                continue;
+            }
+            --expected.back();
+            std::uint64_t members = 0;
+            if (expected.size() > max_depth || !read_item(members)) {
+                return false;
+            }
+            if (members > 0) {
+                expected.push_back(members);
+            }
+        }
+        return bytes_.empty();
     }
 
-    bool end_array() override
+private:
+    enum major_type : std::uint8_t {
+        bytes_type = 2,
+        text_type = 3,
+        array_type = 4,
+        map_type = 5,
+        tag_type = 6,
+        simple_type = 7
+    };
+
+    // Reads one head and the content of a string; `members` are the items that follow within it.
+    bool read_item(std::uint64_t& members)
     {
-        --depth_;
-        return true;
+        constexpr unsigned type_shift = 5;
+        constexpr unsigned info_mask = 0x1f;
+        if (bytes_.empty()) {
+            return false;
+        }
+        const auto head = static_cast<std::uint8_t>(bytes_.front());
+        bytes_.remove_prefix(1);
+        std::uint64_t value = 0;
+        if (!read_value(head & info_mask, value)) {
+            return false;
+        }
+        switch (head >> type_shift) {
+        case bytes_type:
+        case text_type:
+            if (value > bytes_.size()) {
+                return false;
+            }
+            bytes_.remove_prefix(value);
+            return true;
+        case array_type:
+            members = value;
+            return value <= bytes_.size();
+        case map_type:
+            members = 2 * value;
+            return value <= bytes_.size();
+        case tag_type:
+            return false;
+        default:
+            return true;
+        }
     }
 
-    bool parse_error(std::size_t /*position*/, const std::string& /*token*/,
-                     const nlohmann::detail::exception& /*error*/) override
+    bool read_value(unsigned info, std::uint64_t& value)
     {
-        return false;
+        constexpr unsigned first_with_bytes = 24;
+        constexpr unsigned last_with_bytes = 27;
+        constexpr unsigned byte_bits = 8;
+        value = info;
+        if (info < first_with_bytes) {
+            return true;
+        }
+        if (info > last_with_bytes) {
+            return false;
+        }
+        const std::size_t count = std::size_t{1} << (info - first_with_bytes);
+        if (count > bytes_.size()) {
+            return false;
+        }
+        value = 0;
+        for (const char byte : bytes_.substr(0, count)) {
+            value = (value << byte_bits) | static_cast<std::uint8_t>(byte);
+        }
+        bytes_.remove_prefix(count);
+        return true;
     }
 
-private:
-    int depth_ = 0;
+    std::string_view bytes_;
 };
 
-bool is_shallow(std::string_view bytes)
-{
-    if (bytes.size() <= max_unchecked_bytes) {
-        return true;
-    }
-    depth_checker checker;
-    return json::sax_parse(bytes.begin(), bytes.end(), &checker, json::input_format_t::cbor);
-}
-
 } // namespace
 
 std::string to_cbor(const json& value)
@@ -71,7 +125,7 @@
 
 absl::StatusOr<json> from_cbor(std::string_view bytes)
 {
-    if (!is_shallow(bytes)) {
+    if (!head_reader(bytes).is_sound()) {
         return absl::InvalidArgumentError("CBOR: malformed or nested too deeply");
     }
     constexpr bool strict = true;
