A full log neither ends a process nor holds up its end

A crashed process whose log pipe was full waited in its last line (seen by the reviewer; no test). Change: SIGXFSZ is ignored, and the last line is written only if there is room.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -79,8 +79,9 @@
 {
     // A SIGHUP that arrives before its handler is installed must not end the process.
     std::signal(SIGHUP, SIG_IGN);
-    // A log whose reader has gone must not end the process.
+    // A log whose reader has gone, or whose file is full, must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN);
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     return std::visit(dispatcher{}, cli::parse_command_line(arguments, read_environment()));
 }
--- a/src/telemetry/end_report.cpp
+++ b/src/telemetry/end_report.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <exception>
+#include <poll.h>
 #include <string>
 #include <sys/uio.h>
 #include <tuple>
@@ -28,6 +29,14 @@
 std::string_view reported_role;
 int reported_to = STDERR_FILENO;
 
+// Whether a line can be written at once; a process that is ending must not wait for a reader.
+// Async-signal-safe.
+bool has_room()
+{
+    pollfd item{reported_to, POLLOUT, 0};
+    return ::poll(&item, 1, 0) == 1 && item.revents == POLLOUT;
+}
+
 std::string current_exception_text()
 {
     const auto error = std::current_exception();
@@ -51,7 +60,9 @@
         format_line(std::chrono::system_clock::now(), log_level::error, "ended_by_exception",
                     std::vector<log_field>{{"role", std::string(reported_role)},
                                            {"reason", current_exception_text()}});
-    std::ignore = ::write(reported_to, line.data(), line.size());
+    if (has_room()) {
+        std::ignore = ::write(reported_to, line.data(), line.size());
+    }
     std::abort();
 }
 
@@ -84,7 +95,9 @@
 {
     const std::array parts{part("level=error event=ended_by_signal role="), part(reported_role),
                            part(" signal="), part(name_of(number)), part("\n")};
-    std::ignore = ::writev(reported_to, parts.data(), static_cast<int>(parts.size()));
+    if (has_room()) {
+        std::ignore = ::writev(reported_to, parts.data(), static_cast<int>(parts.size()));
+    }
     // The handler was reset when it was called, so that this ends the process.
     std::ignore = ::raise(number);
 }
