--- a/src/platform/object_codec.cpp
+++ b/src/platform/object_codec.cpp
@@ -1,6 +1,7 @@
 #include "platform/object_codec.h"
 
 #include "base/json_text.h"
+#include "base/text_view.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -14,6 +15,8 @@
 // The store keeps no larger ones.
 constexpr std::size_t max_object_bytes = 2UL * 1024 * 1024;
 constexpr std::size_t max_name_bytes = 253;
+// Unreadable objects of a page that are told of.
+constexpr std::size_t max_unreadable = 32;
 
 using members = std::vector<std::pair<std::string_view, std::string_view>>;
 
@@ -36,27 +39,38 @@
         return std::nullopt;
     }
     auto text = name->get<std::string>();
-    if (text.empty() || text.size() > max_name_bytes) {
+    const bool is_printable = std::ranges::none_of(text, [](char character) {
+        const auto code = static_cast<unsigned char>(character);
+        return code <= ' ' || code == 0x7f;
+    });
+    if (text.empty() || text.size() > max_name_bytes || !is_printable) {
         return std::nullopt;
     }
     return text;
 }
 
+void add_unreadable(object_page& page, std::string name, std::string_view reason)
+{
+    if (page.unreadable.size() < max_unreadable) {
+        page.unreadable.push_back({std::move(name), std::string(reason)});
+    }
+}
+
 // Adds the object to the page, to its unreadable ones or, if only its name is readable, to both.
 void read_object(std::string_view text, bool is_removed, object_page& page)
 {
     if (text.size() > max_object_bytes) {
-        page.unreadable.push_back({{}, "too large"});
+        add_unreadable(page, {}, "too large");
         return;
     }
     const auto object = split_json_object(text);
     if (!object.ok()) {
-        page.unreadable.push_back({{}, std::string(object.status().message())});
+        add_unreadable(page, {}, to_std(object.status().message()));
         return;
     }
     const auto name = read_name(*object);
     if (!name) {
-        page.unreadable.push_back({{}, "no readable name"});
+        add_unreadable(page, {}, "no readable name");
         return;
     }
     watched_object result{*name, {}, is_removed};
@@ -66,7 +80,7 @@
             result.content = *std::move(content);
         }
         else {
-            page.unreadable.push_back({*name, std::string(content.status().message())});
+            add_unreadable(page, *name, to_std(content.status().message()));
         }
     }
     page.objects.push_back(std::move(result));
@@ -76,7 +90,7 @@
 {
     const auto event = split_json_object(text);
     if (!event.ok()) {
-        page.unreadable.push_back({{}, std::string(event.status().message())});
+        add_unreadable(page, {}, to_std(event.status().message()));
         return;
     }
     read_object(member(*event, "object"), member(*event, "removed") == "true", page);
--- a/src/platform/object_codec.h
+++ b/src/platform/object_codec.h
@@ -24,6 +24,7 @@
     bool has_more = false;
     /// Readable objects. One whose name alone is readable has no content.
     std::vector<watched_object> objects;
+    /// The first ones.
     std::vector<unreadable_object> unreadable;
 };
 
