A success or an error of the run contradicts Not-Executed

An upstream that answered 200 or 500 with Not-Executed was taken for one that had not run the request, and the caller got 503 (seen by the reviewer).

--- a/tests/platform_call_codec_test.cpp
+++ b/tests/platform_call_codec_test.cpp
@@ -189,8 +189,12 @@
         CPPUNIT_ASSERT_EQUAL(12U, answer.keep_alive_s);
         CPPUNIT_ASSERT_EQUAL(std::string("Request-Id: r1\r\nResponse-Seal: s\r\n"),
                              answer.forwarded_header);
-        header.result(503);
         header.set("Not-Executed", "1");
+        // Contradictory: the upstream has run the call.
+        CPPUNIT_ASSERT(!decode_answer(header).is_not_run);
+        header.result(500);
+        CPPUNIT_ASSERT(!decode_answer(header).is_not_run);
+        header.result(503);
         CPPUNIT_ASSERT(decode_answer(header).is_not_run);
         header.erase("Not-Executed");
         CPPUNIT_ASSERT(!decode_answer(header).is_not_run);
