Answers of one connection are kept apart

Callers got 200 with a corrupted body: an exchange begun at the end of another on the same connection had two reads into one buffer. A request sent again where it was refused could take a repetition of that refusal, which bears its id, for its answer; an answer without an id was dropped, so that its caller waited until the time limit. Change: one read at a time; a connection takes no request that it has refused, and is closed after 32; a final answer without an id is a failure at once.

--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -4,6 +4,7 @@
 #include "platform/call_codec.h"
 
 #include <absl/strings/match.h>
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,6 +29,8 @@
 constexpr std::size_t max_dropped_bytes = 1024UL * 1024;
 // Received bytes that the parser cannot use before more arrive, such as the header of a chunk.
 constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
+// Refused requests that a connection remembers; it is closed after one more.
+constexpr std::size_t max_refused_requests = 32;
 
 // Only a body of a stated length, in chunks, or up to the end of the connection has a known end
 // (RFC 9112, section 6.3).
@@ -175,7 +178,8 @@
     if (error) {
         return fail(absl::UnknownError(error.message()));
     }
-    if (is_busy_ && !is_closed_) {
+    // An exchange that was begun at the end of this one reads already.
+    if (is_busy_ && !is_closed_ && !is_reading_) {
         read();
     }
 }
@@ -242,8 +246,7 @@
     if (response.request_id == request_id_) {
         return response_owner::this_exchange;
     }
-    return response.request_id.empty() && response.is_not_run ? response_owner::unknown
-                                                              : response_owner::none;
+    return response.request_id.empty() ? response_owner::unknown : response_owner::none;
 }
 
 // Checks which exchange the response belongs to; returns whether the exchange continues.
@@ -263,10 +266,13 @@
         can_reuse_ = false;
         return true;
     case response_owner::unknown:
-        fail(absl::UnknownError("a refusal that names no request"));
+        fail(absl::UnknownError("an answer that names no request"));
         return false;
     }
     has_response_ = true;
+    if (response.is_not_run) {
+        note_refused_request();
+    }
     keep_alive_s_ = response.keep_alive_s;
     if (!parser_->get().keep_alive()) {
         can_reuse_ = false;
@@ -323,11 +329,23 @@
     return can_reuse_ && is_connected_ && !is_closed_ && !is_busy_;
 }
 
-bool upstream_channel::can_take_request(std::string_view /*request_id*/)
+// A repetition of the refusal would be taken for the answer if the request came here again.
+void upstream_channel::note_refused_request()
+{
+    if (refused_requests_.size() < max_refused_requests) {
+        refused_requests_.push_back(request_id_);
+    }
+    else {
+        can_reuse_ = false;
+    }
+}
+
+bool upstream_channel::can_take_request(std::string_view request_id)
 {
     char byte = 0;
     // Would block if neither bytes nor the end of the connection have arrived.
     return is_reusable() &&
+           std::ranges::find(refused_requests_, request_id) == refused_requests_.end() &&
            ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
            errno == EAGAIN;
 }
--- a/src/gateway/upstream_channel.h
+++ b/src/gateway/upstream_channel.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace snipespar::gateway {
 
@@ -35,8 +36,8 @@
     upstream_channel(const boost::asio::any_io_executor& executor, cli::endpoint upstream);
 
     /// Connects if needed and sends one request. A response with another request id than
-    /// `request_id` belongs to an earlier exchange and is dropped. A refusal without an id may
-    /// be that of any request and ends the exchange with an unknown outcome.
+    /// `request_id` belongs to an earlier exchange and is dropped. A final response without an
+    /// id may be that of any request and ends the exchange with an unknown outcome.
     void exchange(std::string head, std::string body, std::string request_id, bool is_head_request,
                   duration connect_timeout, channel_handler handler);
 
@@ -81,6 +82,7 @@
     bool parse(boost::system::error_code& error);
     bool handle_header();
     response_owner owner_of(const answer_header& response) const;
+    void note_refused_request();
     void forward_body();
     void reset_parser();
     void finish();
@@ -93,6 +95,8 @@
     std::string head_;
     std::string body_;
     std::string request_id_;
+    /// Requests that were refused on this connection.
+    std::vector<std::string> refused_requests_;
     std::optional<parser> parser_;
     std::array<char, 8192> read_buffer_{};
     /// Bytes received and not parsed yet.
