--- a/tests/control_message_test.cpp
+++ b/tests/control_message_test.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST_SUITE(control_message_test);
     CPPUNIT_TEST(every_message_round_trips);
     CPPUNIT_TEST(malformed_messages_are_rejected);
+    CPPUNIT_TEST(texts_that_are_not_utf8_make_a_message_malformed);
+    CPPUNIT_TEST(counts_and_depths_are_bounded);
     CPPUNIT_TEST(report_of_a_full_engine_fits_one_packet);
     CPPUNIT_TEST_SUITE_END();
 
@@ -91,6 +93,77 @@
         CPPUNIT_ASSERT(!decode(to_cbor({{"protocol", 1}, {"type", "usage"}})).ok());
     }
 
+    // Guards against names that end the process which logs them or sends them on as JSON.
+    void texts_that_are_not_utf8_make_a_message_malformed()
+    {
+        const std::string name = "a\xe9";
+        const adapter_demand plain{"g", 7, "i-1", 5, 16, {"base"}, {{"base", "a1", 2, 3}}, {}};
+        CPPUNIT_ASSERT(decode(encode(plain)).ok());
+        auto demand = plain;
+        demand.gateway = name;
+        CPPUNIT_ASSERT(!decode(encode(demand)).ok());
+        demand = plain;
+        demand.models = {"base", name};
+        CPPUNIT_ASSERT(!decode(encode(demand)).ok());
+        demand = plain;
+        demand.uses[0].adapter = name;
+        CPPUNIT_ASSERT(!decode(encode(demand)).ok());
+        demand = plain;
+        demand.versions[name] = 1;
+        CPPUNIT_ASSERT(!decode(encode(demand)).ok());
+        CPPUNIT_ASSERT(!decode(encode(gateway_usage{"g", 1, 1, 1, false, {{name, 1}}, {}})).ok());
+        CPPUNIT_ASSERT(!decode(encode(origin_record{{1, 2}, {"llm", name}})).ok());
+        const crash_findings findings{
+            {{77, {{{upstream_id(name), 5}, false, true, std::chrono::seconds(3)}}}}};
+        CPPUNIT_ASSERT(!decode(encode(findings)).ok());
+        // A field that no build knows is also written to logs of malformed messages.
+        CPPUNIT_ASSERT(!decode(to_cbor({{"protocol", 1},
+                                        {"type", "pause"},
+                                        {"gap_ms", 1},
+                                        {"target_ms", 1},
+                                        {name, 1}}))
+                            .ok());
+    }
+
+    // Guards against counts that wrap to negative ones, and values that nest without a bound.
+    void counts_and_depths_are_bounded()
+    {
+        const auto demand = [](const nlohmann::json& uses) {
+            return to_cbor({{"protocol", 1},
+                            {"type", "demand"},
+                            {"gateway", "g"},
+                            {"start", 1},
+                            {"upstream", "i-1"},
+                            {"born", 1},
+                            {"slots", 16},
+                            {"models", {"base"}},
+                            {"uses", {{"base/a1", uses}}},
+                            {"versions", nlohmann::json::object()}});
+        };
+        CPPUNIT_ASSERT(decode(demand({65535, 65535})).ok());
+        for (const std::uint64_t large : {65536ULL, 1ULL << 31U, (1ULL << 32U) + 1, ~0ULL}) {
+            CPPUNIT_ASSERT(!decode(demand({large, 1})).ok());
+            CPPUNIT_ASSERT(!decode(demand({1, large})).ok());
+        }
+        nlohmann::json nested = 1;
+        for (int i = 0; i < 40; ++i) {
+            nested = nlohmann::json::array({std::move(nested)});
+        }
+        CPPUNIT_ASSERT(!decode(to_cbor({{"protocol", 1},
+                                        {"type", "pause"},
+                                        {"gap_ms", 1},
+                                        {"target_ms", 1},
+                                        {"more", nested}}))
+                            .ok());
+        // Larger counts than a message can state are sent as the largest.
+        const adapter_demand busy{"g", 7, "i-1", 5, 16, {"base"}, {{"base", "a1", 70'000, -1}}, {}};
+        const auto decoded = decode(encode(busy));
+        CPPUNIT_ASSERT(decoded.ok());
+        const auto& use = std::get<adapter_demand>(*decoded).uses.front();
+        CPPUNIT_ASSERT_EQUAL(65535, use.waiting);
+        CPPUNIT_ASSERT_EQUAL(0, use.running);
+    }
+
     // A report larger than a packet would be fragmented, and lost with any of its fragments.
     void report_of_a_full_engine_fits_one_packet()
     {
--- a/tests/platform_call_codec_test.cpp
+++ b/tests/platform_call_codec_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(taken_up_stream_is_named);
     CPPUNIT_TEST(shared_prompt_parts_are_decoded);
     CPPUNIT_TEST(invalid_fields_are_named);
+    CPPUNIT_TEST(names_that_are_not_utf8_are_invalid);
     CPPUNIT_TEST(caller_cannot_set_reserved_fields);
     CPPUNIT_TEST(hop_by_hop_fields_are_not_forwarded);
     CPPUNIT_TEST(upstream_sees_team_and_not_key);
@@ -125,6 +126,30 @@
         CPPUNIT_ASSERT(!decode_call(std::move(without_host)).ok());
     }
 
+    // Guards against a name that no log line, no message to a sidecar and no order can hold.
+    void names_that_are_not_utf8_are_invalid()
+    {
+        const std::string name = "a\xe9";
+        for (const auto* field :
+             {"Host", "Request-Id", "Model", "Prompt-Prefix", "Resumes", "Authorization"}) {
+            auto request = sample();
+            request.set(field, (field == std::string("Authorization") ? "Token " : "") + name);
+            const auto call = decode_call(request);
+            CPPUNIT_ASSERT_MESSAGE(field, !call.ok());
+            CPPUNIT_ASSERT_EQUAL(field + std::string(": must be UTF-8"),
+                                 std::string(call.status().message()));
+        }
+        auto request = sample();
+        request.target("/p/" + name);
+        CPPUNIT_ASSERT(!decode_call(request).ok());
+        request.set("Request-Id", name);
+        CPPUNIT_ASSERT_EQUAL(std::string(), request_id_of(request));
+        // Other fields are opaque, and HTTP allows all bytes above 0x7f in them.
+        auto other = sample();
+        other.set("X-Trace", name);
+        CPPUNIT_ASSERT(has(decode_call(other)->forwarded_header, "X-Trace: " + name + "\r\n"));
+    }
+
     void caller_cannot_set_reserved_fields()
     {
         auto request = sample();
