A request in another transfer coding than chunked is refused and closes

Callers could have a request run that nobody sent: after `Transfer-Encoding: chunked, identity`, `identity`, `gzip` or `xchunked` a request ran with an empty body, and its body ran as a request of its own, under the key and id that it names. `gzip, chunked` ran with the coded bytes and without the field that says so. Cause: Beast's parser leaves a Transfer-Encoding that does not end in chunked unused, and nobody looked at the field after it. Change: net::check_framing, called at the end of the header and before any byte after it is read. Only `chunked`, once, in HTTP/1.1 and without a length is taken; all else is refused with 400, and the connection is closed. Why it works: after a refusal the connection drops its input, so that no byte after an unclear header is ever parsed.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -4,6 +4,7 @@
 #include "gateway/fleet_config.h"
 #include "gateway/gateway_context.h"
 #include "gateway/refusal.h"
+#include "net/request_framing.h"
 #include "net/socket_options.h"
 #include "net/steady_time.h"
 #include "platform/call_codec.h"
@@ -52,8 +53,10 @@
     parser_.emplace();
     parser_->header_limit(limits.max_header_bytes);
     parser_->body_limit(limits.max_body_bytes);
-    parser_->eager(true);
+    // The header is checked before the first byte after it is read.
+    parser_->eager(false);
     is_continue_sent_ = false;
+    is_header_checked_ = false;
 }
 
 void caller_connection::read()
@@ -109,6 +112,14 @@
         if (error && error != http::error::need_more) {
             return refuse_bad_request(error);
         }
+        if (parser_->is_header_done() && !is_header_checked_) {
+            is_header_checked_ = true;
+            const auto framing = net::check_framing(parser_->get().base());
+            if (!framing.ok()) {
+                return refuse_and_close({400, std::string(framing.message()), std::nullopt, true});
+            }
+            parser_->eager(true);
+        }
         if (parser_->is_done()) {
             start_request();
             continue;
@@ -155,6 +166,11 @@
     else if (error == http::error::body_limit) {
         refused = {413, "the request body is too large", std::nullopt, true};
     }
+    refuse_and_close(refused);
+}
+
+void caller_connection::refuse_and_close(const refusal& refused)
+{
     context_.log.info("call_refused", {{"status", refused.status}, {"cause", refused.cause}});
     context_.metrics.refusals.add();
     send_refusal(refused, {});
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -54,6 +54,8 @@
     void parse();
     void start_request();
     void refuse_bad_request(const boost::system::error_code& error);
+    /// Refuses a request of which nothing can be taken for sure, not even its end or its id.
+    void refuse_and_close(const refusal& refused);
     void send_refusal(const refusal& refused, const std::string& request_id);
     void write();
     void shut_down();
@@ -81,6 +83,7 @@
     std::size_t discarded_bytes_ = 0;
     bool is_closed_ = false;
     bool is_continue_sent_ = false;
+    bool is_header_checked_ = false;
 };
 
 } // namespace snipespar::gateway
