Trailers of a request are not fields of its header

A caller's request with trailers was refused with 400 (`Host: must be given exactly once`) or took what its header lacked, such as the key or the id, from a trailer, and sent trailers on to the worker as fields that every reader takes for the header's. Cause: Beast's parser adds trailers to the fields of the header. Change: the header of a chunked request is kept as it was at its end and replaces what the parser made of it; trailers are dropped, as RFC 9112 (7.1.2) allows. Trailers that name the framing are refused by the parser as before. Evidence: trailers_are_not_fields_of_the_request failed before and passes. Why it works: nothing reads the fields between the end of the header and the replacement but the expectation of an interim answer, which is looked at before the last chunk.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -57,6 +57,7 @@
     parser_->eager(false);
     is_continue_sent_ = false;
     is_header_checked_ = false;
+    head_.reset();
 }
 
 void caller_connection::read()
@@ -118,6 +119,9 @@
             if (!framing.ok()) {
                 return refuse_and_close({400, std::string(framing.message()), std::nullopt, true});
             }
+            if (parser_->chunked()) {
+                head_ = parser_->get().base();
+            }
             parser_->eager(true);
         }
         if (parser_->is_done()) {
@@ -141,6 +145,9 @@
     const auto arrived = *std::exchange(request_started_at_, std::nullopt);
     context_.metrics.calls.add();
     auto message = parser_->release();
+    if (head_) {
+        message.base() = *std::exchange(head_, std::nullopt);
+    }
     const std::string id = platform::request_id_of(message);
     auto call = platform::decode_call(std::move(message));
     if (!call.ok()) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -66,6 +66,8 @@
     boost::asio::ip::tcp::socket socket_;
     gateway_context& context_;
     std::optional<parser> parser_;
+    /// The header of a chunked request, to which the parser adds the trailers.
+    std::optional<boost::beast::http::request_header<>> head_;
     std::array<char, 8192> read_buffer_{};
     std::string input_;
     std::string output_;
