Chunk extensions have no control characters and a bound

Callers could put a bare line feed or a NUL into a quoted chunk extension, where another reader of the same bytes may see the end of the chunk's line; extensions of any total size were read; and a request whose chunk line or trailers exceed the 64 KiB that are buffered was no longer read, and refused with 408 after the idle timeout. Cause: Beast's parser takes every byte within quotes; nothing counted the extensions or compared an incomplete line with the buffer's bound. Change: extensions are checked for control characters and counted (16 KiB a request); a line that fills the buffer is refused at once with 400 (431 in a header). All of these close the connection. Why it works: the parser calls the check once for each chunk's line, also the last, before its data.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -10,7 +10,9 @@
 #include "platform/call_codec.h"
 #include "telemetry/work_boundary.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
@@ -26,6 +28,8 @@
 
 // Bytes of further requests that are buffered while one is in progress.
 constexpr std::size_t max_pipelined_bytes = 64UL * 1024;
+// Chunk extensions mean nothing here; far more than any sender adds to one request.
+constexpr std::size_t max_extension_bytes = 16UL * 1024;
 // A connection without a request for less is not closed by a stopping gateway.
 constexpr auto min_idle_time = std::chrono::milliseconds(500);
 // After the last answer the caller gets this long to read it and close, and may send this many
@@ -36,7 +40,19 @@
 } // namespace
 
 caller_connection::caller_connection(asio::ip::tcp::socket socket, gateway_context& context)
-    : socket_(std::move(socket)), context_(context), idle_since_(steady_now())
+    : socket_(std::move(socket)), context_(context),
+      check_chunk_line_([this](std::uint64_t /*size*/, boost::beast::string_view extensions,
+                               boost::system::error_code& error) {
+          extension_bytes_ += extensions.size();
+          // The parser takes any byte within quotes, also one that ends a line for other readers.
+          if (extension_bytes_ > max_extension_bytes ||
+              std::ranges::any_of(extensions, [](char item) {
+                  return absl::ascii_iscntrl(static_cast<unsigned char>(item)) && item != '\t';
+              })) {
+              error = http::error::bad_chunk_extension;
+          }
+      }),
+      idle_since_(steady_now())
 {
 }
 
@@ -53,6 +69,8 @@
     parser_.emplace();
     parser_->header_limit(limits.max_header_bytes);
     parser_->body_limit(limits.max_body_bytes);
+    extension_bytes_ = 0;
+    parser_->on_chunk_header(check_chunk_line_);
     // The header is checked before the first byte after it is read.
     parser_->eager(false);
     is_continue_sent_ = false;
@@ -135,6 +153,14 @@
             send("HTTP/1.1 100 Continue\r\n\r\n");
         }
         if (used == 0 || error == http::error::need_more) {
+            // A line that is larger than what is buffered would never be completed.
+            if (input_.size() > max_pipelined_bytes) {
+                return refuse_and_close({parser_->is_header_done() ? 400U : 431U,
+                                         parser_->is_header_done()
+                                             ? "a chunk's line or the trailers are too large"
+                                             : "the request header is too large",
+                                         std::nullopt, true});
+            }
             return;
         }
     }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -65,6 +65,11 @@
 
     boost::asio::ip::tcp::socket socket_;
     gateway_context& context_;
+    /// Called by the parser for each chunk, with its size and extensions.
+    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code&)>
+        check_chunk_line_;
+    /// Size of the chunk extensions of the request so far.
+    std::size_t extension_bytes_ = 0;
     std::optional<parser> parser_;
     /// The header of a chunked request, to which the parser adds the trailers.
     std::optional<boost::beast::http::request_header<>> head_;
