A refusal of an invalid field closes the connection if the request asks for it

A caller with `Connection: close`, or HTTP/1.0, whose request has an invalid field got its 400 on a connection that stayed open until the idle timeout, and waited for its end. Cause: this refusal alone did not look at what the request says of the connection. Change: it closes as the answers of exchanges do. Evidence: unclear_framing_is_refused_and_closes failed before, at the request with two hosts.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -175,13 +175,14 @@
         message.base() = *std::exchange(head_, std::nullopt);
     }
     const std::string id = platform::request_id_of(message);
+    const bool closes = !message.keep_alive();
     auto call = platform::decode_call(std::move(message));
     if (!call.ok()) {
         context_.log.info(
             "call_refused",
             {{"request", id}, {"status", 400}, {"cause", std::string(call.status().message())}});
         context_.metrics.refusals.add();
-        return send_refusal({400, std::string(call.status().message()), std::nullopt, false}, id);
+        return send_refusal({400, std::string(call.status().message()), std::nullopt, closes}, id);
     }
     exchange_ =
         std::make_shared<call_exchange>(context_, shared_from_this(), *std::move(call), arrived);
