Names in a request that are not UTF-8 are refused at the edge

Cause: decode_call took the bytes of every field as they are. Change: target, Host, Request-Id, Authorization, Model, Prompt-Prefix and Resumes have to be UTF-8; otherwise the request is refused with 400 and the field's name, and without its id if that is the field. Other fields that are only forwarded keep every byte that HTTP allows, as they are opaque here and are neither logged nor put into messages. Why it works: all names of a call come from decode_call, and it checks each occurrence of a field.

--- a/src/platform/call_codec.cpp
+++ b/src/platform/call_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "base/stable_hash.h"
 #include "base/text_view.h"
+#include "base/utf8.h"
 #include "platform/wire_names.h"
 
 #include <absl/strings/match.h>
@@ -91,6 +92,25 @@
     return absl::InvalidArgumentError(fmt::format("{}: {}", name, reason));
 }
 
+// Everything of a call that is remembered, logged or written into messages and orders, which can
+// hold UTF-8 only. Other fields are passed on as they are.
+absl::Status check_names(const http::request<http::string_body>& message)
+{
+    if (!is_utf8(to_view(message.target()))) {
+        return invalid_field("target", "must be UTF-8");
+    }
+    for (const auto name : {std::string_view("Host"), wire::request_id, wire::authorization,
+                            wire::model, wire::prompt_parts, wire::resumes}) {
+        const auto range = message.equal_range(boost::beast::string_view(name.data(), name.size()));
+        for (auto item = range.first; item != range.second; ++item) {
+            if (!is_utf8(to_view(item->value()))) {
+                return invalid_field(name, "must be UTF-8");
+            }
+        }
+    }
+    return absl::OkStatus();
+}
+
 absl::Status read_caller_timeout(const http::fields& fields, gateway::call& call)
 {
     const auto text = field(fields, wire::time_left);
@@ -229,11 +249,16 @@
 
 std::string request_id_of(const http::request<http::string_body>& message)
 {
-    return std::string(field(message, wire::request_id));
+    const auto id = field(message, wire::request_id);
+    return is_utf8(id) ? std::string(id) : std::string();
 }
 
 absl::StatusOr<gateway::call> decode_call(http::request<http::string_body> message)
 {
+    auto names = check_names(message);
+    if (!names.ok()) {
+        return names;
+    }
     gateway::call call;
     call.method = to_view(message.method_string());
     call.target = to_view(message.target());
--- a/src/platform/call_codec.h
+++ b/src/platform/call_codec.h
@@ -11,11 +11,12 @@
 
 namespace snipespar::platform {
 
-/// The request id given by the caller; empty if there is none.
+/// The request id given by the caller; empty if there is none, or one that is not UTF-8.
 std::string
 request_id_of(const boost::beast::http::request<boost::beast::http::string_body>& message);
 
-/// Decodes a caller's request. InvalidArgument names the invalid header field.
+/// Decodes a caller's request. InvalidArgument names the invalid header field, or `target`. Names
+/// in a call are UTF-8; header fields that are only forwarded may hold any bytes that HTTP allows.
 absl::StatusOr<gateway::call>
 decode_call(boost::beast::http::request<boost::beast::http::string_body> message);
 
--- a/tests/process/gateway_framing_test.cpp
+++ b/tests/process/gateway_framing_test.cpp
@@ -261,7 +261,7 @@
             CPPUNIT_ASSERT_MESSAGE(name, is_utf8(reply));
         }
         const auto reply = answers(fleet_->gateways[0], request("/unsafe/\xc3\xa9", host, "in", key,
-                                                                "Model: base/\xc3\xa9\r\n"));
+                                                                "Prompt-Prefix: \xc3\xa9:5\r\n"));
         CPPUNIT_ASSERT_MESSAGE(reply, reply.starts_with("HTTP/1.1 200"));
     }
 
