Control messages hold readable texts and bounded counts and depths

Gateways and sidecars took names that are not UTF-8 from a datagram, which then ended what logged them or wrote them as JSON; counts of an adapter's uses past 31 bits wrapped, also to negative ones; fields could nest to the bound of small inputs, some two thousand levels. Cause: decode checked the types of known fields only, and get<int>() converts without a check. Change: every text and name of a message has to be UTF-8 and the message no deeper than 8 (its deepest kind has 5); counts of uses have the 16 bits that all other counts have. What is larger is sent as the largest, so that a gateway with more calls is still heard. Why it works: one pass over the parsed value precedes every read of a field.

--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -2,11 +2,13 @@
 
 #include "base/cbor.h"
 #include "base/json_reader.h"
+#include "base/utf8.h"
 #include "poison/suspect_codec.h"
 
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
+#include <limits>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -19,6 +21,15 @@
 // Incremented when a field changes its meaning; messages of another version are rejected.
 constexpr unsigned protocol_version = 1;
 constexpr double milli = 1000;
+constexpr unsigned max_count = std::numeric_limits<std::uint16_t>::max();
+// Deeper than any message: crash findings nest five deep.
+constexpr int max_depth = 8;
+
+// Counts are numbers of calls or slots; a larger one is stated as the largest.
+unsigned to_count(int number)
+{
+    return static_cast<unsigned>(std::clamp(number, 0, static_cast<int>(max_count)));
+}
 
 json header(std::string_view type)
 {
@@ -32,13 +43,12 @@
     value["start"] = content.gateway_start;
     value["upstream"] = content.upstream;
     value["born"] = content.upstream_start_ms;
-    value["slots"] = static_cast<unsigned>(content.adapter_slots);
+    value["slots"] = to_count(content.adapter_slots);
     value["models"] = content.models;
     // Counts of waiting and running calls, by model/adapter.
     auto uses = json::object();
     for (const auto& use : content.uses) {
-        uses[use.model + "/" + use.adapter] = {static_cast<unsigned>(use.waiting),
-                                               static_cast<unsigned>(use.running)};
+        uses[use.model + "/" + use.adapter] = {to_count(use.waiting), to_count(use.running)};
     }
     value["uses"] = std::move(uses);
     value["versions"] = content.versions;
@@ -76,8 +86,8 @@
     }
     value["adapters"] = std::move(adapters);
     value["loading"] = status.loading;
-    value["running"] = static_cast<unsigned>(status.running);
-    value["waiting"] = static_cast<unsigned>(status.waiting);
+    value["running"] = to_count(status.running);
+    value["waiting"] = to_count(status.waiting);
     value["memory"] = status.memory_used;
     value["full"] = status.is_full;
     value["short"] = status.is_short_of_slots;
@@ -94,8 +104,8 @@
     value["start"] = content.sidecar_start;
     value["sequence"] = content.sequence;
     value["report"] = content.report_sequence;
-    value["running"] = static_cast<unsigned>(content.running);
-    value["waiting"] = static_cast<unsigned>(content.waiting);
+    value["running"] = to_count(content.running);
+    value["waiting"] = to_count(content.waiting);
     return value;
 }
 
@@ -119,7 +129,7 @@
     value["call"] = content.call;
     value["intent"] = static_cast<unsigned>(content.intent);
     value["tokens"] = content.prompt_tokens;
-    value["urgency"] = static_cast<unsigned>(content.urgency);
+    value["urgency"] = to_count(content.urgency);
     value["aim_ms"] = to_ms(content.aim_wait);
     value["wait_ms"] = to_ms(content.max_wait);
     return value;
@@ -208,6 +218,33 @@
     return static_cast<int>(fields.integer<std::uint16_t>(name));
 }
 
+bool is_count(const json& value)
+{
+    return value.is_number_unsigned() && value.get<std::uint64_t>() <= max_count;
+}
+
+// Whether all texts and names of the value are UTF-8, and it nests no deeper than `depth`.
+bool is_readable(const json& value, int depth)
+{
+    if (value.is_string()) {
+        return is_utf8(value.get_ref<const std::string&>());
+    }
+    if (!value.is_structured()) {
+        return true;
+    }
+    if (depth == 0) {
+        return false;
+    }
+    if (value.is_array()) {
+        return std::ranges::all_of(value,
+                                   [&](const json& item) { return is_readable(item, depth - 1); });
+    }
+    const auto& members = value.get_ref<const json::object_t&>();
+    return std::ranges::all_of(members, [&](const auto& member) {
+        return is_utf8(member.first) && is_readable(member.second, depth - 1);
+    });
+}
+
 // Versions by model/adapter.
 template <class Versions = std::map<std::string, std::uint64_t>>
 Versions read_versions(const json_reader& fields, const char* name)
@@ -237,7 +274,7 @@
     fields.each_member("uses", [&](const std::string& name, const json& use) {
         const auto slash = name.find('/');
         const bool is_valid = slash != std::string::npos && use.is_array() && use.size() == 2 &&
-                              use[0].is_number_unsigned() && use[1].is_number_unsigned();
+                              is_count(use[0]) && is_count(use[1]);
         if (!is_valid) {
             return fields.fail("message.uses." + name,
                                "must be two counts, keyed by model/adapter");
@@ -418,6 +455,9 @@
     if (!value.ok()) {
         return value.status();
     }
+    if (!is_readable(*value, max_depth)) {
+        return absl::InvalidArgumentError("message: must be UTF-8 and shallow");
+    }
     absl::Status status;
     const json_reader fields(*value, "message", status);
     if (fields.integer<unsigned>("protocol") != protocol_version) {
