A request's body grows with what arrives

32 callers that named 64 MiB each and sent one byte of it made a gateway reserve 2 GiB. Cause: Beast's string_body reserves the named length, up to the configured limit, at the first byte of a body. Change: requests are read into net::growing_body, as answers are. The limit still refuses a larger named length at the end of the header. Evidence: named_length_reserves_no_memory failed before (2,097,556 kB more address space) and passes (under 1 GiB); the whole of gateway_framing passes. Why it works: growing_body allocates only for bytes that it is given.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -17,6 +17,7 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <utility>
 
 namespace snipespar::gateway {
@@ -170,10 +171,10 @@
 {
     const auto arrived = *std::exchange(request_started_at_, std::nullopt);
     context_.metrics.calls.add();
-    auto message = parser_->release();
-    if (head_) {
-        message.base() = *std::exchange(head_, std::nullopt);
-    }
+    auto received = parser_->release();
+    http::request<http::string_body> message(head_ ? *std::exchange(head_, std::nullopt)
+                                                   : std::move(received.base()),
+                                             std::move(received.body()));
     const std::string id = platform::request_id_of(message);
     const bool closes = !message.keep_alive();
     auto call = platform::decode_call(std::move(message));
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "net/growing_body.h"
 #include "snipespar/time.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -45,7 +45,7 @@
     bool is_closed() const { return is_closed_; }
 
 private:
-    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using parser = boost::beast::http::request_parser<net::growing_body>;
 
     void reset_parser();
     void read();
