--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -96,9 +96,9 @@
 void caller_connection::contain(const std::function<void()>& action)
 {
     const auto current = exchange_;
-    telemetry::contain(context_.log, "connection",
-                       current == nullptr ? std::string_view() : current->request_id(), action,
-                       [&] { on_disconnected(); });
+    telemetry::contain(
+        context_.log, "connection", current == nullptr ? std::string_view() : current->request_id(),
+        [&] { action(); }, [&] { on_disconnected(); });
 }
 
 void caller_connection::on_read(const boost::system::error_code& error, std::size_t count)
--- a/tests/process/gateway_framing_test.cpp
+++ b/tests/process/gateway_framing_test.cpp
@@ -95,7 +95,7 @@
               "Transfer-Encoding: \r\n", "Transfer-Encoding: chunked;q=1\r\n",
               "Transfer-Encoding: \"chunked\"\r\n",
               "Transfer-Encoding: identity\r\nTransfer-Encoding: gzip\r\n"}) {
-            assert_refused(head("out", fields + "\r\n") + last_request("in"), fields);
+            assert_refused(head("out", fmt::format("{}\r\n", fields)) + last_request("in"), fields);
         }
         assert_refused(head("out", "Transfer-Encoding: identity\r\n" + length + "\r\n") +
                            last_request("in"),
@@ -106,7 +106,7 @@
               "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
               "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
               "Transfer-Encoding: chunked, chunked\r\n"}) {
-            assert_refused(head("out", fields + "\r\n") + chunks, fields);
+            assert_refused(head("out", fmt::format("{}\r\n", fields)) + chunks, fields);
         }
         assert_refused(head("out", "Transfer-Encoding: chunked\r\n\r\n", "HTTP/1.0") + chunks,
                        "HTTP/1.0");
