--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -4,16 +4,20 @@
 #include "gateway/fleet_config.h"
 #include "gateway/gateway_context.h"
 #include "gateway/refusal.h"
+#include "net/request_framing.h"
 #include "net/socket_options.h"
 #include "net/steady_time.h"
 #include "platform/call_codec.h"
 #include "telemetry/work_boundary.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <utility>
 
 namespace snipespar::gateway {
@@ -25,6 +29,8 @@
 
 // Bytes of further requests that are buffered while one is in progress.
 constexpr std::size_t max_pipelined_bytes = 64UL * 1024;
+// Chunk extensions mean nothing here; far more than any sender adds to one request.
+constexpr std::size_t max_extension_bytes = 16UL * 1024;
 // A connection without a request for less is not closed by a stopping gateway.
 constexpr auto min_idle_time = std::chrono::milliseconds(500);
 // After the last answer the caller gets this long to read it and close, and may send this many
@@ -35,7 +41,19 @@
 } // namespace
 
 caller_connection::caller_connection(asio::ip::tcp::socket socket, gateway_context& context)
-    : socket_(std::move(socket)), context_(context), idle_since_(steady_now())
+    : socket_(std::move(socket)), context_(context),
+      check_chunk_line_([this](std::uint64_t /*size*/, boost::beast::string_view extensions,
+                               boost::system::error_code& error) {
+          extension_bytes_ += extensions.size();
+          // The parser takes any byte within quotes, also one that ends a line for other readers.
+          if (extension_bytes_ > max_extension_bytes ||
+              std::ranges::any_of(extensions, [](char item) {
+                  return absl::ascii_iscntrl(static_cast<unsigned char>(item)) && item != '\t';
+              })) {
+              error = http::error::bad_chunk_extension;
+          }
+      }),
+      idle_since_(steady_now())
 {
 }
 
@@ -52,8 +70,13 @@
     parser_.emplace();
     parser_->header_limit(limits.max_header_bytes);
     parser_->body_limit(limits.max_body_bytes);
-    parser_->eager(true);
+    extension_bytes_ = 0;
+    parser_->on_chunk_header(check_chunk_line_);
+    // The header is checked before the first byte after it is read.
+    parser_->eager(false);
     is_continue_sent_ = false;
+    is_header_checked_ = false;
+    head_.reset();
 }
 
 void caller_connection::read()
@@ -73,9 +96,9 @@
 void caller_connection::contain(const std::function<void()>& action)
 {
     const auto current = exchange_;
-    telemetry::contain(context_.log, "connection",
-                       current == nullptr ? std::string_view() : current->request_id(), action,
-                       [&] { on_disconnected(); });
+    telemetry::contain(
+        context_.log, "connection", current == nullptr ? std::string_view() : current->request_id(),
+        [&] { action(); }, [&] { on_disconnected(); });
 }
 
 void caller_connection::on_read(const boost::system::error_code& error, std::size_t count)
@@ -109,6 +132,17 @@
         if (error && error != http::error::need_more) {
             return refuse_bad_request(error);
         }
+        if (parser_->is_header_done() && !is_header_checked_) {
+            is_header_checked_ = true;
+            const auto framing = net::check_framing(parser_->get().base());
+            if (!framing.ok()) {
+                return refuse_and_close({400, std::string(framing.message()), std::nullopt, true});
+            }
+            if (parser_->chunked()) {
+                head_ = parser_->get().base();
+            }
+            parser_->eager(true);
+        }
         if (parser_->is_done()) {
             start_request();
             continue;
@@ -120,6 +154,14 @@
             send("HTTP/1.1 100 Continue\r\n\r\n");
         }
         if (used == 0 || error == http::error::need_more) {
+            // A line that is larger than what is buffered would never be completed.
+            if (input_.size() > max_pipelined_bytes) {
+                return refuse_and_close({parser_->is_header_done() ? 400U : 431U,
+                                         parser_->is_header_done()
+                                             ? "a chunk's line or the trailers are too large"
+                                             : "the request header is too large",
+                                         std::nullopt, true});
+            }
             return;
         }
     }
@@ -129,15 +171,19 @@
 {
     const auto arrived = *std::exchange(request_started_at_, std::nullopt);
     context_.metrics.calls.add();
-    auto message = parser_->release();
+    auto received = parser_->release();
+    http::request<http::string_body> message(head_ ? *std::exchange(head_, std::nullopt)
+                                                   : std::move(received.base()),
+                                             std::move(received.body()));
     const std::string id = platform::request_id_of(message);
+    const bool closes = !message.keep_alive();
     auto call = platform::decode_call(std::move(message));
     if (!call.ok()) {
         context_.log.info(
             "call_refused",
             {{"request", id}, {"status", 400}, {"cause", std::string(call.status().message())}});
         context_.metrics.refusals.add();
-        return send_refusal({400, std::string(call.status().message()), std::nullopt, false}, id);
+        return send_refusal({400, std::string(call.status().message()), std::nullopt, closes}, id);
     }
     exchange_ =
         std::make_shared<call_exchange>(context_, shared_from_this(), *std::move(call), arrived);
@@ -155,6 +201,11 @@
     else if (error == http::error::body_limit) {
         refused = {413, "the request body is too large", std::nullopt, true};
     }
+    refuse_and_close(refused);
+}
+
+void caller_connection::refuse_and_close(const refusal& refused)
+{
     context_.log.info("call_refused", {{"status", refused.status}, {"cause", refused.cause}});
     context_.metrics.refusals.add();
     send_refusal(refused, {});
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "net/growing_body.h"
 #include "snipespar/time.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -45,7 +45,7 @@
     bool is_closed() const { return is_closed_; }
 
 private:
-    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using parser = boost::beast::http::request_parser<net::growing_body>;
 
     void reset_parser();
     void read();
@@ -54,6 +54,8 @@
     void parse();
     void start_request();
     void refuse_bad_request(const boost::system::error_code& error);
+    /// Refuses a request of which nothing can be taken for sure, not even its end or its id.
+    void refuse_and_close(const refusal& refused);
     void send_refusal(const refusal& refused, const std::string& request_id);
     void write();
     void shut_down();
@@ -63,7 +65,14 @@
 
     boost::asio::ip::tcp::socket socket_;
     gateway_context& context_;
+    /// Called by the parser for each chunk, with its size and extensions.
+    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code&)>
+        check_chunk_line_;
+    /// Size of the chunk extensions of the request so far.
+    std::size_t extension_bytes_ = 0;
     std::optional<parser> parser_;
+    /// The header of a chunked request, to which the parser adds the trailers.
+    std::optional<boost::beast::http::request_header<>> head_;
     std::array<char, 8192> read_buffer_{};
     std::string input_;
     std::string output_;
@@ -81,6 +90,7 @@
     std::size_t discarded_bytes_ = 0;
     bool is_closed_ = false;
     bool is_continue_sent_ = false;
+    bool is_header_checked_ = false;
 };
 
 } // namespace snipespar::gateway
