Tests of take-ups at a gateway that is out of step, failing on the current code

A report of a release: one front was cut off from the others, or stood still, while workers of a new version joined; streams that had begun at them went on there at another version (rule ORDER). The simulated gateways now follow the upstreams by changes, as the real ones do, and list them only at their start.

--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(entry_lost_by_a_restored_registry_is_kept_until_renewed);
     CPPUNIT_TEST(version_serves_while_one_of_its_upstreams_does);
     CPPUNIT_TEST(sole_version_is_known_after_the_lifetime_of_streams);
+    CPPUNIT_TEST(sole_version_is_unknown_after_a_gap_in_the_history);
     CPPUNIT_TEST(process_newer_than_its_entry_has_no_known_version);
     CPPUNIT_TEST_SUITE_END();
 
@@ -485,6 +486,27 @@
         CPPUNIT_ASSERT(table.sole_version("llm", now + lifetime) == "v3");
     }
 
+    // Guards against a version that came and went unseen: while the store lost its history, or in
+    // what a restored store has forgotten.
+    void sole_version_is_unknown_after_a_gap_in_the_history()
+    {
+        const auto lifetime = resume::origin_store::lifetime;
+        upstream_table table;
+        table.replace({of_version("i-1", "v1")}, start);
+        auto now = start + 2 * lifetime;
+        CPPUNIT_ASSERT(table.sole_version("llm", now) == "v1");
+        table.replace({of_version("i-1", "v1")}, now);
+        CPPUNIT_ASSERT(!table.sole_version("llm", now + lifetime / 2));
+        now += lifetime;
+        CPPUNIT_ASSERT(table.sole_version("llm", now) == "v1");
+        table.on_registry_restored(now);
+        CPPUNIT_ASSERT(!table.sole_version("llm", now));
+        now += std::chrono::seconds(1);
+        table.replace({of_version("i-1", "v1")}, now);
+        CPPUNIT_ASSERT(!table.sole_version("llm", now + lifetime / 2));
+        CPPUNIT_ASSERT(table.sole_version("llm", now + lifetime) == "v1");
+    }
+
     // Guards against a restarted engine that is taken for its predecessor until its entry arrives.
     void process_newer_than_its_entry_has_no_known_version()
     {
--- a/tests/process/gateway_software_versions_test.cpp
+++ b/tests/process/gateway_software_versions_test.cpp
@@ -1,5 +1,6 @@
 #include "process/support/gateway_fleet.h"
 #include "process/support/wait_until.h"
+#include "resume/origin_store.h"
 #include "support/sse_stream.h"
 
 #include <algorithm>
@@ -94,6 +95,7 @@
     CPPUNIT_TEST(take_up_of_a_version_without_servers_is_refused_at_once);
     CPPUNIT_TEST(take_up_of_an_unknown_stream_is_refused_and_has_not_run);
     CPPUNIT_TEST(restart_under_the_same_name_with_other_software_is_told_apart);
+    CPPUNIT_TEST(sole_version_is_used_only_while_the_registry_is_read);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -228,6 +230,33 @@
         take_up_none(fleet, streams);
     }
 
+    // Guards against the only version that a gateway has heard of being taken for the only one: cut
+    // off from the store, the gateway has not noticed it yet.
+    void sole_version_is_used_only_while_the_registry_is_read()
+    {
+        gateway_fleet fleet({.gateways = 1,
+                             .engines = 2,
+                             .services = 0,
+                             .has_store_relay = true,
+                             .software = {"v1", "v1"}});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        std::this_thread::sleep_for(resume::origin_store::lifetime + std::chrono::seconds(2));
+        const auto take_up = [&](const std::string& id) {
+            auto call = fleet.make_call("/stream/", id);
+            call.headers["Model"] = "base";
+            call.headers["Last-Event-Id"] = "3";
+            call.headers["Resumes"] = "begun-elsewhere";
+            return send(fleet, 0, call).status;
+        };
+        for (int i = 0; i < 3; ++i) {
+            CPPUNIT_ASSERT_EQUAL(200U, take_up(fmt::format("followed-{}", i)));
+        }
+        fleet.store_relay->set_towards_target(relay_mode::drop);
+        fleet.store_relay->set_from_target(relay_mode::drop);
+        CPPUNIT_ASSERT_EQUAL(503U, take_up("cut-off"));
+        check_not_run(fleet, "cut-off");
+    }
+
 private:
     static inline const std::vector<std::string> versions{"v1", "v1", "v2", "v2"};
 
--- a/tests/resume_fleet_test.cpp
+++ b/tests/resume_fleet_test.cpp
@@ -12,7 +12,9 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -39,6 +41,12 @@
 constexpr auto registry_lag = milliseconds(700);
 constexpr auto silence_of_a_lost_domain = seconds(6);
 constexpr int tries = 3;
+// What a gateway that is out of step misses: upstreams of another version join just after it falls
+// behind, and all other gateways are killed before it reads the registry again.
+constexpr auto joining_time = seconds(9);
+constexpr auto stale_from = milliseconds(8900);
+constexpr auto stale_to = milliseconds(13'000);
+constexpr auto outage_detection = seconds(3);
 
 struct fleet_options {
     int gateways = 5;
@@ -61,6 +69,12 @@
     bool is_released = false;
     /// One upstream after the other crashes and comes back at another version.
     bool are_upstreams_changed = false;
+    /// So many upstreams of v2 join while gateway 0 is out of step.
+    int joining = 0;
+    /// Gateway 0 is cut off from everything but callers meanwhile.
+    bool is_one_cut = false;
+    /// Gateway 0 stands still meanwhile.
+    bool is_one_frozen = false;
     /// Share of take-ups that name a stream that never was.
     double invented = 0;
     /// Share of the take-ups that must go on while two upstreams of their version serve. The users
@@ -131,6 +145,7 @@
         std::uint64_t lookups = 0;
         /// Of its last listing.
         int registry_version = 0;
+        bool is_outage_known = false;
     };
     struct stream {
         std::string id;
@@ -173,6 +188,27 @@
     }
 
     void list_upstreams(member& item, time_point now)
+    {
+        item.table.replace(know_upstreams(item), now);
+    }
+
+    // Takes over what has changed since the last listing.
+    void follow_upstreams(member& item)
+    {
+        std::set<upstream_id> served;
+        for (const auto& entry : know_upstreams(item)) {
+            served.insert(entry.id);
+            item.table.update(entry, now_);
+        }
+        for (const auto& [id, state] : item.table.all()) {
+            if (!served.contains(id)) {
+                item.table.remove(id, now_);
+            }
+        }
+    }
+
+    // The present entries, whose sidecars can hold origins.
+    std::vector<gateway::upstream_entry> know_upstreams(member& item) const
     {
         std::vector<gateway::upstream_entry> entries;
         std::vector<origin_holder> holders;
@@ -191,8 +227,8 @@
             }
         }
         item.registry_version = registry_version_;
-        item.table.replace(entries, now);
         item.origins.holders().set_sidecars(holders);
+        return entries;
     }
 
     void meet_peers(member& item)
@@ -207,8 +243,27 @@
         item.knows_peers = true;
     }
 
+    bool is_stale_time() const { return now_ >= start + stale_from && now_ < start + stale_to; }
+    bool is_cut(int number) const { return options_.is_one_cut && number == 0 && is_stale_time(); }
+    bool is_frozen(int number) const
+    {
+        return options_.is_one_frozen && number == 0 && is_stale_time();
+    }
+    bool is_cut(const cli::endpoint& member) const
+    {
+        return member == address(0) && (is_cut(0) || is_frozen(0));
+    }
+
     void disturb()
     {
+        if (now_ == start + joining_time) {
+            for (int i = 0; i < options_.joining; ++i) {
+                const int number = static_cast<int>(upstreams_.size());
+                upstreams_.push_back({fmt::format("i-{}", number), "v2", number, true});
+                sidecars_[sidecar(number)] = {};
+                ++registry_version_;
+            }
+        }
         for (const auto at : options_.kills) {
             if (now_ == start + at) {
                 kill_all();
@@ -234,7 +289,8 @@
 
     void kill_all()
     {
-        for (std::size_t i = 0; i < members_.size(); ++i) {
+        const bool is_one_stale = options_.is_one_cut || options_.is_one_frozen;
+        for (std::size_t i = is_one_stale ? 1 : 0; i < members_.size(); ++i) {
             kill(i);
         }
         for (auto& [where, item] : sidecars_) {
@@ -363,7 +419,7 @@
         const auto mean = options_.streams_per_s * std::chrono::duration<double>(step).count();
         for (int i = std::poisson_distribution<int>(mean)(random_); i > 0; --i) {
             auto& at = *members_[random_() % members_.size()];
-            if (!at.is_listed) {
+            if (!at.is_listed || is_frozen(at.number)) {
                 continue;
             }
             auto item = std::make_unique<stream>();
@@ -391,7 +447,7 @@
                 continue;
             }
             auto& at = *members_[random_() % members_.size()];
-            if (!at.is_listed) {
+            if (!at.is_listed || is_frozen(at.number)) {
                 item->returns = now_ + milliseconds(200);
                 continue;
             }
@@ -439,8 +495,22 @@
         }
     }
 
+    // Polls the changes of the upstreams.
+    void read_registry(member& item)
+    {
+        if (item.registry_version != registry_version_) {
+            follow_upstreams(item);
+        }
+        if (std::exchange(item.is_outage_known, false)) {
+            item.table.on_registry_recovered(now_);
+        }
+    }
+
     void tick(member& item)
     {
+        if (is_frozen(item.number)) {
+            return;
+        }
         if (!item.is_listed && now_ - item.started >= listing_delay) {
             item.is_listed = true;
             list_upstreams(item, now_);
@@ -448,9 +518,14 @@
         if (!item.knows_peers && now_ - item.started >= peer_delay) {
             meet_peers(item);
         }
+        const bool cut = is_cut(item.number);
+        if (cut && !item.is_outage_known && now_ >= start + stale_from + outage_detection) {
+            item.is_outage_known = true;
+            item.table.on_registry_lost();
+        }
         if (item.is_listed && (now_ - item.started) % registry_lag == duration{}) {
-            if (item.registry_version != registry_version_) {
-                list_upstreams(item, now_);
+            if (!cut) {
+                read_registry(item);
             }
             item.table.on_tick(now_);
         }
@@ -470,7 +545,8 @@
     void post(datagram item)
     {
         ++messages_;
-        if (!std::bernoulli_distribution(options_.loss)(random_)) {
+        const bool is_lost = is_cut(item.from) || is_cut(item.to);
+        if (!is_lost && !std::bernoulli_distribution(options_.loss)(random_)) {
             datagrams_.push_back(std::move(item));
         }
     }
@@ -600,6 +676,8 @@
     CPPUNIT_TEST(gateways_restart_one_by_one);
     CPPUNIT_TEST(upstreams_come_back_at_another_version);
     CPPUNIT_TEST(invented_names_take_up_nothing);
+    CPPUNIT_TEST(gateway_cut_off_as_a_version_joins_guesses_nothing);
+    CPPUNIT_TEST(gateway_frozen_as_a_version_joins_guesses_nothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -706,6 +784,26 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), check({.invented = 0.5, .smallest_share = 0.5}));
     }
 
+    // Guards against the only version that a gateway has heard of being taken for the only one.
+    void gateway_cut_off_as_a_version_joins_guesses_nothing()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), check({.software = mixed(6, 1),
+                                                   .kills = {seconds(11)},
+                                                   .joining = 6,
+                                                   .is_one_cut = true,
+                                                   .smallest_share = 0.5}));
+    }
+
+    // Guards against a view from before a standstill being taken for the present one.
+    void gateway_frozen_as_a_version_joins_guesses_nothing()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), check({.software = mixed(6, 1),
+                                                   .kills = {milliseconds(12'700)},
+                                                   .joining = 6,
+                                                   .is_one_frozen = true,
+                                                   .smallest_share = 0.5}));
+    }
+
 private:
     static inline const std::vector<int> sizes{5, 26, 68};
 };
