The history of software versions restarts after each gap in it

Callers could get a stream joined from two versions at a gateway that had not followed the store all the time: a version that served streams in the gap and left unseen was missing in its history, so that the version left over was taken for the only one. A list after a lost history, a restored store and a standstill of the gateway did not restart the minute for which a version has to have served alone. Change: each of them does, as outages of the store did before; a restored store is followed from its list on. sole_version_is_unknown_after_a_gap_in_the_history failed before (list and restore) and passes; its part on standstills is new with on_standstill. Why it works: after a gap, what is not known has ended a stream's lifetime before the history is used. Cost: for a minute after a gap, take-ups that no process has a record of are refused.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -352,6 +352,7 @@
     const auto now = steady_now();
     if (last_tick_at_ && now - *last_tick_at_ > standstill_time) {
         context_.teams.on_resumed(now);
+        context_.upstreams.on_standstill(now);
         context_.log.warning(
             "resumed_after_standstill",
             {{"ms", std::chrono::duration_cast<milliseconds>(now - *last_tick_at_).count()}});
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -114,6 +114,8 @@
 
 void upstream_table::replace(const std::vector<upstream_entry>& entries, time_point now)
 {
+    // What came and went since the last change that was reported is not in the list.
+    versions_.on_gap_ended(now);
     versions_.on_registry_followed(now);
     std::set<upstream_id> listed;
     for (const auto& entry : entries) {
@@ -135,7 +137,9 @@
 
 void upstream_table::on_registry_restored(time_point now)
 {
-    on_registry_recovered(now);
+    registry_recovered_at_ = now;
+    // The copy may lack versions that have served; it is followed once it has been listed.
+    versions_.on_registry_lost();
     restored_until_ = now + restored_entry_probation;
 }
 
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -47,6 +47,9 @@
     /// The registry is out of reach: changes are missed from now on.
     void on_registry_lost() { versions_.on_registry_lost(); }
 
+    /// This process was not run for a while.
+    void on_standstill(time_point now) { versions_.on_gap_ended(now); }
+
     /// The registry was restored from an old copy. Entries that it lost are about to be written
     /// again, and entries of upstreams that had gone may have come back.
     void on_registry_restored(time_point now);
--- a/src/resume/software_history.cpp
+++ b/src/resume/software_history.cpp
@@ -11,6 +11,13 @@
     }
 }
 
+void software_history::on_gap_ended(time_point now)
+{
+    if (followed_since_) {
+        followed_since_ = now;
+    }
+}
+
 void software_history::on_left(const std::string& service, const std::string& software,
                                time_point now)
 {
--- a/src/resume/software_history.h
+++ b/src/resume/software_history.h
@@ -19,6 +19,9 @@
     /// Changes of the registry may be missed from now on.
     void on_registry_lost() { followed_since_.reset(); }
 
+    /// Changes may have been missed until now. The registry is followed if it was before.
+    void on_gap_ended(time_point now);
+
     /// An upstream of this version has left the service.
     void on_left(const std::string& service, const std::string& software, time_point now);
 
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -504,7 +504,15 @@
         now += std::chrono::seconds(1);
         table.replace({of_version("i-1", "v1")}, now);
         CPPUNIT_ASSERT(!table.sole_version("llm", now + lifetime / 2));
+        now += lifetime;
+        CPPUNIT_ASSERT(table.sole_version("llm", now) == "v1");
+        table.on_standstill(now);
+        CPPUNIT_ASSERT(!table.sole_version("llm", now + lifetime / 2));
         CPPUNIT_ASSERT(table.sole_version("llm", now + lifetime) == "v1");
+        // A standstill ends no outage.
+        table.on_registry_lost();
+        table.on_standstill(now);
+        CPPUNIT_ASSERT(!table.sole_version("llm", now + 2 * lifetime));
     }
 
     // Guards against a restarted engine that is taken for its predecessor until its entry arrives.
