A take-up counts on the only version known only after the registry has been read

Callers got streams joined from two versions at a gateway that was cut off or had stood still while workers of a new version joined: no holder that it knew had the origin, and it took the only version that it had heard of. It notices an outage of the store only after up to 3 s, and has not read the newest entries after a standstill or between two polls. Change: the sole version counts once a request to the store that was sent after the take-up came has been answered (object_watch::catch_up, at most each 400 ms, from the last revision on). Without one in 0.8 s the take-up is refused as before (stream_origin_unknown). If upstreams have changed, the holders are asked again, as new sidecars may know. After a standstill the entries are read at once. Why it works: the version that began a stream was in the registry before its first event, so that a later read shows it, or its leaving, which the history holds for a minute.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -80,6 +80,9 @@
 // How long the previous version of an adapter may be used after a newer one was announced. The
 // newer one must be used from 5 s after the announcement.
 constexpr auto version_grace = milliseconds(3500);
+// How long a take-up waits for the upstreams' entries: the store usually responds within 4 ms, and
+// within 250 ms when it is slow; another read may have been made just before.
+constexpr auto max_registry_wait = milliseconds(800);
 
 constexpr std::string_view last_chunk = "0\r\n\r\n";
 
@@ -196,6 +199,7 @@
         return on_origin(std::nullopt);
     }
     const auto team = team_ == nullptr ? team_id() : team_->id;
+    lookup_membership_ = context_.upstreams.membership();
     origin_lookup_ = ++context_.last_origin_lookup;
     context_.take_ups[*origin_lookup_] = weak_from_this();
     context_.find_origin(*origin_lookup_, resume::make_stream_key(team, call_.resumes));
@@ -207,7 +211,39 @@
         return;
     }
     stop_finding_origin();
-    const auto known = origin ? origin : sole_origin(steady_now());
+    const auto now = steady_now();
+    if (origin) {
+        return take_up(origin, true);
+    }
+    const auto sole = sole_origin(now);
+    if (sole && !context_.upstreams.is_registry_read_since(arrived_at_)) {
+        registry_wait_ends_ = now + max_registry_wait;
+        return context_.read_registry();
+    }
+    take_up(sole, false);
+}
+
+// The stream may have begun at a version that this gateway has not heard of yet: its view of the
+// upstreams has to be younger than the take-up.
+void call_exchange::wait_for_registry(time_point now)
+{
+    if (!context_.upstreams.is_registry_read_since(arrived_at_)) {
+        if (now < *registry_wait_ends_) {
+            return context_.read_registry();
+        }
+        return take_up(std::nullopt, false);
+    }
+    registry_wait_ends_.reset();
+    if (lookup_membership_ != context_.upstreams.membership()) {
+        // Sidecars that were not known before may hold the origin.
+        return find_origin();
+    }
+    take_up(sole_origin(now), false);
+}
+
+void call_exchange::take_up(const std::optional<resume::stream_origin>& known, bool is_recorded)
+{
+    registry_wait_ends_.reset();
     if (!known) {
         context_.metrics.take_ups_refused.add();
         return refuse({503, "stream_origin_unknown", std::nullopt, false});
@@ -225,7 +261,7 @@
                                           {"last_event", last_event_.value_or(0)},
                                           {"service", known->service},
                                           {"software", known->software},
-                                          {"recorded", origin.has_value()}});
+                                          {"recorded", is_recorded}});
     if (admit(service)) {
         context_.metrics.take_ups.add();
         try_next_upstream();
@@ -1462,6 +1498,9 @@
     if (next_record_at_ && now >= *next_record_at_) {
         record_origin(now);
     }
+    if (registry_wait_ends_) {
+        return wait_for_registry(now);
+    }
     if (resume_) {
         return try_to_resume(now);
     }
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -99,6 +99,8 @@
     bool admit(const service_rule* service);
     void find_origin();
     void stop_finding_origin();
+    void wait_for_registry(time_point now);
+    void take_up(const std::optional<resume::stream_origin>& known, bool is_recorded);
     std::optional<resume::stream_origin> sole_origin(time_point now) const;
     bool confirm_version();
     void record_origin(time_point now);
@@ -235,6 +237,10 @@
     stream_version version_;
     /// Set while the origin of the stream is looked up.
     std::optional<std::uint64_t> origin_lookup_;
+    /// The upstreams known when it was looked up (`upstream_table::membership`).
+    std::uint64_t lookup_membership_ = 0;
+    /// Set while the call waits for the registry to be read: until then at most.
+    std::optional<time_point> registry_wait_ends_;
     /// When the origin of a stream that this attempt began is recorded again.
     std::optional<time_point> next_record_at_;
 
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -99,6 +99,8 @@
     /// Looks up the origin of a stream; the result goes to the call in `take_ups` of this number.
     std::function<void(std::uint64_t number, const resume::stream_key&)> find_origin;
     std::function<void(std::uint64_t number)> cancel_origin_lookup;
+    /// Reads the upstreams' entries now, unless that has just been done.
+    std::function<void()> read_registry;
     /// Calls that wait for an origin, by number.
     std::map<std::uint64_t, std::weak_ptr<call_exchange>> take_ups;
     std::uint64_t last_origin_lookup = 0;
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -63,6 +63,9 @@
 // Share of the fleet's retry budget that is divided among the gateways; the rest covers gateways
 // that restart with a full budget.
 constexpr double retry_budget_share = 0.6;
+// Minimum interval between reads of the upstreams' entries for take-ups, which the platform
+// charges.
+constexpr auto registry_read_interval = milliseconds(400);
 constexpr int listen_backlog = 1024;
 // Pause after a connection could not be accepted.
 constexpr auto accept_retry_delay = milliseconds(50);
@@ -134,6 +137,13 @@
         perform(origins_.look_up(number, key, steady_now()));
     };
     context_.cancel_origin_lookup = [this](std::uint64_t number) { origins_.cancel(number); };
+    context_.read_registry = [this] {
+        const auto now = steady_now();
+        if (now - registry_asked_at_ >= registry_read_interval) {
+            registry_asked_at_ = now;
+            upstream_watch_.catch_up();
+        }
+    };
     context_.report_upstream_ended = [this](const upstream_id& upstream) {
         on_upstream_ended(upstream);
     };
@@ -159,6 +169,11 @@
          },
          [this, kind](bool is_reached, const std::string& reason) {
              on_contact(kind, is_reached, reason);
+         },
+         [this, kind](time_point asked_at) {
+             if (kind == platform::wire::upstream_kind) {
+                 context_.upstreams.on_registry_read(asked_at);
+             }
          }});
 }
 
@@ -353,6 +368,7 @@
     if (last_tick_at_ && now - *last_tick_at_ > standstill_time) {
         context_.teams.on_resumed(now);
         context_.upstreams.on_standstill(now);
+        context_.read_registry();
         context_.log.warning(
             "resumed_after_standstill",
             {{"ms", std::chrono::duration_cast<milliseconds>(now - *last_tick_at_).count()}});
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -124,6 +124,7 @@
     platform::object_watch upstream_watch_;
     platform::object_watch version_watch_;
     std::unique_ptr<telemetry::admin_server> admin_;
+    time_point registry_asked_at_;
     std::list<std::weak_ptr<caller_connection>> connections_;
 
     bool has_upstreams_ = false;
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -47,6 +47,12 @@
     /// The registry is out of reach: changes are missed from now on.
     void on_registry_lost() { versions_.on_registry_lost(); }
 
+    /// All changes of the registry made before `asked_at` are known.
+    void on_registry_read(time_point asked_at) { versions_.on_registry_read(asked_at); }
+
+    /// Whether all changes of the registry made before this time are known.
+    bool is_registry_read_since(time_point when) const { return versions_.is_read_since(when); }
+
     /// This process was not run for a while.
     void on_standstill(time_point now) { versions_.on_gap_ended(now); }
 
@@ -119,7 +125,8 @@
     bool has_version(const std::string& service, const std::string& software, time_point now);
 
     /// The only software version of the service that can have begun a stream which callers still
-    /// wait for, if it is known.
+    /// wait for, if it is known. Holds for streams that ended before the registry was last read
+    /// (`is_registry_read_since`).
     std::optional<std::string> sole_version(const std::string& service, time_point now) const;
 
     /// Whether the upstream can load an adapter of the model soon.
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -2,6 +2,7 @@
 
 #include "base/backoff.h"
 #include "net/http_client.h"
+#include "net/steady_time.h"
 #include "platform/object_codec.h"
 #include "platform/watch_position.h"
 #include "platform/wire_names.h"
@@ -80,11 +81,23 @@
     void refresh()
     {
         position_.invalidate();
+        is_catching_up_ = false;
         // A second coroutine lists immediately; the first ends when its poll returns.
         ++generation_;
         start();
     }
 
+    // A list, and the repetition of a failed request, go on as they are: taking their place again
+    // and again would keep them from ending while the store is slow.
+    void catch_up()
+    {
+        if (position_.is_listed() && is_reachable_.value_or(false) && !is_catching_up_) {
+            is_catching_up_ = true;
+            ++generation_;
+            start();
+        }
+    }
+
     const std::string& kind() const { return kind_; }
 
     void stop()
@@ -107,6 +120,7 @@
             report_reachability(false, cause.what());
         }
         position_.invalidate();
+        is_catching_up_ = false;
         timer_.expires_after(max_retry_delay);
         timer_.async_wait([self = shared_from_this(), generation](const auto& wait_error) {
             if (!wait_error && generation == self->generation_) {
@@ -194,6 +208,7 @@
         std::optional<std::uint64_t> revision;
         std::string after;
         bool has_more = true;
+        const auto asked_at = steady_now();
         while (has_more) {
             const auto target = after.empty()
                                     ? fmt::format("/objects/{}", kind_)
@@ -217,16 +232,22 @@
             position_.on_listed(*revision);
             report(unreadable);
             handler_.listed(objects);
+            handler_.read(asked_at);
         }
         co_return absl::OkStatus();
     }
 
     asio::awaitable<absl::Status> poll(std::uint64_t generation)
     {
-        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(poll_wait_);
+        const auto poll_wait = is_catching_up_ ? duration{} : poll_wait_;
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(poll_wait);
+        const auto asked_at = steady_now();
         const auto response = co_await get(fmt::format("/objects/{}?watch={}&wait_ms={}", kind_,
                                                        position_.revision(), wait.count()),
-                                           poll_wait_ + response_timeout);
+                                           poll_wait + response_timeout);
+        if (generation == generation_) {
+            is_catching_up_ = false;
+        }
         if (!response.ok()) {
             co_return response.status();
         }
@@ -238,6 +259,7 @@
             handler_.changed(object);
         }
         position_.on_polled(response->revision);
+        handler_.read(asked_at);
         co_return absl::OkStatus();
     }
 
@@ -268,6 +290,8 @@
     // Incremented to end the coroutines that were started with an earlier value.
     std::uint64_t generation_ = 0;
     std::optional<bool> is_reachable_;
+    /// Set from the call of `catch_up` until its response or failure.
+    bool is_catching_up_ = false;
 };
 
 object_watch::object_watch(asio::any_io_executor executor, const cli::endpoint& store,
@@ -298,4 +322,9 @@
     follower_->refresh();
 }
 
+void object_watch::catch_up()
+{
+    follower_->catch_up();
+}
+
 } // namespace snipespar::platform
--- a/src/platform/object_watch.h
+++ b/src/platform/object_watch.h
@@ -27,6 +27,8 @@
     std::function<void(const std::string& name, const std::string& reason)> unreadable;
     /// The store has become reachable, or unreachable for a reason.
     std::function<void(bool is_reachable, const std::string& reason)> reachability_changed;
+    /// All changes made before `asked_at` have been reported.
+    std::function<void(time_point asked_at)> read;
 };
 
 /// Delays of an object watch's polls.
@@ -56,6 +58,9 @@
     /// Lists again immediately, because a newer version is known to exist.
     void refresh();
 
+    /// Asks immediately for the changes since the last response, without waiting for new ones.
+    void catch_up();
+
 private:
     class follower;
     std::shared_ptr<follower> follower_;
--- a/src/resume/software_history.cpp
+++ b/src/resume/software_history.cpp
@@ -2,6 +2,8 @@
 
 #include "resume/origin_store.h"
 
+#include <algorithm>
+
 namespace snipespar::resume {
 
 void software_history::on_registry_followed(time_point now)
@@ -18,6 +20,11 @@
     }
 }
 
+void software_history::on_registry_read(time_point asked_at)
+{
+    read_at_ = std::max(read_at_.value_or(asked_at), asked_at);
+}
+
 void software_history::on_left(const std::string& service, const std::string& software,
                                time_point now)
 {
--- a/src/resume/software_history.h
+++ b/src/resume/software_history.h
@@ -22,6 +22,12 @@
     /// Changes may have been missed until now. The registry is followed if it was before.
     void on_gap_ended(time_point now);
 
+    /// All changes made before `asked_at` are known.
+    void on_registry_read(time_point asked_at);
+
+    /// Whether all changes made before this time are known.
+    bool is_read_since(time_point when) const { return read_at_ && *read_at_ >= when; }
+
     /// An upstream of this version has left the service.
     void on_left(const std::string& service, const std::string& software, time_point now);
 
@@ -33,6 +39,7 @@
 
 private:
     std::optional<time_point> followed_since_;
+    std::optional<time_point> read_at_;
     /// When an upstream of each version last left, by service.
     std::map<std::string, std::map<std::string, time_point>> left_;
 };
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(version_serves_while_one_of_its_upstreams_does);
     CPPUNIT_TEST(sole_version_is_known_after_the_lifetime_of_streams);
     CPPUNIT_TEST(sole_version_is_unknown_after_a_gap_in_the_history);
+    CPPUNIT_TEST(registry_is_read_as_of_the_request);
     CPPUNIT_TEST(process_newer_than_its_entry_has_no_known_version);
     CPPUNIT_TEST_SUITE_END();
 
@@ -515,6 +516,19 @@
         CPPUNIT_ASSERT(!table.sole_version("llm", now + 2 * lifetime));
     }
 
+    // Guards against an answer that left the store before a stream broke off being taken for its
+    // present content.
+    void registry_is_read_as_of_the_request()
+    {
+        upstream_table table;
+        CPPUNIT_ASSERT(!table.is_registry_read_since(start));
+        table.on_registry_read(start);
+        CPPUNIT_ASSERT(table.is_registry_read_since(start));
+        CPPUNIT_ASSERT(!table.is_registry_read_since(start + milliseconds(1)));
+        table.on_registry_read(start - milliseconds(1));
+        CPPUNIT_ASSERT(table.is_registry_read_since(start));
+    }
+
     // Guards against a restarted engine that is taken for its predecessor until its entry arrives.
     void process_newer_than_its_entry_has_no_known_version()
     {
--- a/tests/resume_fleet_test.cpp
+++ b/tests/resume_fleet_test.cpp
@@ -39,6 +39,7 @@
 constexpr auto listing_delay = milliseconds(300);
 constexpr auto peer_delay = milliseconds(1000);
 constexpr auto registry_lag = milliseconds(700);
+constexpr auto standstill_time = milliseconds(700);
 constexpr auto silence_of_a_lost_domain = seconds(6);
 constexpr int tries = 3;
 // What a gateway that is out of step misses: upstreams of another version join just after it falls
@@ -47,6 +48,10 @@
 constexpr auto stale_from = milliseconds(8900);
 constexpr auto stale_to = milliseconds(13'000);
 constexpr auto outage_detection = seconds(3);
+// A take-up waits for the registry for at most the first of these times, which responds within the
+// second one.
+constexpr auto registry_wait = milliseconds(800);
+constexpr auto registry_delay = milliseconds(20);
 
 struct fleet_options {
     int gateways = 5;
@@ -146,6 +151,9 @@
         /// Of its last listing.
         int registry_version = 0;
         bool is_outage_known = false;
+        time_point ticked;
+        /// When the response to a read for a take-up arrives.
+        std::optional<time_point> read_due;
     };
     struct stream {
         std::string id;
@@ -163,6 +171,9 @@
         bool is_counted = false;
         time_point returns;
         std::uint64_t lookup = 0;
+        time_point taken_up;
+        /// Set while the take-up waits for the registry.
+        std::optional<time_point> registry_wait_ends;
     };
     struct datagram {
         time_point due;
@@ -318,6 +329,7 @@
     {
         item.is_broken = true;
         item.lookup = 0;
+        item.registry_wait_ends.reset();
         item.returns = now_ + milliseconds(50 + random_() % 700);
     }
 
@@ -442,6 +454,10 @@
             if (!item->is_broken && is_recorded_again) {
                 record(*item, *members_[static_cast<std::size_t>(item->gateway)]);
             }
+            if (item->registry_wait_ends) {
+                wait_for_registry(*item);
+                continue;
+            }
             if (!item->is_broken || item->lookup != 0 || now_ < item->returns ||
                 item->tries_left == 0) {
                 continue;
@@ -459,6 +475,7 @@
             }
             item->gateway = at.number;
             item->lookup = ++at.lookups;
+            item->taken_up = now_;
             item->version = {};
             post(at, at.origins.look_up(
                          item->lookup,
@@ -483,16 +500,36 @@
             item->lookup = 0;
             item->returns = now_ + milliseconds(300);
             const auto sole = at.table.sole_version("llm", now_);
-            if (!result.origin && !sole) {
+            if (!result.origin && sole && !at.table.is_registry_read_since(item->taken_up)) {
+                item->registry_wait_ends = now_ + registry_wait;
+                at.read_due = at.read_due.value_or(now_ + registry_delay);
                 return;
             }
-            item->version.bind(result.origin ? result.origin->software : *sole);
-            if (send(*item, at, {})) {
-                resumed_ += item->is_counted ? 1 : 0;
-                item->tries_left = tries;
-            }
+            take_up(*item, at, result.origin ? result.origin->software : sole.value_or(""));
+            return;
+        }
+    }
+
+    void take_up(stream& item, member& at, const std::string& software)
+    {
+        if (software.empty()) {
             return;
         }
+        item.version.bind(software);
+        if (send(item, at, {})) {
+            resumed_ += item.is_counted ? 1 : 0;
+            item.tries_left = tries;
+        }
+    }
+
+    void wait_for_registry(stream& item)
+    {
+        auto& at = *members_[static_cast<std::size_t>(item.gateway)];
+        const bool is_read = at.table.is_registry_read_since(item.taken_up);
+        if (is_read || now_ >= *item.registry_wait_ends) {
+            item.registry_wait_ends.reset();
+            take_up(item, at, is_read ? at.table.sole_version("llm", now_).value_or("") : "");
+        }
     }
 
     // Polls the changes of the upstreams.
@@ -501,6 +538,7 @@
         if (item.registry_version != registry_version_) {
             follow_upstreams(item);
         }
+        item.table.on_registry_read(now_);
         if (std::exchange(item.is_outage_known, false)) {
             item.table.on_registry_recovered(now_);
         }
@@ -518,7 +556,17 @@
         if (!item.knows_peers && now_ - item.started >= peer_delay) {
             meet_peers(item);
         }
+        if (item.ticked != time_point{} && now_ - item.ticked > standstill_time) {
+            item.table.on_standstill(now_);
+        }
+        item.ticked = now_;
         const bool cut = is_cut(item.number);
+        if (item.read_due && now_ >= *item.read_due) {
+            item.read_due.reset();
+            if (!cut) {
+                read_registry(item);
+            }
+        }
         if (cut && !item.is_outage_known && now_ >= start + stale_from + outage_detection) {
             item.is_outage_known = true;
             item.table.on_registry_lost();
