The sanitizer builds compile again

Builds with the address or thread sanitizer stopped at end_report.cpp: unused function 'on_fatal_signal' (an error by -Werror), so that neither the tests under sanitizers nor the fuzz targets could be built.

Cause: a sanitizer installs its own handlers, so that only install_signal_handlers was left out under one; the handler that it alone refers to was not.

No behaviour changes in the other builds: the lines are moved, not edited. There is no test, since the compiler is the check: the asan preset's library failed to build before the move and builds with it. The tsan preset was not built here; it takes the same branch.

--- a/src/telemetry/end_report.cpp
+++ b/src/telemetry/end_report.cpp
@@ -28,6 +28,34 @@
 std::string_view reported_role;
 int reported_to = STDERR_FILENO;
 
+std::string current_exception_text()
+{
+    const auto error = std::current_exception();
+    if (error == nullptr) {
+        return "terminate was called";
+    }
+    try {
+        std::rethrow_exception(error);
+    }
+    catch (const std::exception& cause) {
+        return cause.what();
+    }
+    catch (...) {
+        return "an exception of unknown type";
+    }
+}
+
+[[noreturn]] void on_terminate()
+{
+    const auto line =
+        format_line(std::chrono::system_clock::now(), log_level::error, "ended_by_exception",
+                    std::vector<log_field>{{"role", std::string(reported_role)},
+                                           {"reason", current_exception_text()}});
+    std::ignore = ::write(reported_to, line.data(), line.size());
+    std::abort();
+}
+
+#ifndef SNIPESPAR_HAS_SANITIZER
 std::string_view name_of(int number)
 {
     switch (number) {
@@ -61,34 +89,6 @@
     std::ignore = ::raise(number);
 }
 
-std::string current_exception_text()
-{
-    const auto error = std::current_exception();
-    if (error == nullptr) {
-        return "terminate was called";
-    }
-    try {
-        std::rethrow_exception(error);
-    }
-    catch (const std::exception& cause) {
-        return cause.what();
-    }
-    catch (...) {
-        return "an exception of unknown type";
-    }
-}
-
-[[noreturn]] void on_terminate()
-{
-    const auto line =
-        format_line(std::chrono::system_clock::now(), log_level::error, "ended_by_exception",
-                    std::vector<log_field>{{"role", std::string(reported_role)},
-                                           {"reason", current_exception_text()}});
-    std::ignore = ::write(reported_to, line.data(), line.size());
-    std::abort();
-}
-
-#ifndef SNIPESPAR_HAS_SANITIZER
 // An exhausted stack leaves no room for the handler, so it gets a stack of its own.
 void install_signal_handlers()
 {
