--- a/tests/platform_engine_codec_test.cpp
+++ b/tests/platform_engine_codec_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(platform_engine_codec_test);
     CPPUNIT_TEST(report_is_decoded);
     CPPUNIT_TEST(faulty_report_is_refused);
+    CPPUNIT_TEST(count_that_no_message_can_carry_is_refused);
     CPPUNIT_TEST(order_carries_count_and_holder);
     CPPUNIT_TEST_SUITE_END();
 
@@ -36,6 +37,32 @@
         CPPUNIT_ASSERT(!decode_engine_report(R"({"models":[],"busy":1,"seq":2})").ok());
     }
 
+    // Guards against counts that wrap to negative ones, and against status messages that gateways
+    // reject because of a count.
+    void count_that_no_message_can_carry_is_refused()
+    {
+        const nlohmann::json report{{"models", nlohmann::json::array()},
+                                    {"busy", false},
+                                    {"seq", 2U},
+                                    {"running", 65'535U},
+                                    {"waiting", 65'535U},
+                                    {"kv_used", 0}};
+        const auto largest = decode_engine_report(report.dump());
+        CPPUNIT_ASSERT(largest.ok());
+        CPPUNIT_ASSERT_EQUAL(65'535, largest->running);
+        CPPUNIT_ASSERT_EQUAL(65'535, largest->waiting);
+        for (const auto* field : {"running", "waiting"}) {
+            for (const std::uint32_t count : {65'536U, 2'147'483'648U, 4'294'967'295U}) {
+                auto changed = report;
+                changed[field] = count;
+                const auto decoded = decode_engine_report(changed.dump());
+                CPPUNIT_ASSERT(!decoded.ok());
+                CPPUNIT_ASSERT(std::string(decoded.status().message())
+                                   .starts_with(std::string("report.") + field));
+            }
+        }
+    }
+
     void order_carries_count_and_holder()
     {
         using sidecar::engine_order;
