An engine's counts are read in the width that control messages carry

An engine that reports 65536 or more running or waiting requests was accepted. The sidecar's status message then carried a count that every gateway rejects with the whole message, so that the gateways no longer heard of the engine, without a log line at the sidecar.

Cause: decode_engine_report read 32 bits without a sign into an int, while control messages are read with 16 bits.

Every count that is accepted fits both the int and the message.

Found by the fuzz target of engine reports. That gateways reject such a message was read in control/message.cpp, not run.

--- a/src/platform/engine_codec.cpp
+++ b/src/platform/engine_codec.cpp
@@ -47,8 +47,9 @@
     for (const auto& item : fields.texts("coming")) {
         report.loading.push_back(split_version(item).first);
     }
-    report.running = static_cast<int>(fields.integer<std::uint32_t>("running"));
-    report.waiting = static_cast<int>(fields.integer<std::uint32_t>("waiting"));
+    // Control messages carry counts of this width.
+    report.running = static_cast<int>(fields.integer<std::uint16_t>("running"));
+    report.waiting = static_cast<int>(fields.integer<std::uint16_t>("waiting"));
     report.memory_used = static_cast<std::uint64_t>(fields.real("kv_used"));
     if (!status.ok()) {
         return status;
