Test of a memory figure that no integer holds, undefined on the current code

An engine's kv_used of 1e300 or -5 is converted to an integer that cannot hold it. Found by the fuzz target of engine reports under the undefined behaviour sanitizer; a release build on AArch64 gives the nearest value and passes.

--- a/tests/platform_engine_codec_test.cpp
+++ b/tests/platform_engine_codec_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -12,6 +13,7 @@
     CPPUNIT_TEST(report_is_decoded);
     CPPUNIT_TEST(faulty_report_is_refused);
     CPPUNIT_TEST(count_that_no_message_can_carry_is_refused);
+    CPPUNIT_TEST(memory_beyond_any_is_taken_as_the_nearest);
     CPPUNIT_TEST(order_carries_count_and_holder);
     CPPUNIT_TEST_SUITE_END();
 
@@ -63,6 +65,25 @@
         }
     }
 
+    // Guards against the conversion of a number that the integer type cannot hold, which is
+    // undefined. Fails before the fix only under the undefined behaviour sanitizer.
+    void memory_beyond_any_is_taken_as_the_nearest()
+    {
+        const auto memory_used = [](const std::string& number) {
+            const auto report = decode_engine_report(
+                R"({"models":[],"busy":false,"seq":2,"waiting":1,"running":1,"kv_used":)" + number +
+                "}");
+            CPPUNIT_ASSERT(report.ok());
+            return report->memory_used;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{41}, memory_used("41.9"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, memory_used("-5"));
+        const auto largest = std::numeric_limits<std::uint64_t>::max();
+        CPPUNIT_ASSERT_EQUAL(largest, memory_used("1e300"));
+        CPPUNIT_ASSERT_EQUAL(largest, memory_used("18446744073709551616"));
+        CPPUNIT_ASSERT_EQUAL(largest - 2047, memory_used("18446744073709549568.0"));
+    }
+
     void order_carries_count_and_holder()
     {
         using sidecar::engine_order;
