Numbers beyond an integer's range are converted to the nearest one

An engine's kv_used, and kv_capacity and plain_tokens of the configuration, were converted to an unsigned integer whatever they were. For a negative or very large number that conversion is undefined: it gave the nearest value on AArch64, may give another on other processors, and ended builds with the undefined behaviour sanitizer.

to_whole_number states the nearest value, which is what AArch64 gave, so that no accepted text is refused now.

Found by the fuzz target of engine reports. Before, the sanitizer ended engine_report_fuzz at engine_codec.cpp:53 and object_page_fuzz at config_codec.cpp:81 for their seeds memory_out_of_range (the same number in counts_at_the_top) and numbers_out_of_range; both pass them now. The unit test memory_beyond_any_is_taken_as_the_nearest passes in the release build, with all 425; it was not run under a sanitizer.

--- a/src/platform/config_codec.cpp
+++ b/src/platform/config_codec.cpp
@@ -1,6 +1,7 @@
 #include "platform/config_codec.h"
 
 #include "base/json_reader.h"
+#include "base/whole_number.h"
 
 #include <limits>
 #include <utility>
@@ -78,7 +79,7 @@
         const json_reader engine(*found, fields.path() + ".engine", status);
         gateway::engine_rule rule;
         rule.slots = integer_or(engine, "slots", 1);
-        rule.memory_tokens = static_cast<std::uint64_t>(real_or(engine, "kv_capacity", 0));
+        rule.memory_tokens = to_whole_number(real_or(engine, "kv_capacity", 0));
         rule.adapter_slots = integer_or(engine, "adapter_slots", 0);
         engine.each("models",
                     [&](const json_reader& item) { rule.models.push_back(item.text("name")); });
@@ -93,7 +94,7 @@
     team.id = team_id(fields.text("name"));
     team.keys = fields.texts("api_keys");
     team.priority = integer_or(fields, "priority", 0);
-    team.default_tokens = static_cast<std::uint64_t>(real_or(fields, "plain_tokens", 1));
+    team.default_tokens = to_whole_number(real_or(fields, "plain_tokens", 1));
     team.rate_per_s = real_or(fields, "rate_per_s", 0);
     team.burst = real_or(fields, "burst", 0);
     return team;
--- a/src/platform/engine_codec.cpp
+++ b/src/platform/engine_codec.cpp
@@ -1,6 +1,7 @@
 #include "platform/engine_codec.h"
 
 #include "base/json_reader.h"
+#include "base/whole_number.h"
 
 #include <absl/strings/numbers.h>
 #include <fmt/format.h>
@@ -50,7 +51,7 @@
     // Control messages carry counts of this width.
     report.running = static_cast<int>(fields.integer<std::uint16_t>("running"));
     report.waiting = static_cast<int>(fields.integer<std::uint16_t>("waiting"));
-    report.memory_used = static_cast<std::uint64_t>(fields.real("kv_used"));
+    report.memory_used = to_whole_number(fields.real("kv_used"));
     if (!status.ok()) {
         return status;
     }
