--- a/src/platform/engine_codec.cpp
+++ b/src/platform/engine_codec.cpp
@@ -1,6 +1,7 @@
 #include "platform/engine_codec.h"
 
 #include "base/json_reader.h"
+#include "base/whole_number.h"
 
 #include <absl/strings/numbers.h>
 #include <fmt/format.h>
@@ -47,9 +48,10 @@
     for (const auto& item : fields.texts("coming")) {
         report.loading.push_back(split_version(item).first);
     }
-    report.running = static_cast<int>(fields.integer<std::uint32_t>("running"));
-    report.waiting = static_cast<int>(fields.integer<std::uint32_t>("waiting"));
-    report.memory_used = static_cast<std::uint64_t>(fields.real("kv_used"));
+    // Control messages carry counts of this width.
+    report.running = static_cast<int>(fields.integer<std::uint16_t>("running"));
+    report.waiting = static_cast<int>(fields.integer<std::uint16_t>("waiting"));
+    report.memory_used = to_whole_number(fields.real("kv_used"));
     if (!status.ok()) {
         return status;
     }
--- a/tests/platform_engine_codec_test.cpp
+++ b/tests/platform_engine_codec_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -11,6 +12,8 @@
     CPPUNIT_TEST_SUITE(platform_engine_codec_test);
     CPPUNIT_TEST(report_is_decoded);
     CPPUNIT_TEST(faulty_report_is_refused);
+    CPPUNIT_TEST(count_that_no_message_can_carry_is_refused);
+    CPPUNIT_TEST(memory_beyond_any_is_taken_as_the_nearest);
     CPPUNIT_TEST(order_carries_count_and_holder);
     CPPUNIT_TEST_SUITE_END();
 
@@ -36,6 +39,51 @@
         CPPUNIT_ASSERT(!decode_engine_report(R"({"models":[],"busy":1,"seq":2})").ok());
     }
 
+    // Guards against counts that wrap to negative ones, and against status messages that gateways
+    // reject because of a count.
+    void count_that_no_message_can_carry_is_refused()
+    {
+        const nlohmann::json report{{"models", nlohmann::json::array()},
+                                    {"busy", false},
+                                    {"seq", 2U},
+                                    {"running", 65'535U},
+                                    {"waiting", 65'535U},
+                                    {"kv_used", 0}};
+        const auto largest = decode_engine_report(report.dump());
+        CPPUNIT_ASSERT(largest.ok());
+        CPPUNIT_ASSERT_EQUAL(65'535, largest->running);
+        CPPUNIT_ASSERT_EQUAL(65'535, largest->waiting);
+        for (const auto* field : {"running", "waiting"}) {
+            for (const std::uint32_t count : {65'536U, 2'147'483'648U, 4'294'967'295U}) {
+                auto changed = report;
+                changed[field] = count;
+                const auto decoded = decode_engine_report(changed.dump());
+                CPPUNIT_ASSERT(!decoded.ok());
+                CPPUNIT_ASSERT(std::string(decoded.status().message())
+                                   .starts_with(std::string("report.") + field));
+            }
+        }
+    }
+
+    // Guards against the conversion of a number that the integer type cannot hold, which is
+    // undefined. Fails before the fix only under the undefined behaviour sanitizer.
+    void memory_beyond_any_is_taken_as_the_nearest()
+    {
+        const auto memory_used = [](const std::string& number) {
+            const auto report = decode_engine_report(
+                R"({"models":[],"busy":false,"seq":2,"waiting":1,"running":1,"kv_used":)" + number +
+                "}");
+            CPPUNIT_ASSERT(report.ok());
+            return report->memory_used;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{41}, memory_used("41.9"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, memory_used("-5"));
+        const auto largest = std::numeric_limits<std::uint64_t>::max();
+        CPPUNIT_ASSERT_EQUAL(largest, memory_used("1e300"));
+        CPPUNIT_ASSERT_EQUAL(largest, memory_used("18446744073709551616"));
+        CPPUNIT_ASSERT_EQUAL(largest - 2047, memory_used("18446744073709549568.0"));
+    }
+
     void order_carries_count_and_holder()
     {
         using sidecar::engine_order;
