--- a/tests/process/gateway_faulty_answers_test.cpp
+++ b/tests/process/gateway_faulty_answers_test.cpp
@@ -162,7 +162,8 @@
         }
         std::map<std::string, int> runs;
         for (const auto& service : fleet.services) {
-            for (const auto& run : fleet.runs(service)["runs"]) {
+            const auto recorded = fleet.runs(service);
+            for (const auto& run : recorded["runs"]) {
                 ++runs[run["id"].get<std::string>()];
             }
         }
