process_start_test: no exhausted descriptors under the address sanitizer

The process under test ended in the step with the address and undefined-behaviour sanitizers: "CHECK failed: sanitizer_linux_libcdep.cpp ... pthread_getattr_np ... (0x18, 0x0)", which is EMFILE, after a check of a virtual pointer that could not read memory through a pipe. The runtime itself needs descriptors, so that this one test cannot say anything there; it runs in full in the release and thread sanitizer steps.

--- a/tests/process/process_start_test.cpp
+++ b/tests/process/process_start_test.cpp
@@ -20,6 +20,14 @@
 #include <unistd.h>
 #include <vector>
 
+// The address sanitizer's runtime opens files and pipes for its own checks, and ends a process that
+// has no free descriptor.
+#if defined(__has_feature)
+#if __has_feature(address_sanitizer)
+#define SNIPESPAR_TEST_NEEDS_DESCRIPTORS 1
+#endif
+#endif
+
 namespace snipespar::testing {
 
 namespace {
@@ -126,7 +134,9 @@
     CPPUNIT_TEST(process_survives_a_log_whose_reader_has_gone);
     CPPUNIT_TEST(process_survives_a_closed_log);
     CPPUNIT_TEST(output_shared_with_other_processes_stays_blocking);
+#ifndef SNIPESPAR_TEST_NEEDS_DESCRIPTORS
     CPPUNIT_TEST(gateway_without_free_descriptors_does_not_spin);
+#endif
     CPPUNIT_TEST(no_datagram_ends_a_process);
     CPPUNIT_TEST(process_survives_a_log_file_that_is_full);
     CPPUNIT_TEST_SUITE_END();
