--- a/src/base/json_text.cpp
+++ b/src/base/json_text.cpp
@@ -1,7 +1,11 @@
 #include "base/json_text.h"
 
+#include "base/utf8.h"
+
+#include <algorithm>
 #include <cstddef>
 #include <nlohmann/json.hpp>
+#include <string>
 
 namespace snipespar {
 
@@ -193,4 +197,25 @@
     return elements;
 }
 
+bool is_shallow_utf8(const nlohmann::json& value, int depth)
+{
+    if (value.is_string()) {
+        return is_utf8(value.get_ref<const std::string&>());
+    }
+    if (!value.is_structured()) {
+        return true;
+    }
+    if (depth == 0) {
+        return false;
+    }
+    if (value.is_array()) {
+        return std::ranges::all_of(
+            value, [&](const nlohmann::json& item) { return is_shallow_utf8(item, depth - 1); });
+    }
+    const auto& members = value.get_ref<const nlohmann::json::object_t&>();
+    return std::ranges::all_of(members, [&](const auto& member) {
+        return is_utf8(member.first) && is_shallow_utf8(member.second, depth - 1);
+    });
+}
+
 } // namespace snipespar
--- a/src/base/json_text.h
+++ b/src/base/json_text.h
@@ -25,4 +25,7 @@
 /// The raw text of each element of an array, as above.
 absl::StatusOr<std::vector<std::string_view>> split_json_array(std::string_view text);
 
+/// Whether all texts and names of the value are UTF-8, and it nests no deeper than `depth`.
+bool is_shallow_utf8(const nlohmann::json& value, int depth);
+
 } // namespace snipespar
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -2,7 +2,7 @@
 
 #include "base/cbor.h"
 #include "base/json_reader.h"
-#include "base/utf8.h"
+#include "base/json_text.h"
 #include "poison/suspect_codec.h"
 
 #include <algorithm>
@@ -223,28 +223,6 @@
     return value.is_number_unsigned() && value.get<std::uint64_t>() <= max_count;
 }
 
-// Whether all texts and names of the value are UTF-8, and it nests no deeper than `depth`.
-bool is_readable(const json& value, int depth)
-{
-    if (value.is_string()) {
-        return is_utf8(value.get_ref<const std::string&>());
-    }
-    if (!value.is_structured()) {
-        return true;
-    }
-    if (depth == 0) {
-        return false;
-    }
-    if (value.is_array()) {
-        return std::ranges::all_of(value,
-                                   [&](const json& item) { return is_readable(item, depth - 1); });
-    }
-    const auto& members = value.get_ref<const json::object_t&>();
-    return std::ranges::all_of(members, [&](const auto& member) {
-        return is_utf8(member.first) && is_readable(member.second, depth - 1);
-    });
-}
-
 // Versions by model/adapter.
 template <class Versions = std::map<std::string, std::uint64_t>>
 Versions read_versions(const json_reader& fields, const char* name)
@@ -455,7 +433,7 @@
     if (!value.ok()) {
         return value.status();
     }
-    if (!is_readable(*value, max_depth)) {
+    if (!is_shallow_utf8(*value, max_depth)) {
         return absl::InvalidArgumentError("message: must be UTF-8 and shallow");
     }
     absl::Status status;
