A refusal in a trailer is no refusal

A caller could be told 503 "not run", and its request be run by a second upstream, after an upstream had answered 408, 429 or 503 with a chunked body and a Not-Executed field in the trailer.

Cause: the response parser was eager, so that one read could bring head, body and trailer at once; Beast adds trailers to the header, which was decoded only afterwards.

It works because nothing after the head can reach the decoder any more.

--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -109,7 +109,8 @@
     parser_.emplace();
     parser_->header_limit(max_response_header_bytes);
     parser_->body_limit(boost::none);
-    parser_->eager(true);
+    // The header is decoded before the parser adds trailers to it.
+    parser_->eager(false);
     parser_->skip(is_head_request_);
 }
 
@@ -207,6 +208,7 @@
     if (!is_busy_ || is_closed_) {
         return false;
     }
+    parser_->eager(parser_->is_header_done());
     if (is_stale_response_) {
         parser_->get().body().clear();
         dropped_bytes_ += used;
--- a/tests/process/gateway_upstream_channel_test.cpp
+++ b/tests/process/gateway_upstream_channel_test.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(answer_without_id_is_a_failure);
     CPPUNIT_TEST(connection_is_not_used_for_a_request_that_it_refused);
     CPPUNIT_TEST(exchange_begun_at_the_end_of_another_reads_its_own_bytes);
+    CPPUNIT_TEST(refusal_in_a_trailer_is_no_refusal);
     CPPUNIT_TEST(refusal_of_another_request_is_dropped);
     CPPUNIT_TEST(connection_with_an_extra_answer_is_not_kept);
     CPPUNIT_TEST(bytes_before_a_request_are_not_its_answer);
@@ -115,6 +116,20 @@
     // Guards against callers that wait until their time limit for an answer that was dropped.
     void answer_without_id_is_a_failure()
     {
+    // Guards against "not run" for a request whose refusal comes only after the body of its answer.
+    void refusal_in_a_trailer_is_no_refusal()
+    {
+        for (const std::string status : {"408 Timeout", "429 Busy", "503 Unavailable"}) {
+            tearDown();
+            setUp();
+            const auto refused =
+                exchange("r1", head(status, "r1", "Transfer-Encoding: chunked\r\n") +
+                                   "2\r\nab\r\n0\r\nNot-Executed: 1\r\n\r\n");
+            CPPUNIT_ASSERT_MESSAGE(status, refused.has_ended && !refused.is_not_run());
+            CPPUNIT_ASSERT_EQUAL(std::string("ab"), refused.body);
+        }
+    }
+
         const auto broken = exchange("r1", head("500 Error", "", "Content-Length: 0\r\n"));
         CPPUNIT_ASSERT(broken.failure == absl::StatusCode::kUnknown);
     }
