A 421 of the upstream that was asked is no promise that nothing ran

Cause: the decoder took every 421 as a refusal. Status 421 promises that only where another process answers in the place of the one that was asked, which names itself; the upstream that was asked itself has to say Not-Executed, as with 408, 429 and 503.

Change: the answer carries what it states; `answer_header::has_not_run` decides with the name of the upstream that was asked. `attempt_refused` logs whether the refusal was stated.

--- a/src/gateway/answer_header.h
+++ b/src/gateway/answer_header.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace snipespar::gateway {
 
@@ -17,10 +18,13 @@
     /// The upstream that responded; empty if not stated.
     std::string upstream;
     /// The upstream states that it has not run the call and will not.
-    bool is_not_run = false;
+    bool states_not_run = false;
     /// The body is not the upstream's own bytes.
     bool is_encoded = false;
     bool is_event_stream = false;
+    /// The body has no stated end: it ends with the connection, as a crash of the upstream may,
+    /// too.
+    bool ends_with_connection = false;
     /// The response has a seal header, without which callers do not accept a success.
     bool is_sealed = false;
     /// The upstream is about to stop and accepts no new work.
@@ -42,3 +46,22 @@
 };
 
 } // namespace snipespar::gateway
+    /// Whether another process than the upstream `asked` has answered, which never runs the call.
+    bool is_from_other(std::string_view asked) const
+    {
+        return !upstream.empty() && upstream != asked;
+    }
+
+    /// Whether the call, sent to the upstream `asked`, has not run and never will. A misdirected
+    /// call (421) that `asked` itself turns away without saying so may have run.
+    bool has_not_run(std::string_view asked) const
+    {
+        return states_not_run || (is_misdirected() && is_from_other(asked));
+    }
+
+    bool is_misdirected() const
+    {
+        constexpr unsigned misdirected_status = 421;
+        return status == misdirected_status;
+    }
+
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -884,8 +884,7 @@
 // Takes over what a response states about its upstream's willingness to accept calls.
 void call_exchange::note_upstream_state(const answer_header& header)
 {
-    const bool is_other = !header.upstream.empty() && header.upstream != upstream_.str();
-    if (is_other) {
+    if (header.is_from_other(upstream_.str())) {
         return;
     }
     const auto* state = context_.upstreams.find(upstream_);
@@ -1002,7 +1001,7 @@
 
 void call_exchange::on_ended()
 {
-    if (header_->is_not_run) {
+    if (header_->has_not_run(upstream_.str())) {
         return on_not_run();
     }
     if (is_stream_open_ && header_->is_success()) {
@@ -1081,7 +1080,7 @@
 {
     --runs_;
     const auto status = header_->status;
-    const bool is_other = !header_->upstream.empty() && header_->upstream != upstream_.str();
+    const bool is_other = header_->is_from_other(upstream_.str());
     const bool is_missing = status == 421 && !is_other;
     if (is_other) {
         context_.upstreams.remove(upstream_, steady_now());
@@ -1109,6 +1108,7 @@
                                          {"cause", std::string(cause)},
                                          {"sends", sends_},
                                          {"runs", runs_},
+                                          {"stated", header_->states_not_run},
                                          {"answering", has_response_begun_},
                                          {"parts", shared_parts_text()}});
     if (is_stream_open_) {
--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -272,7 +272,8 @@
         return false;
     }
     has_response_ = true;
-    if (response.is_not_run) {
+    response.ends_with_connection = parser_->need_eof();
+    if (response.states_not_run || response.is_misdirected()) {
         note_refused_request();
     }
     keep_alive_s_ = response.keep_alive_s;
--- a/src/platform/call_codec.cpp
+++ b/src/platform/call_codec.cpp
@@ -227,7 +227,7 @@
 // Statuses with which an upstream refuses a call. Any other one contradicts a refusal.
 bool can_refuse(unsigned status)
 {
-    return status == 400 || status == 408 || status == 429 || status == 503;
+    return status == 400 || status == 408 || status == 421 || status == 429 || status == 503;
 }
 
 void append_field(std::string& text, std::string_view name, std::string_view value)
@@ -333,9 +333,7 @@
     answer.status = header.result_int();
     answer.reason = to_view(header.reason());
     answer.request_id = field(header, wire::request_id);
-    // Status 421 comes from an upstream other than the intended one, which never runs the call.
-    answer.is_not_run = answer.status == 421 ||
-                        (!field(header, wire::not_run).empty() && can_refuse(answer.status));
+    answer.states_not_run = !field(header, wire::not_run).empty() && can_refuse(answer.status);
     answer.upstream = field(header, wire::upstream_id);
     answer.is_encoded = header.count(http::field::content_encoding) != 0;
     answer.is_event_stream = absl::StartsWithIgnoreCase(
--- a/tests/platform_call_codec_test.cpp
+++ b/tests/platform_call_codec_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(hop_by_hop_fields_are_not_forwarded);
     CPPUNIT_TEST(upstream_sees_team_and_not_key);
     CPPUNIT_TEST(answer_is_decoded);
+    CPPUNIT_TEST(misdirected_call_has_not_run_only_if_the_answer_says_so);
     CPPUNIT_TEST(state_of_the_upstream_is_decoded);
     CPPUNIT_TEST(rate_that_an_upstream_names_is_decoded);
     CPPUNIT_TEST_SUITE_END();
@@ -210,21 +211,37 @@
         header.set(http::field::keep_alive, "timeout=12, max=5");
         header.set(http::field::content_length, "3");
         auto answer = decode_answer(header);
-        CPPUNIT_ASSERT(answer.is_success() && answer.is_sealed && !answer.is_not_run);
+        CPPUNIT_ASSERT(answer.is_success() && answer.is_sealed && !answer.states_not_run);
         CPPUNIT_ASSERT_EQUAL(12U, answer.keep_alive_s);
         CPPUNIT_ASSERT_EQUAL(std::string("Request-Id: r1\r\nResponse-Seal: s\r\n"),
                              answer.forwarded_header);
         header.set("Not-Executed", "1");
         // Contradictory: the upstream has run the call.
-        CPPUNIT_ASSERT(!decode_answer(header).is_not_run);
+        CPPUNIT_ASSERT(!decode_answer(header).states_not_run);
         header.result(500);
-        CPPUNIT_ASSERT(!decode_answer(header).is_not_run);
+        CPPUNIT_ASSERT(!decode_answer(header).states_not_run);
         header.result(503);
-        CPPUNIT_ASSERT(decode_answer(header).is_not_run);
+        CPPUNIT_ASSERT(decode_answer(header).states_not_run);
         header.erase("Not-Executed");
-        CPPUNIT_ASSERT(!decode_answer(header).is_not_run);
+        CPPUNIT_ASSERT(!decode_answer(header).states_not_run);
+    }
+
+    // Guards against "not run" for a call that the upstream itself answers 421 after a run.
+    void misdirected_call_has_not_run_only_if_the_answer_says_so()
+    {
+        http::response_header<> header;
         header.result(421);
-        CPPUNIT_ASSERT(decode_answer(header).is_not_run);
+        CPPUNIT_ASSERT(!decode_answer(header).has_not_run("i-1"));
+        header.set("Instance-Id", "i-1");
+        CPPUNIT_ASSERT(!decode_answer(header).has_not_run("i-1"));
+        header.set("Instance-Id", "i-2");
+        CPPUNIT_ASSERT(decode_answer(header).has_not_run("i-1"));
+        header.result(503);
+        CPPUNIT_ASSERT(!decode_answer(header).has_not_run("i-1"));
+        header.result(421);
+        header.set("Instance-Id", "i-1");
+        header.set("Not-Executed", "1");
+        CPPUNIT_ASSERT(decode_answer(header).has_not_run("i-1"));
     }
 
     void state_of_the_upstream_is_decoded()
--- a/tests/process/gateway_faulty_answers_test.cpp
+++ b/tests/process/gateway_faulty_answers_test.cpp
@@ -131,7 +131,7 @@
     {
         gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
         CPPUNIT_ASSERT(fleet.wait_until_ready());
-        for (const int status : {503, 429, 408}) {
+        for (const int status : {503, 429, 408, 421}) {
             CPPUNIT_ASSERT(
                 set_faults(fleet.services[0], fmt::format(R"({{"fail_status": {}}})", status)));
             for (const std::string path : {"/unsafe/x", "/safe/x"}) {
--- a/tests/process/gateway_upstream_channel_test.cpp
+++ b/tests/process/gateway_upstream_channel_test.cpp
@@ -45,7 +45,10 @@
     bool has_ended = false;
     std::optional<absl::StatusCode> failure;
 
-    bool is_not_run() const { return has_ended && headers.size() == 1 && headers[0].is_not_run; }
+    bool is_not_run() const
+    {
+        return has_ended && headers.size() == 1 && headers[0].states_not_run;
+    }
 };
 
 } // namespace
