A stream ends only where its end is shown

Callers got a stream that ended as if it were complete (ORDER) when it had broken off and the next upstream answered 204, or 200 with an empty body, or when an answer without a length ended because its upstream had crashed between two events. A HEAD on a stream route got the end of a chunked body, which the caller read as the next answer.

Cause: any success that ended was taken for the end of the stream, whatever it added and however it ended.

Change: only an answer of status 200 and of the first answer's kind continues a stream. A complete resumption that adds no event needs a second upstream that agrees. After an answer without a length the upstream must still accept connections; the end is passed on 300 ms later. In doubt the stream goes on elsewhere within the retry budget, or is broken off without its last chunk. A HEAD is answered as an answer without a body.

What is not known: an upstream that lives and ends an answer without a length too early, between two events.

--- a/src/gateway/answer_header.h
+++ b/src/gateway/answer_header.h
@@ -42,10 +42,6 @@
 
     bool is_success() const { return status >= 200 && status < 300; }
 
-    friend bool operator==(const answer_header&, const answer_header&) = default;
-};
-
-} // namespace snipespar::gateway
     /// Whether another process than the upstream `asked` has answered, which never runs the call.
     bool is_from_other(std::string_view asked) const
     {
@@ -65,3 +61,7 @@
         return status == misdirected_status;
     }
 
+    friend bool operator==(const answer_header&, const answer_header&) = default;
+};
+
+} // namespace snipespar::gateway
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -84,6 +84,11 @@
 // within 250 ms when it is slow; another read may have been made just before.
 constexpr auto max_registry_wait = milliseconds(800);
 
+// Upstreams that have to agree that a stream has no further events.
+constexpr int agreeing_upstreams = 2;
+// A process that ends closes its listener within this time of its connections.
+constexpr auto end_observation_time = milliseconds(300);
+constexpr unsigned status_ok = 200;
 constexpr std::string_view last_chunk = "0\r\n\r\n";
 
 // Statuses that tell a caller that its request has not run.
@@ -802,6 +807,9 @@
     header_.reset();
     body_.clear();
     events_ = {};
+    has_added_events_ = false;
+    is_resumption_ = is_stream_open_ || call_.is_take_up();
+    end_confirmed_at_.reset();
     const auto address = state->entry.address;
     version_.on_sent(upstream_table::software_of(*state));
     log_resumption(*state);
@@ -872,15 +880,27 @@
     if (header.is_success() && !is_usable) {
         return on_attempt_failed("answer_not_the_upstreams_own");
     }
-    if (route_->kind == call_kind::stream && is_usable) {
+    if (is_stream_open_ && is_usable && !continues_stream(header)) {
+        return on_attempt_failed("answer_does_not_continue_the_stream");
+    }
+    const bool is_stream =
+        route_->kind == call_kind::stream && header.status == status_ok && call_.method != "HEAD";
+    if (is_stream && is_usable) {
         context_.metrics.latency.record(
             std::chrono::duration<double>(steady_now() - arrived_at_).count());
         if (!is_stream_open_) {
-            forward_stream_header();
+            begin_stream();
         }
     }
 }
 
+// An error that bears a success status, such as 204, must not end the stream as if it were
+// complete.
+bool call_exchange::continues_stream(const answer_header& header) const
+{
+    return header.status == status_ok && header.is_event_stream == is_event_stream_;
+}
+
 // Takes over what a response states about its upstream's willingness to accept calls.
 void call_exchange::note_upstream_state(const answer_header& header)
 {
@@ -1005,10 +1025,7 @@
         return on_not_run();
     }
     if (is_stream_open_ && header_->is_success()) {
-        if (events_.has_partial()) {
-            return resume_on_another_upstream("stream_ends_inside_an_event");
-        }
-        return end_stream();
+        return on_stream_ended();
     }
     if (is_stream_open_) {
         return resume_on_another_upstream("resumption_failed");
@@ -1091,6 +1108,7 @@
     context_.log.info("attempt_refused", {{"request", call_.request_id},
                                           {"upstream", upstream_.str()},
                                           {"status", status},
+                                          {"stated", header_->states_not_run},
                                           {"other_upstream", is_other},
                                           {"sends", sends_}});
     release_upstream(call_result::refused, true);
@@ -1108,7 +1126,6 @@
                                          {"cause", std::string(cause)},
                                          {"sends", sends_},
                                          {"runs", runs_},
-                                          {"stated", header_->states_not_run},
                                          {"answering", has_response_begun_},
                                          {"parts", shared_parts_text()}});
     if (is_stream_open_) {
@@ -1132,9 +1149,10 @@
     try_next_upstream();
 }
 
-void call_exchange::forward_stream_header()
+void call_exchange::begin_stream()
 {
     is_stream_open_ = true;
+    is_event_stream_ = header_->is_event_stream;
     caller_->send(fmt::format("HTTP/1.1 {} {}\r\n{}Transfer-Encoding: chunked\r\n{}\r\n",
                               header_->status, header_->reason, header_->forwarded_header,
                               context_.is_draining ? "Connection: close\r\n" : ""));
@@ -1183,6 +1201,7 @@
     if (caller_->unsent_bytes() > max_unsent_bytes) {
         return abort_response("caller_does_not_read");
     }
+    has_added_events_ = true;
     caller_->send(chunk(forwarded));
 }
 
@@ -1197,6 +1216,36 @@
     }
 }
 
+// An answer with a stated end that adds events proves the end of the stream. A crash looks like the
+// end of an answer that ends with its connection, so that its upstream must live on. A resumption
+// that adds nothing may be an error in the form of a success, so that another upstream must agree.
+void call_exchange::on_stream_ended()
+{
+    if (events_.has_partial()) {
+        return resume_on_another_upstream("stream_ends_inside_an_event");
+    }
+    if (is_resumption_ && !has_added_events_) {
+        if (++empty_resumptions_ < agreeing_upstreams) {
+            return on_attempt_failed("resumption_adds_nothing");
+        }
+        return end_stream();
+    }
+    if (!header_->ends_with_connection) {
+        return end_stream();
+    }
+    end_confirmed_at_ = std::min(steady_now() + end_observation_time, deadline_);
+    if (const auto* state = context_.upstreams.find(upstream_)) {
+        probe_connect(context_.executor, state->entry.address, connect_timeout,
+                      [self = shared_from_this(), used = channel_] {
+                          if (!self->is_done_ && self->channel_ == used) {
+                              self->end_confirmed_at_.reset();
+                              self->context_.report_upstream_ended(self->upstream_);
+                              self->on_attempt_failed("upstream_ended");
+                          }
+                      });
+    }
+}
+
 void call_exchange::end_stream()
 {
     log_paused_stream();
@@ -1486,6 +1535,9 @@
     if (now >= deadline_) {
         const bool is_running = channel_ != nullptr;
         note_abandoned(now);
+    if (end_confirmed_at_) {
+        return now >= *end_confirmed_at_ ? end_stream() : void();
+    }
         release_upstream(call_result::refused, false);
         if (is_stream_open_) {
             return abort_response("time_limit");
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -136,9 +136,11 @@
     bool exceeds_buffer_limits() const;
     void on_ended();
     void on_failed(const absl::Status& status);
-    void forward_stream_header();
+    void begin_stream();
+    bool continues_stream(const answer_header& header) const;
     void forward_events(std::string_view bytes, time_point now);
     void note_gap(duration gap);
+    void on_stream_ended();
     void end_stream();
     void forward_buffered(const buffered_response& response);
     void on_not_run();
@@ -247,6 +249,17 @@
     event_splitter events_;
     std::optional<std::uint64_t> last_event_;
     bool is_stream_open_ = false;
+    /// Its first answer says that it is a stream of events.
+    bool is_event_stream_ = false;
+    /// The current upstream was asked to go on after the events that the caller has.
+    bool is_resumption_ = false;
+    /// It has sent events that the caller did not have.
+    bool has_added_events_ = false;
+    /// Resumptions that were complete and added no event.
+    int empty_resumptions_ = 0;
+    /// When a stream that ended with its upstream's connection counts as complete, unless its
+    /// upstream turns out to have ended.
+    std::optional<time_point> end_confirmed_at_;
     std::optional<resume_wait> resume_;
     /// Sent although it was refused, to learn more.
     bool is_trial_ = false;
--- a/tests/process/gateway_faulty_answers_test.cpp
+++ b/tests/process/gateway_faulty_answers_test.cpp
@@ -1,4 +1,5 @@
 #include "process/support/gateway_fleet.h"
+#include "process/support/raw_caller.h"
 #include "process/support/wait_until.h"
 
 #include <cppunit/TestFixture.h>
@@ -8,6 +9,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 namespace snipespar::testing {
 
--- a/tests/process/gateway_upstream_channel_test.cpp
+++ b/tests/process/gateway_upstream_channel_test.cpp
@@ -58,10 +58,10 @@
     CPPUNIT_TEST_SUITE(gateway_upstream_channel_test);
     CPPUNIT_TEST(answers_are_matched_by_id);
     CPPUNIT_TEST(refusal_without_id_speaks_for_no_request);
+    CPPUNIT_TEST(refusal_in_a_trailer_is_no_refusal);
     CPPUNIT_TEST(answer_without_id_is_a_failure);
     CPPUNIT_TEST(connection_is_not_used_for_a_request_that_it_refused);
     CPPUNIT_TEST(exchange_begun_at_the_end_of_another_reads_its_own_bytes);
-    CPPUNIT_TEST(refusal_in_a_trailer_is_no_refusal);
     CPPUNIT_TEST(refusal_of_another_request_is_dropped);
     CPPUNIT_TEST(connection_with_an_extra_answer_is_not_kept);
     CPPUNIT_TEST(bytes_before_a_request_are_not_its_answer);
@@ -116,9 +116,6 @@
         CPPUNIT_ASSERT(!channel_->is_reusable());
     }
 
-    // Guards against callers that wait until their time limit for an answer that was dropped.
-    void answer_without_id_is_a_failure()
-    {
     // Guards against "not run" for a request whose refusal comes only after the body of its answer.
     void refusal_in_a_trailer_is_no_refusal()
     {
@@ -133,6 +130,9 @@
         }
     }
 
+    // Guards against callers that wait until their time limit for an answer that was dropped.
+    void answer_without_id_is_a_failure()
+    {
         const auto broken = exchange("r1", head("500 Error", "", "Content-Length: 0\r\n"));
         CPPUNIT_ASSERT(broken.failure == absl::StatusCode::kUnknown);
     }
--- a/tools/users_platform_stand_in/worker.cpp
+++ b/tools/users_platform_stand_in/worker.cpp
@@ -238,6 +238,11 @@
     const auto id = text(message, "Request-Id");
     const auto after = text(message, "Last-Event-Id");
     int number = after.empty() ? 1 : std::stoi(after) + 1;
+    if (!after.empty() && !resumption_.empty()) {
+        const auto answer = fmt::format(fmt::runtime(resumption_), id);
+        std::ignore = co_await asio::async_write(socket, asio::buffer(answer), as_result);
+        co_return false;
+    }
     std::string bytes =
         fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: {}\r\n"
                     "Content-Type: text/event-stream\r\n{}{}{}\r\n",
@@ -342,6 +347,7 @@
     cuts_in_event_ = body.value("cut_in_event", cuts_in_event_);
     resets_in_body_ = body.value("reset_in_body", resets_in_body_);
     endless_ = body.value("endless", endless_);
+    resumption_ = body.value("resumption", resumption_);
     crash_on_part_ = body.value("crash_on_part", crash_on_part_);
     rate_limit_ = body.value("rate_limit", rate_limit_);
     trickles_ = body.value("trickle", trickles_);
--- a/tools/users_platform_stand_in/worker.h
+++ b/tools/users_platform_stand_in/worker.h
@@ -90,6 +90,8 @@
     bool is_unframed_ = false;
     bool cuts_in_event_ = false;
     bool resets_in_body_ = false;
+    /// The whole answer to a request that continues a stream; empty for a sound one.
+    std::string resumption_;
     /// What does not end; empty for nothing.
     std::string endless_;
     std::uint64_t endless_bytes_ = 0;
