An answer without a length is passed on without one

Cause: such an answer ends with its connection, which is also how a broken one ends; the gateway stated the length of what had arrived, and so told its caller more than it knew.

Change: the answer is passed on in the form in which it came, ended by the close of the caller's connection.

Result: gateway_faulty_answers_test::answer_without_a_length_is_given_none failed on (a Content-Length was stated) and passes, on a safe and an unsafe route; answers_without_a_length_are_delivered_whole passes as before.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -1263,19 +1263,22 @@
     context_.metrics.responses.add();
     context_.metrics.latency.record(
         std::chrono::duration<double>(steady_now() - arrived_at_).count());
-    const bool closes = context_.is_draining || !call_.keep_alive;
+    const bool has_body =
+        response.header.status != 204 && response.header.status != 304 && call_.method != "HEAD";
+    // An answer that ended with its connection may be cut short, so that no length is stated.
+    const bool has_length = has_body && !response.header.ends_with_connection;
+    const bool closes = context_.is_draining || !call_.keep_alive || (has_body && !has_length);
     const auto caller = caller_;
     std::string text = fmt::format("HTTP/1.1 {} {}\r\n{}", response.header.status,
                                    response.header.reason, response.header.forwarded_header);
     if (closes) {
         text += "Connection: close\r\n";
     }
-    const bool has_body = response.header.status != 204 && response.header.status != 304;
-    if (has_body) {
+    if (has_length) {
         text += fmt::format("Content-Length: {}\r\n", response.body.size());
     }
     text += "\r\n";
-    if (call_.method != "HEAD") {
+    if (has_body) {
         text += response.body;
     }
     caller->send(std::move(text));
@@ -1532,12 +1535,12 @@
     if (is_done_) {
         return;
     }
-    if (now >= deadline_) {
-        const bool is_running = channel_ != nullptr;
-        note_abandoned(now);
     if (end_confirmed_at_) {
         return now >= *end_confirmed_at_ ? end_stream() : void();
     }
+    if (now >= deadline_) {
+        const bool is_running = channel_ != nullptr;
+        note_abandoned(now);
         release_upstream(call_result::refused, false);
         if (is_stream_open_) {
             return abort_response("time_limit");
--- a/tests/process/gateway_faulty_answers_test.cpp
+++ b/tests/process/gateway_faulty_answers_test.cpp
@@ -77,6 +77,10 @@
     CPPUNIT_TEST(answers_without_a_length_are_delivered_whole);
     CPPUNIT_TEST(answer_without_a_length_that_is_reset_is_not_complete);
     CPPUNIT_TEST(stream_that_ends_inside_an_event_goes_on_elsewhere);
+    CPPUNIT_TEST(answer_without_a_length_is_given_none);
+    CPPUNIT_TEST(stream_is_not_ended_by_a_resumption_without_events);
+    CPPUNIT_TEST(stream_that_ended_with_its_engine_goes_on_elsewhere);
+    CPPUNIT_TEST(head_of_a_stream_has_no_body);
     CPPUNIT_TEST(status_of_a_refusal_after_a_run_is_a_failure);
     CPPUNIT_TEST(repeated_refusal_speaks_for_no_other_request);
     CPPUNIT_TEST(endless_head_is_cut);
@@ -128,6 +132,87 @@
         }
     }
 
+    // Guards against a body cut short by its upstream that callers get framed as whole.
+    void answer_without_a_length_is_given_none()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(set_faults(fleet.services[0], R"({"unframed": true})"));
+        for (const std::string path : {"/unsafe/x", "/safe/x"}) {
+            const auto reply = send(fleet.gateways[0], fleet.make_call(path, "u1"));
+            CPPUNIT_ASSERT_EQUAL(200U, reply.status);
+            CPPUNIT_ASSERT_EQUAL(std::string(), reply.header("content-length"));
+            CPPUNIT_ASSERT_EQUAL(std::string("close"), reply.header("connection"));
+        }
+    }
+
+    // Guards against a broken stream that the next upstream's answer ends as if it were complete.
+    void stream_is_not_ended_by_a_resumption_without_events()
+    {
+        const std::string head = "Request-Id: {0}\\r\\nResponse-Seal: s.{0}\\r\\n";
+        for (const auto& answer : std::vector<std::string>{
+                 "HTTP/1.1 204 No Content\\r\\n" + head + "\\r\\n",
+                 "HTTP/1.1 200 OK\\r\\n" + head + "Content-Length: 0\\r\\n\\r\\n",
+                 "HTTP/1.1 200 OK\\r\\n" + head +
+                     "Content-Type: text/event-stream\\r\\nContent-Length: 0\\r\\n\\r\\n",
+                 "HTTP/1.1 200 OK\\r\\n" + head + "Connection: close\\r\\n\\r\\n",
+                 "HTTP/1.1 200 OK\\r\\n" + head +
+                     "Content-Type: text/event-stream\\r\\nConnection: close\\r\\n\\r\\n"}) {
+            gateway_fleet fleet({.gateways = 1});
+            CPPUNIT_ASSERT(fleet.wait_until_ready());
+            CPPUNIT_ASSERT(
+                set_faults(fleet.engines[0], R"({"unframed": true, "cut_in_event": true})"));
+            CPPUNIT_ASSERT(
+                set_faults(fleet.engines[1], fmt::format(R"({{"resumption": "{}"}})", answer)));
+            for (int i = 0; fleet.runs(fleet.engines[0])["runs"].empty(); ++i) {
+                CPPUNIT_ASSERT(i < 100);
+                const auto id = fmt::format("s{}", i);
+                auto call = fleet.make_call("/stream/x", id);
+                call.headers["Model"] = "base";
+                call.headers["Deadline-Ms"] = "3000";
+                const auto stream = send(fleet.gateways[0], call);
+                CPPUNIT_ASSERT_MESSAGE(answer,
+                                       stream.status == 0 || stream.body == expected_stream(id));
+            }
+        }
+    }
+
+    // Guards against a crash between two events that looks like the end of the stream.
+    void stream_that_ended_with_its_engine_goes_on_elsewhere()
+    {
+        gateway_fleet fleet({.gateways = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(
+            set_faults(fleet.engines[0], R"({"unframed": true, "crash_on_part": "0000000a"})"));
+        for (int i = 0; fleet.engines[0].process->running(); ++i) {
+            CPPUNIT_ASSERT(i < 100);
+            const auto id = fmt::format("s{}", i);
+            auto call = fleet.make_call("/stream/x", id);
+            call.headers["Model"] = "base";
+            call.headers["Prompt-Prefix"] = fmt::format("0000000a:20,{:08x}:5", i + 100);
+            CPPUNIT_ASSERT_EQUAL(expected_stream(id), send(fleet.gateways[0], call).body);
+        }
+    }
+
+    // Guards against the end of a body after a head that has none: it would be read as the
+    // beginning of the next answer.
+    void head_of_a_stream_has_no_body()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 1, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const std::string fields =
+            "Host: a.example\r\nDeadline-Ms: 5000\r\nAuthorization: Token key-1\r\n"
+            "Model: base\r\nToken-Count: 10,2\r\n";
+        raw_caller caller(fleet.gateways[0].address);
+        CPPUNIT_ASSERT(caller.send(
+            "HEAD /stream/x HTTP/1.1\r\nRequest-Id: h1\r\n" + fields + "\r\n" +
+            "GET /none/x HTTP/1.1\r\nConnection: close\r\nRequest-Id: h2\r\n" + fields + "\r\n"));
+        const auto received = caller.read_to_end();
+        CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 200 OK\r\n"));
+        const auto end = received.find("\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(received, received.substr(end + 4).starts_with("HTTP/1.1 404 "));
+    }
+
     // Guards against callers that are told "not run" because an upstream failed with such a status.
     void status_of_a_refusal_after_a_run_is_a_failure()
     {
