A stopping gateway answers every open request before it is killed

Cause: the gateway was not told how long its grace is, took every request until the end, and then exited.

`stop_plan` refuses what cannot end in what is left, and at nine tenths of the grace has every open request answered: 503 where nothing was passed on or the request is incomplete, 502 where it may have run; streams are broken off.

The call of call_in_the_listen_queue_of_a_stopping_gateway_is_answered now states a time limit that fits into the grace; with its 20 s it would be refused, which is what a caller of that moment is owed.

--- a/src/cli/gateway_settings.h
+++ b/src/cli/gateway_settings.h
@@ -20,8 +20,8 @@
     endpoint platform;
     host_id host;
     failure_domain_id failure_domain;
-    /// Maximum time from SIGTERM to the end of the process.
-    duration drain_timeout{};
+    /// Time from SIGTERM until the platform kills the process.
+    duration stop_grace{};
     /// Time after its announced stop or removal from which an upstream must get no new work.
     duration leave_bound{};
     /// Retries allowed per request, and beyond those per window, over all gateways.
--- a/src/cli/setting_tables.cpp
+++ b/src/cli/setting_tables.cpp
@@ -121,9 +121,9 @@
     required_platform_setting,
     host_setting,
     failure_domain_setting,
-    setting{"drain-timeout", "<duration>", presence::defaulted, "7500ms",
-            "After SIGTERM, how long requests in progress may take to end before the stop is "
-            "forced."},
+    setting{"stop-grace", "<duration>", presence::defaulted, "8s",
+            "Time from SIGTERM until the platform kills the process. Requests still open are "
+            "answered shortly before."},
     setting{"leave-bound", "<duration>", presence::defaulted, "2s",
             "Time after its announced stop or removal from which an upstream must get no new work. "
             "The registry is polled the less often the longer it is."},
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -145,9 +145,24 @@
     }
     const auto wait = call_.caller_timeout.value_or(route_->time_limit);
     deadline_ = arrived_at_ + std::min(wait, route_->time_limit) - response_margin;
+    if (!is_taken_while_stopping()) {
+        refuse({503, "gateway_stopping", retry_delay(), false});
+        return false;
+    }
     return true;
 }
 
+// A plain call that takes longer than aimed at still gets an answer when the calls are ended, while
+// a stream would be broken off.
+bool call_exchange::is_taken_while_stopping() const
+{
+    const auto now = steady_now();
+    const bool is_stream = route_->kind == call_kind::stream;
+    const auto limit = deadline_ - now;
+    return context_.stop.takes_call(
+        is_stream, is_stream ? limit : std::min<duration>(limit, route_->target_latency), now);
+}
+
 const service_rule* call_exchange::pick_service() const
 {
     const service_rule* service = nullptr;
@@ -1485,6 +1500,15 @@
     caller->abort();
 }
 
+void call_exchange::end_for_stop()
+{
+    if (is_done_) {
+        return;
+    }
+    release_upstream(call_result::refused, false);
+    give_up("gateway_stopping");
+}
+
 void call_exchange::finish()
 {
     if (is_done_) {
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -55,6 +55,9 @@
 
     const std::string& request_id() const { return call_.request_id; }
 
+    /// Gives the call its final answer, since the process is about to exit.
+    void end_for_stop();
+
     /// Checks the timeouts.
     void on_tick(time_point now);
 
@@ -95,6 +98,7 @@
     };
 
     bool resolve();
+    bool is_taken_while_stopping() const;
     const service_rule* pick_service() const;
     bool admit(const service_rule* service);
     void find_origin();
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -359,6 +359,13 @@
     }
 }
 
+void caller_connection::end_for_stop()
+{
+    if (!is_closed_ && !is_closing_ && exchange_ == nullptr && request_started_at_) {
+        refuse_and_close({503, "gateway_stopping", std::nullopt, true});
+    }
+}
+
 void caller_connection::close_if_idle(time_point now)
 {
     boost::system::error_code error;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -42,6 +42,9 @@
     /// Closes the connection if no request is in progress or on its way.
     void close_if_idle(time_point now);
 
+    /// Refuses a request that has not arrived completely, since the process is about to exit.
+    void end_for_stop();
+
     bool is_closed() const { return is_closed_; }
 
 private:
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -8,6 +8,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/resume_queue.h"
 #include "gateway/return_schedule.h"
+#include "gateway/stop_plan.h"
 #include "gateway/team_meter.h"
 #include "gateway/upstream_selector.h"
 #include "gateway/upstream_table.h"
@@ -45,9 +46,10 @@
 /// State shared by all connections and exchanges of one gateway. Used on one thread.
 struct gateway_context {
     gateway_context(const boost::asio::any_io_executor& runs_on, failure_domain_id domain,
-                    std::uint64_t start, std::uint64_t seed, telemetry::logger& output)
+                    std::uint64_t start, std::uint64_t seed, duration stop_grace,
+                    telemetry::logger& output)
         : executor(runs_on), log(output), selector(std::move(domain), seed), teams(start),
-          channels(runs_on), random(seed)
+          channels(runs_on), random(seed), stop(stop_grace)
     {
     }
     ~gateway_context() = default;
@@ -77,6 +79,7 @@
     std::set<std::shared_ptr<call_exchange>> exchanges;
     /// Gateways that share the upstreams, this one included.
     int gateways = 1;
+    stop_plan stop;
     bool is_draining = false;
     /// The process of this upstream has ended.
     std::function<void(const upstream_id&)> report_upstream_ended;
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -97,7 +97,8 @@
 gateway_server::gateway_server(asio::io_context& io, const cli::gateway_settings& settings,
                                telemetry::logger& log)
     : io_(io), settings_(settings), start_(net::start_number()),
-      context_(io.get_executor(), settings.failure_domain, start_, seed_of(settings.seed), log),
+      context_(io.get_executor(), settings.failure_domain, start_, seed_of(settings.seed),
+               settings.stop_grace, log),
       peers_(settings.control_listen), permits_(steady_now()), acceptor_(io), accept_timer_(io),
       tick_timer_(io), datagrams_(io.get_executor()),
       config_watch_(make_watch(platform::wire::config_kind, {}, &gateway_server::on_config_listed,
@@ -327,17 +328,34 @@
     });
     const stop_progress progress{static_cast<int>(context_.exchanges.size()),
                                  static_cast<int>(connections_.size())};
-    switch (stop_.next(progress, now)) {
+    switch (context_.stop.next(progress, now)) {
     case stop_step::serve:
         return;
     case stop_step::close_listener:
         return close_listener();
+    case stop_step::end_calls:
+        return end_calls();
     case stop_step::exit:
         context_.log.info("stopped", {{"role", "gateway"}, {"forced", false}});
         std::exchange(drained_, {})();
     }
 }
 
+// Nothing more can be waited for: each open request learns what is known of it.
+void gateway_server::end_calls()
+{
+    log_unfinished();
+    const auto active = context_.exchanges;
+    for (const auto& exchange : active) {
+        contain_exchange(*exchange, [&] { exchange->end_for_stop(); });
+    }
+    for (const auto& item : connections_) {
+        if (const auto connection = item.lock()) {
+            connection->end_for_stop();
+        }
+    }
+}
+
 void gateway_server::log_unfinished() const
 {
     int logged = 0;
@@ -405,7 +423,7 @@
             continue;
         }
         connection->on_tick(now);
-        if (stop_.closes_idle_connections(now)) {
+        if (context_.stop.closes_idle_connections(now)) {
             connection->close_if_idle(now);
         }
         ++item;
@@ -456,7 +474,7 @@
 {
     const auto now = steady_now();
     context_.is_draining = true;
-    stop_.begin(now);
+    context_.stop.begin(now);
     drained_ = std::move(done);
     context_.log.info("draining", {{"in_flight", context_.exchanges.size()}});
     usage_reporter_.expedite();
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -52,6 +52,9 @@
     /// are closed.
     void drain(std::function<void()> done);
 
+    /// Time from the beginning of a stop until the process exits, whatever is unfinished.
+    duration exit_delay() const { return context_.stop.exit_delay(); }
+
     /// Logs the requests and answers that an exit at this moment cuts off.
     void log_unfinished() const;
 
@@ -68,6 +71,7 @@
     void add_connection(boost::asio::ip::tcp::socket socket);
     void close_listener();
     void take_stop_step(time_point now);
+    void end_calls();
     void tick();
     void contain_exchange(call_exchange& exchange, const std::function<void()>& action);
     void slow_tick(time_point now);
@@ -140,7 +144,6 @@
     time_point demand_sent_at_;
     std::uint64_t demand_round_ = 0;
     time_point config_refreshed_at_;
-    stop_plan stop_;
     std::function<void()> drained_;
 };
 
--- a/src/gateway/run_gateway.cpp
+++ b/src/gateway/run_gateway.cpp
@@ -62,7 +62,7 @@
                          return io.stop();
                      }
                      server.drain([&] { io.stop(); });
-                     deadline.expires_after(settings.drain_timeout);
+                     deadline.expires_after(server.exit_delay());
                      deadline.async_wait([&](const auto& error) {
                          if (!error) {
                              force();
--- a/tests/cli_command_line_test.cpp
+++ b/tests/cli_command_line_test.cpp
@@ -220,9 +220,8 @@
         for (const std::string text : {"ms", "", "nullms", "-5ms", "1e300ms", "nanms", "2000"}) {
             CPPUNIT_ASSERT_MESSAGE(text, standard.leave_bound ==
                                              parse_gateway({"--leave-bound=" + text}).leave_bound);
-            CPPUNIT_ASSERT_MESSAGE(text,
-                                   standard.drain_timeout ==
-                                       parse_gateway({"--drain-timeout=" + text}).drain_timeout);
+            CPPUNIT_ASSERT_MESSAGE(text, standard.stop_grace ==
+                                             parse_gateway({"--stop-grace=" + text}).stop_grace);
         }
         for (const std::string text : {"", "false", "-1", "inf", "1,5"}) {
             CPPUNIT_ASSERT_EQUAL(standard.retry_ratio,
--- a/tests/process/gateway_delivery_test.cpp
+++ b/tests/process/gateway_delivery_test.cpp
@@ -61,6 +61,8 @@
     CPPUNIT_TEST_SUITE(gateway_delivery_test);
     CPPUNIT_TEST(answer_not_written_yet_is_not_cut_by_a_stop);
     CPPUNIT_TEST(call_in_the_listen_queue_of_a_stopping_gateway_is_answered);
+    CPPUNIT_TEST(open_requests_are_answered_before_the_end_of_the_grace);
+    CPPUNIT_TEST(call_that_comes_late_in_the_grace_is_refused_at_once);
     CPPUNIT_TEST(refusal_reaches_a_caller_that_is_still_sending);
     CPPUNIT_TEST(answer_that_is_read_slowly_outlives_the_idle_timeout);
     CPPUNIT_TEST(stream_of_a_silent_engine_goes_on_when_no_other_can_take_it);
@@ -103,7 +105,10 @@
         gateway.process->signal(SIGSTOP);
         raw_caller caller(gateway.address);
         CPPUNIT_ASSERT(caller.is_connected());
-        CPPUNIT_ASSERT(caller.send(to_text(fleet.make_call("/unsafe/x", "q1"))));
+        auto call = fleet.make_call("/unsafe/x", "q1");
+        // It still fits into the grace.
+        call.headers["Deadline-Ms"] = "3000";
+        CPPUNIT_ASSERT(caller.send(to_text(call)));
         std::this_thread::sleep_for(milliseconds(1000));
         gateway.process->signal(SIGCONT);
         CPPUNIT_ASSERT(caller.read_to_end().starts_with("HTTP/1.1 200"));
@@ -111,6 +116,61 @@
         CPPUNIT_ASSERT(gateway.process->output().find("forced=false") != std::string::npos);
     }
 
+    // Guards against requests that are cut off without an answer at the end of a planned stop.
+    void open_requests_are_answered_before_the_end_of_the_grace()
+    {
+        gateway_fleet fleet(
+            {.gateways = 1, .engines = 1, .services = 1, .gateway_arguments = {"--stop-grace=4s"}});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(set_faults(fleet.services[0], R"({"pause_ms": 20000})"));
+        CPPUNIT_ASSERT(set_faults(fleet.engines[0], R"({"pause_ms": 20000})"));
+        const auto& gateway = fleet.gateways.front();
+        raw_caller running(gateway.address);
+        CPPUNIT_ASSERT(running.send(to_text(fleet.make_call("/unsafe/x", "u1"))));
+        raw_caller streaming(gateway.address);
+        auto stream = fleet.make_call("/stream/x", "s1");
+        stream.headers["Model"] = "base";
+        CPPUNIT_ASSERT(streaming.send(to_text(stream)));
+        raw_caller sending(gateway.address);
+        const auto incomplete = to_text(fleet.make_call("/unsafe/x", "u2"));
+        CPPUNIT_ASSERT(sending.send(incomplete.substr(0, incomplete.size() - 1)));
+        CPPUNIT_ASSERT(wait_until([&] { return calls_in_flight(gateway) == 2; }));
+        gateway.process->signal(SIGTERM);
+        CPPUNIT_ASSERT(running.read_to_end().starts_with("HTTP/1.1 502 "));
+        CPPUNIT_ASSERT(sending.read_to_end().starts_with("HTTP/1.1 503 "));
+        const auto broken = streaming.read_to_end();
+        CPPUNIT_ASSERT_MESSAGE(broken, broken.starts_with("HTTP/1.1 200 "));
+        CPPUNIT_ASSERT_MESSAGE(broken, !broken.ends_with("0\r\n\r\n"));
+        CPPUNIT_ASSERT(gateway.process->wait() == 0);
+    }
+
+    // Guards against requests that are taken late in the grace and cut off at its end.
+    void call_that_comes_late_in_the_grace_is_refused_at_once()
+    {
+        gateway_fleet fleet(
+            {.gateways = 1, .engines = 1, .services = 1, .gateway_arguments = {"--stop-grace=4s"}});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        // Connections on which a request has begun are not closed as idle ones are.
+        raw_caller plain(gateway.address);
+        raw_caller streaming(gateway.address);
+        const auto call = to_text(fleet.make_call("/unsafe/x", "u1"));
+        const auto stream = to_text(fleet.make_call("/stream/x", "s1"));
+        CPPUNIT_ASSERT(plain.send(call.substr(0, call.size() - 1)));
+        CPPUNIT_ASSERT(streaming.send(stream.substr(0, stream.size() - 1)));
+        gateway.process->signal(SIGTERM);
+        std::this_thread::sleep_for(milliseconds(2500));
+        CPPUNIT_ASSERT(plain.send(call.substr(call.size() - 1)));
+        CPPUNIT_ASSERT(streaming.send(stream.substr(stream.size() - 1)));
+        for (auto* caller : {&plain, &streaming}) {
+            const auto answer = caller->read_to_end();
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503 "));
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.find("gateway_stopping") != std::string::npos);
+        }
+        CPPUNIT_ASSERT(fleet.runs(fleet.services[0])["runs"].empty());
+        CPPUNIT_ASSERT(fleet.runs(fleet.engines[0])["runs"].empty());
+    }
+
     // Guards against a connection that is reset under its refusal because bytes were left unread.
     void refusal_reaches_a_caller_that_is_still_sending()
     {
--- a/tests/process/support/gateway_fleet.cpp
+++ b/tests/process/support/gateway_fleet.cpp
@@ -108,6 +108,9 @@
                           "--platform=" + platform_.str(), "--host=" + gateway.id,
                           "--failure-domain=a", "--seed=1"},
                          {{"SNIPESPAR_NODE_FILE", "/nowhere"}}};
+        gateway.start.arguments.insert(gateway.start.arguments.end(),
+                                       options.gateway_arguments.begin(),
+                                       options.gateway_arguments.end());
         gateway.restart();
         gateways.push_back(std::move(gateway));
     }
--- a/tests/process/support/gateway_fleet.h
+++ b/tests/process/support/gateway_fleet.h
@@ -25,6 +25,8 @@
     /// Software version of each engine, which marks the events of its streams. Without one, engines
     /// have the same version and set no mark.
     std::vector<std::string> software = {};
+    /// Added to the command line of each gateway.
+    std::vector<std::string> gateway_arguments = {};
 };
 
 /// A program of the fleet that can be restarted with its arguments.
