A gateway has a budget for the memory that it holds for others

A front host has 260 MB, and a process over its limit is killed, with all requests in progress (FAULT, LOST). 100 callers that each sent a body of 4 MiB raised a gateway to 439 MB, 900 that did not read an answer of 900 KiB to 269 MB.

Cause: each body and answer had a bound of its own, but nothing bounded their sum; a body was copied for each attempt.

A request that finds no memory is refused at once (503, `memory_used_up`); the memory that the answers of its route have needed lately is taken before it is sent. While memory for answers is scarce, callers that have taken nothing for 2 s are cut. A body is held once.

Not counted: control messages and the store's objects, which have bounds of their own.

--- a/src/cli/gateway_settings.h
+++ b/src/cli/gateway_settings.h
@@ -22,6 +22,8 @@
     failure_domain_id failure_domain;
     /// Time from SIGTERM until the platform kills the process.
     duration stop_grace{};
+    /// Memory in bytes beyond which the platform kills the process.
+    std::uint64_t memory_limit = 0;
     /// Time after its announced stop or removal from which an upstream must get no new work.
     duration leave_bound{};
     /// Retries allowed per request, and beyond those per window, over all gateways.
--- a/src/cli/setting_tables.cpp
+++ b/src/cli/setting_tables.cpp
@@ -124,6 +124,9 @@
     setting{"stop-grace", "<duration>", presence::defaulted, "8s",
             "Time from SIGTERM until the platform kills the process. Requests still open are "
             "answered shortly before."},
+    setting{"memory-limit", "<size>", presence::defaulted, "256MiB",
+            "Memory beyond which the platform kills the process. A sixth of it may hold "
+            "requests being received, and a sixth answers."},
     setting{"leave-bound", "<duration>", presence::defaulted, "2s",
             "Time after its announced stop or removal from which an upstream must get no new work. "
             "The registry is polled the less often the longer it is."},
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -72,9 +72,8 @@
 constexpr int lowest_urgency = 9;
 // Largest response that is kept until it is complete, so that another upstream may still answer.
 constexpr std::size_t max_buffered_bytes = 16UL * 1024 * 1024;
-// All such responses together while some of them are large.
-constexpr std::size_t max_total_buffered_bytes = 64UL * 1024 * 1024;
-constexpr std::size_t large_response_bytes = 1024UL * 1024;
+// Of the size of earlier answers, one part is forgotten with each smaller one.
+constexpr std::size_t answer_bytes_divisor = 8;
 // Bytes that a caller may leave unread before its stream is aborted.
 constexpr std::size_t max_unsent_bytes = 1024UL * 1024;
 // How long the previous version of an adapter may be used after a newer one was announced. The
@@ -105,8 +104,9 @@
 } // namespace
 
 call_exchange::call_exchange(gateway_context& context, std::shared_ptr<caller_connection> caller,
-                             call request, time_point arrived)
+                             call request, time_point arrived, memory_share request_share)
     : context_(context), caller_(std::move(caller)), call_(std::move(request)),
+      request_share_(std::move(request_share)), answer_share_(context.answer_memory),
       arrived_at_(arrived), deadline_(arrived + std::chrono::hours(1)), config_(context.config),
       last_event_(call_.last_event)
 {
@@ -149,6 +149,10 @@
         refuse({503, "gateway_stopping", retry_delay(), false});
         return false;
     }
+    if (context_.answer_memory->is_scarce() || !answer_share_.try_resize(expected_answer_bytes())) {
+        refuse({503, "memory_used_up", retry_delay(), false});
+        return false;
+    }
     return true;
 }
 
@@ -855,7 +859,8 @@
     handler.body = guarded(&call_exchange::on_body);
     handler.ended = guarded(&call_exchange::on_ended);
     handler.failed = guarded(&call_exchange::on_failed);
-    channel_->exchange(platform::encode_attempt(call_, attempt), call_.body, call_.request_id,
+    channel_->exchange(platform::encode_attempt(call_, attempt),
+                       std::shared_ptr<const std::string>(self, &call_.body), call_.request_id,
                        call_.method == "HEAD", std::min<duration>(connect_timeout, deadline_ - now),
                        std::move(handler));
 }
@@ -1016,22 +1021,35 @@
     }
     progress_at_ = now;
     body_ += bytes;
-    if (body_.size() > large_response_bytes && exceeds_buffer_limits()) {
+    if (!takes_memory_of_answer()) {
         body_ = {};
         on_attempt_failed("answer_too_large");
     }
 }
 
-bool call_exchange::exceeds_buffer_limits() const
+std::size_t call_exchange::buffered_bytes() const
 {
-    if (body_.size() > max_buffered_bytes) {
-        return true;
-    }
-    std::size_t total = 0;
-    for (const auto& exchange : context_.exchanges) {
-        total += exchange->buffered_bytes();
-    }
-    return total > max_total_buffered_bytes;
+    return body_.capacity() + (failed_response_ ? failed_response_->body.capacity() : 0);
+}
+
+bool call_exchange::takes_memory_of_answer()
+{
+    const auto needed = std::max(buffered_bytes(), expected_answer_bytes());
+    return body_.size() <= max_buffered_bytes && answer_share_.try_resize(needed);
+}
+
+// What answers of the route have needed lately, unless they are passed on as they arrive.
+std::size_t call_exchange::expected_answer_bytes() const
+{
+    const auto known = context_.answer_bytes.find(route_->id.str());
+    return known == context_.answer_bytes.end() ? 0 : known->second;
+}
+
+void call_exchange::learn_answer_bytes(std::size_t bytes)
+{
+    const auto decayed =
+        expected_answer_bytes() / answer_bytes_divisor * (answer_bytes_divisor - 1);
+    context_.answer_bytes[route_->id.str()] = std::max(bytes, decayed);
 }
 
 void call_exchange::on_ended()
@@ -1275,6 +1293,7 @@
 void call_exchange::forward_buffered(const buffered_response& response)
 {
     log_late_response();
+    learn_answer_bytes(response.body.size());
     context_.metrics.responses.add();
     context_.metrics.latency.record(
         std::chrono::duration<double>(steady_now() - arrived_at_).count());
@@ -1296,6 +1315,8 @@
     if (has_body) {
         text += response.body;
     }
+    // The memory now belongs to the connection.
+    answer_share_.release();
     caller->send(std::move(text));
     finish();
     caller->end_response(closes);
@@ -1515,6 +1536,8 @@
         return;
     }
     is_done_ = true;
+    request_share_.release();
+    answer_share_.release();
     stop_waiting();
     stop_waiting_to_resume();
     stop_waiting_for_permit();
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -7,6 +7,7 @@
 #include "gateway/answer_header.h"
 #include "gateway/call.h"
 #include "gateway/event_splitter.h"
+#include "gateway/memory_share.h"
 #include "gateway/permit_wait.h"
 #include "gateway/request_prints.h"
 #include "gateway/stream_version.h"
@@ -42,7 +43,7 @@
 class call_exchange : public std::enable_shared_from_this<call_exchange> {
 public:
     call_exchange(gateway_context& context, std::shared_ptr<caller_connection> caller, call request,
-                  time_point arrived);
+                  time_point arrived, memory_share request_share);
 
     void start();
 
@@ -61,12 +62,6 @@
     /// Checks the timeouts.
     void on_tick(time_point now);
 
-    /// Bytes of a response that is kept until it is complete.
-    std::size_t buffered_bytes() const
-    {
-        return body_.size() + (failed_response_ ? failed_response_->body.size() : 0);
-    }
-
     /// Logs that the process exits before the exchange has ended.
     void log_cut() const;
 
@@ -137,7 +132,10 @@
     void on_header(const answer_header& header);
     void note_upstream_state(const answer_header& header);
     void on_body(std::string_view bytes);
-    bool exceeds_buffer_limits() const;
+    std::size_t buffered_bytes() const;
+    bool takes_memory_of_answer();
+    std::size_t expected_answer_bytes() const;
+    void learn_answer_bytes(std::size_t bytes);
     void on_ended();
     void on_failed(const absl::Status& status);
     void begin_stream();
@@ -181,6 +179,9 @@
     gateway_context& context_;
     std::shared_ptr<caller_connection> caller_;
     call call_;
+    /// Memory of the request's body, and of the answers that are kept.
+    memory_share request_share_;
+    memory_share answer_share_;
     time_point arrived_at_;
     time_point deadline_;
 
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -15,7 +15,6 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <utility>
@@ -36,6 +35,8 @@
 // After the last answer the caller gets this long to read it and close, and may send this many
 // further bytes, such as the rest of a refused body.
 constexpr auto linger_time = std::chrono::milliseconds(2000);
+// While memory is scarce a caller that takes nothing of its answer for so long is cut.
+constexpr auto reading_timeout = std::chrono::milliseconds(2000);
 constexpr std::size_t max_discarded_bytes = 16UL * 1024 * 1024;
 
 } // namespace
@@ -53,6 +54,7 @@
               error = http::error::bad_chunk_extension;
           }
       }),
+      input_share_(context.request_memory), output_share_(context.answer_memory),
       idle_since_(steady_now())
 {
 }
@@ -116,9 +118,22 @@
     if (exchange_ == nullptr && !is_closing_) {
         parse();
     }
+    if (!takes_memory_of_request()) {
+        reset_parser();
+        input_ = {};
+        return refuse_and_close({503, "memory_used_up", std::nullopt, true});
+    }
     read();
 }
 
+// Whether there is memory for what has arrived of a request that is not complete.
+bool caller_connection::takes_memory_of_request()
+{
+    const bool is_receiving = request_started_at_ && !is_closing_ && !is_closed_;
+    return !is_receiving ||
+           input_share_.try_resize(parser_->get().body().capacity() + input_.capacity());
+}
+
 void caller_connection::parse()
 {
     while (!input_.empty() && exchange_ == nullptr && !is_closing_ && !is_closed_) {
@@ -185,8 +200,9 @@
         context_.metrics.refusals.add();
         return send_refusal({400, std::string(call.status().message()), std::nullopt, closes}, id);
     }
-    exchange_ =
-        std::make_shared<call_exchange>(context_, shared_from_this(), *std::move(call), arrived);
+    exchange_ = std::make_shared<call_exchange>(
+        context_, shared_from_this(), *std::move(call), arrived,
+        std::exchange(input_share_, memory_share(context_.request_memory)));
     const auto started = exchange_;
     context_.exchanges.insert(started);
     started->start();
@@ -228,6 +244,7 @@
     else {
         output_ += bytes;
     }
+    output_share_.resize(output_.capacity() + writing_.capacity());
     if (!is_writing_) {
         write();
     }
@@ -237,24 +254,43 @@
 {
     is_writing_ = true;
     writing_ = std::exchange(output_, {});
-    asio::async_write(socket_, asio::buffer(writing_),
-                      [self = shared_from_this()](const auto& error, std::size_t) {
-                          self->is_writing_ = false;
-                          self->writing_.clear();
-                          self->idle_since_ = steady_now();
-                          if (self->is_closed_) {
-                              return;
-                          }
-                          if (error) {
-                              return self->on_disconnected();
-                          }
-                          if (!self->output_.empty()) {
-                              return self->write();
-                          }
-                          if (self->is_closing_) {
-                              self->shut_down();
-                          }
-                      });
+    written_bytes_ = 0;
+    write_progress_at_ = steady_now();
+    write_some();
+}
+
+void caller_connection::write_some()
+{
+    socket_.async_write_some(asio::buffer(writing_) + written_bytes_,
+                             [self = shared_from_this()](const auto& error, std::size_t count) {
+                                 self->on_written(error, count);
+                             });
+}
+
+void caller_connection::on_written(const boost::system::error_code& error, std::size_t count)
+{
+    if (is_closed_) {
+        return;
+    }
+    written_bytes_ += count;
+    write_progress_at_ = steady_now();
+    if (!error && written_bytes_ < writing_.size()) {
+        return write_some();
+    }
+    is_writing_ = false;
+    writing_ = {};
+    written_bytes_ = 0;
+    output_share_.resize(output_.capacity());
+    idle_since_ = write_progress_at_;
+    if (error) {
+        return on_disconnected();
+    }
+    if (!output_.empty()) {
+        return write();
+    }
+    if (is_closing_) {
+        shut_down();
+    }
 }
 
 void caller_connection::end_response(bool closes)
@@ -359,6 +395,14 @@
     }
 }
 
+void caller_connection::close_if_not_reading(time_point now)
+{
+    if (!is_closed_ && is_writing_ && now - write_progress_at_ >= reading_timeout) {
+        context_.log.info("caller_cut", {{"cause", "does_not_read"}, {"unsent", unsent_bytes()}});
+        on_disconnected();
+    }
+}
+
 void caller_connection::end_for_stop()
 {
     if (!is_closed_ && !is_closing_ && exchange_ == nullptr && request_started_at_) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/memory_share.h"
 #include "net/growing_body.h"
 #include "snipespar/time.h"
 
@@ -28,7 +29,7 @@
     void send(std::string bytes);
 
     /// Bytes queued and not yet written to the socket.
-    std::size_t unsent_bytes() const { return output_.size() + writing_.size(); }
+    std::size_t unsent_bytes() const { return output_.size() + writing_.size() - written_bytes_; }
 
     /// Completes the current response; the next request follows unless the connection closes.
     void end_response(bool closes);
@@ -42,6 +43,9 @@
     /// Closes the connection if no request is in progress or on its way.
     void close_if_idle(time_point now);
 
+    /// Closes the connection if its caller has stopped reading its answers.
+    void close_if_not_reading(time_point now);
+
     /// Refuses a request that has not arrived completely, since the process is about to exit.
     void end_for_stop();
 
@@ -61,6 +65,9 @@
     void refuse_and_close(const refusal& refused);
     void send_refusal(const refusal& refused, const std::string& request_id);
     void write();
+    void write_some();
+    void on_written(const boost::system::error_code& error, std::size_t count);
+    bool takes_memory_of_request();
     void shut_down();
     void discard(std::size_t count);
     void close();
@@ -78,8 +85,15 @@
     std::optional<boost::beast::http::request_header<>> head_;
     std::array<char, 8192> read_buffer_{};
     std::string input_;
+    /// Memory of the request being received.
+    memory_share input_share_;
     std::string output_;
+    /// Being written, and how much of it has been.
     std::string writing_;
+    std::size_t written_bytes_ = 0;
+    /// When the caller last took bytes of an answer.
+    time_point write_progress_at_;
+    memory_share output_share_;
     std::shared_ptr<call_exchange> exchange_;
     /// When the first byte of the request being read arrived; unset between requests.
     std::optional<time_point> request_started_at_;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include "gateway/crash_guard.h"
 #include "gateway/fleet_config.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/memory_budget.h"
 #include "gateway/resume_queue.h"
 #include "gateway/return_schedule.h"
 #include "gateway/stop_plan.h"
@@ -20,6 +21,7 @@
 #include "telemetry/logger.h"
 
 #include <boost/asio/any_io_executor.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -45,11 +47,17 @@
 
 /// State shared by all connections and exchanges of one gateway. Used on one thread.
 struct gateway_context {
+    /// Of the memory of the process one part is for requests being received, and one for answers;
+    /// the rest is for its own state, and for what the allocator cannot give back.
+    static constexpr std::size_t memory_parts = 6;
+
     gateway_context(const boost::asio::any_io_executor& runs_on, failure_domain_id domain,
                     std::uint64_t start, std::uint64_t seed, duration stop_grace,
-                    telemetry::logger& output)
+                    std::size_t memory_limit, telemetry::logger& output)
         : executor(runs_on), log(output), selector(std::move(domain), seed), teams(start),
-          channels(runs_on), random(seed), stop(stop_grace)
+          channels(runs_on), random(seed), stop(stop_grace),
+          request_memory(std::make_shared<memory_budget>(memory_limit / memory_parts)),
+          answer_memory(std::make_shared<memory_budget>(memory_limit / memory_parts))
     {
     }
     ~gateway_context() = default;
@@ -80,6 +88,12 @@
     /// Gateways that share the upstreams, this one included.
     int gateways = 1;
     stop_plan stop;
+    /// For the bodies of requests.
+    std::shared_ptr<memory_budget> request_memory;
+    /// For answers that are kept, or that their callers have not read.
+    std::shared_ptr<memory_budget> answer_memory;
+    /// Size of recent large answers, by route.
+    std::map<std::string, std::size_t> answer_bytes;
     bool is_draining = false;
     /// The process of this upstream has ended.
     std::function<void(const upstream_id&)> report_upstream_ended;
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -98,7 +98,7 @@
                                telemetry::logger& log)
     : io_(io), settings_(settings), start_(net::start_number()),
       context_(io.get_executor(), settings.failure_domain, start_, seed_of(settings.seed),
-               settings.stop_grace, log),
+               settings.stop_grace, settings.memory_limit, log),
       peers_(settings.control_listen), permits_(steady_now()), acceptor_(io), accept_timer_(io),
       tick_timer_(io), datagrams_(io.get_executor()),
       config_watch_(make_watch(platform::wire::config_kind, {}, &gateway_server::on_config_listed,
@@ -423,6 +423,9 @@
             continue;
         }
         connection->on_tick(now);
+        if (context_.answer_memory->is_scarce()) {
+            connection->close_if_not_reading(now);
+        }
         if (context_.stop.closes_idle_connections(now)) {
             connection->close_if_idle(now);
         }
--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -49,9 +49,9 @@
 {
 }
 
-void upstream_channel::exchange(std::string head, std::string body, std::string request_id,
-                                bool is_head_request, duration connect_timeout,
-                                channel_handler handler)
+void upstream_channel::exchange(std::string head, std::shared_ptr<const std::string> body,
+                                std::string request_id, bool is_head_request,
+                                duration connect_timeout, channel_handler handler)
 {
     head_ = std::move(head);
     body_ = std::move(body);
@@ -117,10 +117,12 @@
 void upstream_channel::write()
 {
     reset_parser();
-    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head_), asio::buffer(body_)};
+    const auto body = std::exchange(body_, nullptr);
+    const std::array<asio::const_buffer, 2> buffers{
+        asio::buffer(head_), body == nullptr ? asio::const_buffer() : asio::buffer(*body)};
     asio::async_write(socket_, buffers,
-                      [self = shared_from_this(), number = exchange_number_](const auto& error,
-                                                                             std::size_t written) {
+                      [self = shared_from_this(), body,
+                       number = exchange_number_](const auto& error, std::size_t written) {
                           if (self->is_closed_ || number != self->exchange_number_) {
                               return;
                           }
@@ -371,6 +373,7 @@
     if (!is_closed_) {
         is_closed_ = true;
         can_reuse_ = false;
+        body_ = nullptr;
         boost::system::error_code ignored;
         socket_.close(ignored);
     }
--- a/src/gateway/upstream_channel.h
+++ b/src/gateway/upstream_channel.h
@@ -38,8 +38,8 @@
     /// Connects if needed and sends one request. A response with another request id than
     /// `request_id` belongs to an earlier exchange and is dropped. A final response without an
     /// id may be that of any request and ends the exchange with an unknown outcome.
-    void exchange(std::string head, std::string body, std::string request_id, bool is_head_request,
-                  duration connect_timeout, channel_handler handler);
+    void exchange(std::string head, std::shared_ptr<const std::string> body, std::string request_id,
+                  bool is_head_request, duration connect_timeout, channel_handler handler);
 
     /// Cancels the exchange, if any, and closes the connection; the upstream then stops its work.
     /// The connection is reset, so that a request not yet read by the upstream is lost and never
@@ -93,7 +93,8 @@
     cli::endpoint upstream_;
     channel_handler handler_;
     std::string head_;
-    std::string body_;
+    /// Null while no request is being written.
+    std::shared_ptr<const std::string> body_;
     std::string request_id_;
     /// Requests that were refused on this connection.
     std::vector<std::string> refused_requests_;
