A fault inside the gateway does not leave a request without an answer

A request whose handling failed with an exception, such as an allocation that failed, had its connection closed without an answer (LOST), although it may not have been sent at all.

Cause: the boundary of a unit of work closed the caller's connection, whatever was known of the request.

Change: the request is answered 503 if it was not passed on and 502 if it may have run; only a stream is broken off. If the answer fails as well, the connection is closed as before.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -1516,6 +1516,14 @@
         return;
     }
     release_upstream(call_result::refused, false);
+    if (!is_stream_open_) {
+        return refuse({runs_ > 0 ? 502U : 503U, "internal_fault", std::nullopt, false});
+    }
+    abort_response("internal_fault");
+}
+
+void call_exchange::drop()
+{
     const auto caller = caller_;
     finish();
     caller->abort();
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -50,10 +50,12 @@
     /// The caller closed its connection: cancels the work.
     void on_caller_disconnected();
 
-    /// Ends the exchange after an internal fault; its caller gets no answer, which promises
-    /// nothing.
+    /// Ends the exchange after an internal fault. Its caller learns whether the call may have run.
     void abort();
 
+    /// Ends the exchange without an answer, which promises nothing.
+    void drop();
+
     const std::string& request_id() const { return call_.request_id; }
 
     /// Gives the call its final answer, since the process is about to exit.
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -100,7 +100,19 @@
     const auto current = exchange_;
     telemetry::contain(
         context_.log, "connection", current == nullptr ? std::string_view() : current->request_id(),
-        [&] { action(); }, [&] { on_disconnected(); });
+        [&] { action(); }, [&] { on_fault(); });
+}
+
+// The caller of a request that was read whole gets its answer, also after a fault.
+void caller_connection::on_fault()
+{
+    const auto current = exchange_;
+    if (current == nullptr) {
+        return on_disconnected();
+    }
+    telemetry::contain(
+        context_.log, "exchange", current->request_id(), [&] { current->abort(); },
+        [&] { current->drop(); });
 }
 
 void caller_connection::on_read(const boost::system::error_code& error, std::size_t count)
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -57,6 +57,7 @@
     void reset_parser();
     void read();
     void contain(const std::function<void()>& action);
+    void on_fault();
     void on_read(const boost::system::error_code& error, std::size_t count);
     void parse();
     void start_request();
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -410,8 +410,11 @@
 // A fault in one exchange ends that exchange only.
 void gateway_server::contain_exchange(call_exchange& exchange, const std::function<void()>& action)
 {
-    telemetry::contain(context_.log, "exchange", exchange.request_id(), action,
-                       [&] { exchange.abort(); });
+    telemetry::contain(context_.log, "exchange", exchange.request_id(), action, [&] {
+        telemetry::contain(
+            context_.log, "exchange", exchange.request_id(), [&] { exchange.abort(); },
+            [&] { exchange.drop(); });
+    });
 }
 
 void gateway_server::slow_tick(time_point now)
