Idle callers leave descriptors for the others

With 4,400 idle callers at one gateway a sound caller got no answer: every descriptor was in use, so that neither its connection could be accepted nor an upstream be reached.

Cause: connections of callers had no bound but the limit of descriptors, which upstreams, the store and admins share.

Change: `--max-descriptors` (filled in by the deploy line, bounded by the limit of the system). Connections of callers may take three quarters; for each one beyond that the connection that has been idle the longest is closed.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -228,6 +228,7 @@
             failure_domain_id(reader.read_or_empty("failure-domain", parse_optional_foreign_name)),
         .stop_grace = reader.read_or_default("stop-grace", parse_positive_time_span),
         .memory_limit = reader.read_or_default("memory-limit", parse_byte_size),
+        .max_descriptors = reader.read_or_default("max-descriptors", parse_number),
         .leave_bound = reader.read_or_default("leave-bound", parse_time_span),
         .retry_ratio = reader.read_or_default("retry-ratio", parse_real),
         .retry_slack = reader.read_or_default("retry-slack", parse_real),
--- a/src/cli/gateway_settings.h
+++ b/src/cli/gateway_settings.h
@@ -24,6 +24,8 @@
     duration stop_grace{};
     /// Memory in bytes beyond which the platform kills the process.
     std::uint64_t memory_limit = 0;
+    /// Descriptors that the platform lets the process open; 0 for the limit of the system.
+    std::uint64_t max_descriptors = 0;
     /// Time after its announced stop or removal from which an upstream must get no new work.
     duration leave_bound{};
     /// Retries allowed per request, and beyond those per window, over all gateways.
--- a/src/cli/setting_tables.cpp
+++ b/src/cli/setting_tables.cpp
@@ -127,6 +127,9 @@
     setting{"memory-limit", "<size>", presence::defaulted, "256MiB",
             "Memory beyond which the platform kills the process. A sixth of it may hold "
             "requests being received, and a sixth answers."},
+    setting{"max-descriptors", "<number>", presence::defaulted, "0",
+            "Descriptors that the platform lets the process open; 0 for the limit of the system. "
+            "Callers' connections may take three quarters."},
     setting{"leave-bound", "<duration>", presence::defaulted, "2s",
             "Time after its announced stop or removal from which an upstream must get no new work. "
             "The registry is polled the less often the longer it is."},
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -407,6 +407,17 @@
     }
 }
 
+std::optional<time_point> caller_connection::idle_since() const
+{
+    const bool is_idle = exchange_ == nullptr && !request_started_at_ && !is_writing_;
+    return is_idle ? std::optional(idle_since_) : std::nullopt;
+}
+
+void caller_connection::close_for_descriptor()
+{
+    close();
+}
+
 void caller_connection::close_if_not_reading(time_point now)
 {
     if (!is_closed_ && is_writing_ && now - write_progress_at_ >= reading_timeout) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -43,6 +43,12 @@
     /// Closes the connection if no request is in progress or on its way.
     void close_if_idle(time_point now);
 
+    /// Since when the connection has carried no request; nothing while it does.
+    std::optional<time_point> idle_since() const;
+
+    /// Closes the idle connection, whose descriptor is needed.
+    void close_for_descriptor();
+
     /// Closes the connection if its caller has stopped reading its answers.
     void close_if_not_reading(time_point now);
 
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -18,6 +18,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <sys/resource.h>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -87,6 +88,20 @@
                                  max_upstream_poll_delay)};
 }
 
+// Part of the descriptors that connections of callers may take.
+constexpr double caller_descriptor_part = 0.75;
+
+std::size_t max_caller_connections(std::uint64_t max_descriptors)
+{
+    rlimit limit{};
+    const bool is_known = ::getrlimit(RLIMIT_NOFILE, &limit) == 0;
+    auto descriptors = is_known ? std::uint64_t{limit.rlim_cur} : max_descriptors;
+    if (max_descriptors != 0) {
+        descriptors = std::min(descriptors, max_descriptors);
+    }
+    return static_cast<std::size_t>(caller_descriptor_part * static_cast<double>(descriptors));
+}
+
 std::uint64_t seed_of(std::uint64_t given)
 {
     return given != 0 ? given : std::random_device{}();
@@ -108,7 +123,8 @@
                      &gateway_server::on_upstreams_listed, &gateway_server::on_upstream_changed)),
       version_watch_(make_watch(platform::wire::version_kind, version_watch_timing,
                                 &gateway_server::on_versions_listed,
-                                &gateway_server::on_version_changed))
+                                &gateway_server::on_version_changed)),
+      max_connections_(max_caller_connections(settings.max_descriptors))
 {
     context_.send_demand = [this](const upstream_id& upstream) { queue_demand(upstream); };
     context_.host = settings.host.str();
@@ -296,11 +312,45 @@
 
 void gateway_server::add_connection(tcp::socket socket)
 {
+    if (connections_.size() >= max_connections_) {
+        close_longest_idle();
+    }
     const auto connection = std::make_shared<caller_connection>(std::move(socket), context_);
     connections_.push_back(connection);
     connection->start();
 }
 
+// Descriptors are left for upstreams, the store and admins, however many callers keep connections.
+void gateway_server::close_longest_idle()
+{
+    std::erase_if(connections_, [](const auto& item) {
+        const auto connection = item.lock();
+        return connection == nullptr || connection->is_closed();
+    });
+    if (connections_.size() < max_connections_) {
+        return;
+    }
+    const auto now = steady_now();
+    std::shared_ptr<caller_connection> longest;
+    time_point since = now;
+    for (const auto& item : connections_) {
+        const auto connection = item.lock();
+        const auto idle_since = connection->idle_since();
+        if (idle_since && (longest == nullptr || *idle_since < since)) {
+            longest = connection;
+            since = *idle_since;
+        }
+    }
+    if (now - idle_closes_logged_at_ >= accept_failure_interval) {
+        idle_closes_logged_at_ = now;
+        context_.log.warning("too_many_callers", {{"connections", connections_.size()},
+                                                  {"idle_closed", longest != nullptr}});
+    }
+    if (longest != nullptr) {
+        longest->close_for_descriptor();
+    }
+}
+
 // Closing the listener resets the connections that the kernel has established and nobody has
 // accepted, so these are accepted first.
 void gateway_server::close_listener()
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -69,6 +69,7 @@
     void accept();
     void accept_later(const boost::system::error_code& error);
     void add_connection(boost::asio::ip::tcp::socket socket);
+    void close_longest_idle();
     void close_listener();
     void take_stop_step(time_point now);
     void end_calls();
@@ -130,6 +131,9 @@
     std::unique_ptr<telemetry::admin_server> admin_;
     time_point registry_asked_at_;
     std::list<std::weak_ptr<caller_connection>> connections_;
+    /// Connections of callers beyond which idle ones are closed.
+    std::size_t max_connections_;
+    time_point idle_closes_logged_at_;
 
     bool has_upstreams_ = false;
     /// Latest era in which the store was found restored.
--- a/tests/deploy_file_test.cpp
+++ b/tests/deploy_file_test.cpp
@@ -30,6 +30,7 @@
     {"bounds.drain_ms", "2000"},
     {"bounds.grace_s", "8"},
     {"limits.memory_mb", "260"},
+    {"limits.max_fds", "4100"},
     {"bounds.retry_budget_ratio", "0.2"},
     {"bounds.budget_slack", "52"},
     {"app", "10.1.0.25:9000"},
@@ -103,8 +104,8 @@
     void roles_start_with_unusual_bounds()
     {
         for (const std::string name :
-             {"bounds.drain_ms", "bounds.grace_s", "limits.memory_mb", "bounds.retry_budget_ratio",
-              "bounds.budget_slack", "zone"}) {
+             {"bounds.drain_ms", "bounds.grace_s", "limits.memory_mb", "limits.max_fds",
+              "bounds.retry_budget_ratio", "bounds.budget_slack", "zone"}) {
             auto values = sound_values;
             for (const std::string text : {"", "0", "2000.5", "2e3", "false", "null"}) {
                 values[name] = text;
--- a/tests/process/gateway_delivery_test.cpp
+++ b/tests/process/gateway_delivery_test.cpp
@@ -7,8 +7,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
 #include <fmt/format.h>
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace snipespar::testing {
 
@@ -63,6 +65,7 @@
     CPPUNIT_TEST(call_in_the_listen_queue_of_a_stopping_gateway_is_answered);
     CPPUNIT_TEST(open_requests_are_answered_before_the_end_of_the_grace);
     CPPUNIT_TEST(call_that_comes_late_in_the_grace_is_refused_at_once);
+    CPPUNIT_TEST(idle_callers_do_not_use_up_the_descriptors);
     CPPUNIT_TEST(refusal_reaches_a_caller_that_is_still_sending);
     CPPUNIT_TEST(answer_that_is_read_slowly_outlives_the_idle_timeout);
     CPPUNIT_TEST(stream_of_a_silent_engine_goes_on_when_no_other_can_take_it);
@@ -171,6 +174,28 @@
         CPPUNIT_ASSERT(fleet.runs(fleet.engines[0])["runs"].empty());
     }
 
+    // Guards against callers without an answer because idle ones hold all descriptors.
+    void idle_callers_do_not_use_up_the_descriptors()
+    {
+        constexpr std::size_t descriptors = 256;
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        auto& gateway = fleet.gateways.front();
+        gateway.start.max_descriptors = descriptors;
+        gateway.process.reset();
+        gateway.restart();
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        std::vector<std::unique_ptr<raw_caller>> idle;
+        for (std::size_t i = 0; i < 2 * descriptors; ++i) {
+            idle.push_back(std::make_unique<raw_caller>(gateway.address));
+        }
+        for (int i = 0; i < 8; ++i) {
+            CPPUNIT_ASSERT_EQUAL(
+                200U, send(gateway, fleet.make_call("/unsafe/x", fmt::format("u{}", i))).status);
+        }
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(gateway.process->output().find("too_many_callers") != std::string::npos);
+    }
+
     // Guards against a connection that is reset under its refusal because bytes were left unread.
     void refusal_reaches_a_caller_that_is_still_sending()
     {
