A rehearsal of planned work with a ledger of each request

The record of LOST on the users' machines names no cause and has no logs, and no test held what became of each request while several gateways were stopped, restarted and reconfigured under callers on kept connections.

Change: gateway_planned_work_test plays three gateways, sidecars, engines and services as real processes under twelve callers on kept connections, with a seeded schedule of SIGTERM, SIGHUP, configurations and services that leave and come back, and a supervisor. `request_ledger` names each request that ran and got no answer, was refused after a run, ran twice, or got an answer of another one. The connection of the soak's callers moves to process/support.

More seeds by hand: REHEARSAL_SEEDS=1..50.

--- /dev/null
+++ b/tests/process/gateway_planned_work_test.cpp
@@ -0,0 +1,183 @@
+#include "process/support/gateway_fleet.h"
+#include "process/support/persistent_caller.h"
+#include "process/support/request_ledger.h"
+
+#include <atomic>
+#include <chrono>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace snipespar::testing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int gateways = 3;
+constexpr int callers_of_a_gateway = 4;
+constexpr milliseconds play_time{8000};
+constexpr milliseconds answer_limit{20000};
+constexpr milliseconds reconnect_pause{50};
+
+/// Which seeds are played: the ones of CI, or `first..last` of the variable REHEARSAL_SEEDS.
+std::vector<unsigned> chosen_seeds()
+{
+    const char* text = std::getenv("REHEARSAL_SEEDS");
+    if (text == nullptr) {
+        return {1};
+    }
+    const std::string range(text);
+    const auto dots = range.find("..");
+    const auto first = static_cast<unsigned>(std::stoul(range));
+    const auto last = dots == std::string::npos
+                          ? first
+                          : static_cast<unsigned>(std::stoul(range.substr(dots + 2)));
+    std::vector<unsigned> seeds;
+    for (unsigned seed = first; seed <= last; ++seed) {
+        seeds.push_back(seed);
+    }
+    return seeds;
+}
+
+} // namespace
+
+/// Gateways, sidecars, engines and services as real processes under callers on kept connections,
+/// while planned work goes on: stops and restarts in series and overlapping, reloads,
+/// configurations, upstreams that leave and come back. A ledger holds each request.
+class gateway_planned_work_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(gateway_planned_work_test);
+    CPPUNIT_TEST(planned_work_loses_no_request);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against accepted requests that end without an answer around planned work.
+    void planned_work_loses_no_request()
+    {
+        for (const auto seed : chosen_seeds()) {
+            play(seed);
+        }
+    }
+
+private:
+    static void play(unsigned seed)
+    {
+        gateway_fleet fleet({.gateways = gateways, .engines = 3, .services = 3});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        request_ledger ledger;
+        std::atomic<bool> is_over = false;
+        std::vector<std::thread> callers;
+        for (int i = 0; i < gateways * callers_of_a_gateway; ++i) {
+            callers.emplace_back([&, i] { call_on(fleet, i, ledger, is_over); });
+        }
+        disturb(fleet, seed);
+        is_over = true;
+        for (auto& caller : callers) {
+            caller.join();
+        }
+        for (const auto* upstreams : {&fleet.engines, &fleet.services}) {
+            for (const auto& upstream : *upstreams) {
+                const auto record = fleet.runs(upstream);
+                for (const auto& run : record["runs"]) {
+                    ledger.on_run(run["id"].get<std::string>());
+                }
+            }
+        }
+        std::string broken;
+        for (const auto& line : ledger.broken_promises()) {
+            broken += line + "\n";
+        }
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}, {} requests, {} served\n{}", seed,
+                                           ledger.requests(), ledger.served(), broken),
+                               broken.empty() && 2 * ledger.served() > ledger.requests());
+    }
+
+    // Sends one request after the other on a connection that is kept until the gateway closes it.
+    static void call_on(const gateway_fleet& fleet, int number, request_ledger& ledger,
+                        const std::atomic<bool>& is_over)
+    {
+        const auto& gateway = fleet.gateways[static_cast<std::size_t>(number % gateways)];
+        persistent_caller caller(gateway.address);
+        for (int i = 0; !is_over; ++i) {
+            const bool is_unsafe = i % 3 == 0;
+            const auto id = fmt::format("c{}-{}", number, i);
+            auto call = fleet.make_call(is_unsafe    ? "/unsafe/x"
+                                        : i % 3 == 1 ? "/safe/x"
+                                                     : "/stream/x",
+                                        id);
+            call.headers["Deadline-Ms"] = "5000";
+            if (i % 3 == 2) {
+                call.headers["Model"] = "base";
+            }
+            const auto answer = caller.send(call, answer_limit);
+            ledger.on_answer(id, is_unsafe, answer);
+            if (!answer || answer->status != 200) {
+                std::this_thread::sleep_for(reconnect_pause);
+            }
+        }
+    }
+
+    static void disturb(gateway_fleet& fleet, unsigned seed)
+    {
+        std::mt19937 random(seed);
+        const auto draw = [&](int below) {
+            return std::uniform_int_distribution<int>(0, below - 1)(random);
+        };
+        const auto end = std::chrono::steady_clock::now() + play_time;
+        while (std::chrono::steady_clock::now() < end) {
+            const auto index = static_cast<std::size_t>(draw(gateways));
+            auto& gateway = fleet.gateways[index];
+            switch (draw(4)) {
+            case 0:
+                if (gateway.process->running()) {
+                    gateway.process->signal(SIGTERM);
+                }
+                break;
+            case 1:
+                gateway.process->signal(SIGHUP);
+                break;
+            case 2:
+                CPPUNIT_ASSERT(fleet.change_config([](nlohmann::json& config) {
+                    auto route = config["routes"][0];
+                    const auto version = config["version"].get<std::uint64_t>();
+                    route["name"] = fmt::format("added-{}", version);
+                    route["path_prefix"] = fmt::format("/added-{}/", version);
+                    config["routes"].push_back(route);
+                }));
+                break;
+            default:
+                const auto& service = fleet.services[static_cast<std::size_t>(draw(3))];
+                CPPUNIT_ASSERT(fleet.announce(service, "desk", draw(2) == 0));
+            }
+            std::this_thread::sleep_for(milliseconds(100 + draw(400)));
+            restart_ended(fleet);
+        }
+        for (const auto& service : fleet.services) {
+            CPPUNIT_ASSERT(fleet.announce(service, "desk", false));
+        }
+    }
+
+    // As a supervisor does; a process that was not stopped must not have ended.
+    static void restart_ended(gateway_fleet& fleet)
+    {
+        for (auto& gateway : fleet.gateways) {
+            if (!gateway.process->running()) {
+                const auto output = gateway.process->output();
+                CPPUNIT_ASSERT_MESSAGE(output, output.find("event=draining") != std::string::npos);
+                CPPUNIT_ASSERT_MESSAGE(output, gateway.process->wait() == 0);
+                gateway.restart();
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_planned_work_test);
+
+} // namespace snipespar::testing
--- a/tests/soak/persistent_caller.cpp
+++ b/tests/process/support/persistent_caller.cpp
@@ -1,4 +1,4 @@
-#include "soak/persistent_caller.h"
+#include "process/support/persistent_caller.h"
 
 #include <algorithm>
 #include <boost/beast/http/parser.hpp>
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,8 +1,8 @@
 #include "soak/soak.h"
 
 #include "process/support/gateway_fleet.h"
+#include "process/support/persistent_caller.h"
 #include "process/support/wait_until.h"
-#include "soak/persistent_caller.h"
 #include "soak/soak_record.h"
 
 #include <array>
