A token count that no account holds is refused

One request with a huge Token-Count left its team refused, with a negative Retry-After.

Cause: the sum of the two counts was taken as stated, and overflowed the account and the time until it is balanced.

Result: platform_call_codec_test::token_count_that_no_account_holds_is_invalid failed with the change taken back and passes.

--- a/src/platform/call_codec.cpp
+++ b/src/platform/call_codec.cpp
@@ -138,6 +138,11 @@
         !absl::SimpleAtoi(parts[1], &call.max_output_tokens)) {
         return invalid_field(wire::token_count, "must be two whole numbers separated by a comma");
     }
+    // Far more than any engine holds, and far from overflowing a team's account.
+    constexpr std::uint64_t max_tokens = 1'000'000'000;
+    if (call.prompt_tokens > max_tokens || call.max_output_tokens > max_tokens) {
+        return invalid_field(wire::token_count, "must not be larger than 1000000000");
+    }
     call.has_token_count = true;
     return absl::OkStatus();
 }
--- a/tests/platform_call_codec_test.cpp
+++ b/tests/platform_call_codec_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(taken_up_stream_is_named);
     CPPUNIT_TEST(shared_prompt_parts_are_decoded);
     CPPUNIT_TEST(invalid_fields_are_named);
+    CPPUNIT_TEST(token_count_that_no_account_holds_is_invalid);
     CPPUNIT_TEST(names_that_are_not_utf8_are_invalid);
     CPPUNIT_TEST(caller_cannot_set_reserved_fields);
     CPPUNIT_TEST(hop_by_hop_fields_are_not_forwarded);
@@ -127,6 +128,22 @@
         CPPUNIT_ASSERT(!decode_call(std::move(without_host)).ok());
     }
 
+    // Guards against one request whose tokens overflow the account of its team.
+    void token_count_that_no_account_holds_is_invalid()
+    {
+        for (const std::string count : {"18446744073709551615,0", "0,9000000000000000000",
+                                        "1000000001,1", "18446744073709551615,2"}) {
+            auto request = sample();
+            request.set("Token-Count", count);
+            const auto call = decode_call(std::move(request));
+            CPPUNIT_ASSERT_MESSAGE(count, !call.ok());
+            CPPUNIT_ASSERT(has(std::string(call.status().message()), "Token-Count"));
+        }
+        auto largest = sample();
+        largest.set("Token-Count", "1000000000,1000000000");
+        CPPUNIT_ASSERT(decode_call(std::move(largest)).ok());
+    }
+
     // Guards against a name that no log line, no message to a sidecar and no order can hold.
     void names_that_are_not_utf8_are_invalid()
     {
