Lint: a moved share gives its budget away

clang-tidy: a move constructor that copies, a vector without its capacity. A share that was moved from holds nothing and gives nothing back.

--- a/src/gateway/memory_share.cpp
+++ b/src/gateway/memory_share.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/memory_budget.h"
 
+#include <utility>
+
 namespace snipespar::gateway {
 
 namespace {
@@ -19,7 +21,7 @@
 {
     if (this != &other) {
         release();
-        budget_ = other.budget_;
+        budget_ = std::move(other.budget_);
         taken_ = std::exchange(other.taken_, 0);
     }
     return *this;
@@ -44,7 +46,7 @@
     if (needed > taken_) {
         budget_->take(needed - taken_);
     }
-    else {
+    else if (needed < taken_) {
         budget_->give_back(taken_ - needed);
     }
     taken_ = needed;
--- a/src/gateway/memory_share.h
+++ b/src/gateway/memory_share.h
@@ -14,7 +14,7 @@
 public:
     explicit memory_share(std::shared_ptr<memory_budget> budget) : budget_(std::move(budget)) {}
     memory_share(memory_share&& other) noexcept
-        : budget_(other.budget_), taken_(std::exchange(other.taken_, 0))
+        : budget_(std::move(other.budget_)), taken_(std::exchange(other.taken_, 0))
     {
     }
     memory_share& operator=(memory_share&& other) noexcept;
--- a/tests/process/gateway_delivery_test.cpp
+++ b/tests/process/gateway_delivery_test.cpp
@@ -185,6 +185,7 @@
         gateway.restart();
         CPPUNIT_ASSERT(fleet.wait_until_ready());
         std::vector<std::unique_ptr<raw_caller>> idle;
+        idle.reserve(2 * descriptors);
         for (std::size_t i = 0; i < 2 * descriptors; ++i) {
             idle.push_back(std::make_unique<raw_caller>(gateway.address));
         }
