--- a/tests/process/gateway_memory_test.cpp
+++ b/tests/process/gateway_memory_test.cpp
@@ -74,6 +74,7 @@
         auto text = to_text(call);
         text.pop_back();
         std::vector<std::unique_ptr<raw_caller>> open;
+        open.reserve(callers);
         for (int i = 0; i < callers; ++i) {
             open.push_back(std::make_unique<raw_caller>(gateway.address));
             // The gateway may refuse it before it is sent.
@@ -106,6 +107,7 @@
         };
         CPPUNIT_ASSERT(set_answer(large_answer_bytes));
         std::vector<std::unique_ptr<raw_caller>> open;
+        open.reserve(callers);
         for (int i = 0; i < callers; ++i) {
             open.push_back(std::make_unique<raw_caller>(gateway.address));
             open.back()->send(to_text(fleet.make_call("/safe/x", fmt::format("a{}", i))));
