Signals are handled before a server starts

Cause: the gateway and the sidecar made their first attempt to start in the constructor of start_attempts, with its log lines, and the entry listened and served, before the signal handlers were installed. In between, the default action ended the process; an entry could cut a call that it had accepted.

Change: the first attempt is made once the event loop runs; entry and agent install their handlers before they start. An exception of a start now ends the process as a failed start (exit code 1), as it had ended it before by terminate.

--- a/src/agent/run_agent.cpp
+++ b/src/agent/run_agent.cpp
@@ -23,10 +23,6 @@
     const telemetry::logger log;
     boost::asio::io_context context(1);
     agent_server server(context, settings);
-    if (const auto status = server.start(); !status.ok()) {
-        log.error("start_failed", {{"reason", std::string(status.message())}});
-        return static_cast<int>(cli::exit_code::failed);
-    }
     auto code = cli::exit_code::ok;
     boost::asio::steady_timer deadline(context);
     const auto force = [&] {
@@ -53,7 +49,12 @@
             }
         });
     };
+    // Whoever sees the server start may stop it at once.
     net::stop_signals signals(context, drain, force);
+    if (const auto status = server.start(); !status.ok()) {
+        log.error("start_failed", {{"reason", std::string(status.message())}});
+        return static_cast<int>(cli::exit_code::failed);
+    }
     log.info("started", {{"listen", settings.listen.str()}});
     context.run();
     return static_cast<int>(code);
--- a/src/entry/run_entry.cpp
+++ b/src/entry/run_entry.cpp
@@ -63,10 +63,6 @@
         }
         server.set_config(config);
     }
-    if (const auto status = server.start(); !status.ok()) {
-        log.error("start_failed", {{"reason", std::string(status.message())}});
-        return static_cast<int>(cli::exit_code::failed);
-    }
     boost::asio::steady_timer deadline(control);
     const auto force = [&] {
         log.warning("forced_stop");
@@ -82,7 +78,12 @@
             }
         });
     };
+    // Whoever sees the server start may stop it at once.
     net::stop_signals signals(control, drain, force);
+    if (const auto status = server.start(); !status.ok()) {
+        log.error("start_failed", {{"reason", std::string(status.message())}});
+        return static_cast<int>(cli::exit_code::failed);
+    }
     control.run();
     server.stop();
     return static_cast<int>(cli::exit_code::ok);
--- a/src/net/start_attempts.cpp
+++ b/src/net/start_attempts.cpp
@@ -1,6 +1,8 @@
 #include "net/start_attempts.h"
 
+#include <boost/asio/post.hpp>
 #include <chrono>
+#include <exception>
 #include <utility>
 
 namespace snipespar::net {
@@ -20,12 +22,23 @@
 start_attempts::start_attempts(boost::asio::io_context& io, handlers callbacks)
     : handlers_(std::move(callbacks)), pause_(first_pause, longest_pause, 0), timer_(io)
 {
-    attempt();
+    boost::asio::post(io, [this] { attempt(); });
+}
+
+// A start that was broken off by an exception cannot be resumed.
+absl::Status start_attempts::start() const
+{
+    try {
+        return handlers_.start();
+    }
+    catch (const std::exception& error) {
+        return absl::InternalError(error.what());
+    }
 }
 
 void start_attempts::attempt()
 {
-    const auto status = handlers_.start();
+    const auto status = start();
     if (status.ok()) {
         is_started_ = true;
         return;
--- a/src/net/start_attempts.h
+++ b/src/net/start_attempts.h
@@ -10,7 +10,8 @@
 namespace snipespar::net {
 
 /// Starts a server, again and again while its addresses are held by another process. The first
-/// attempt is made by the constructor.
+/// attempt is made once the context runs, so that whatever is set up before then, such as signal
+/// handlers, precedes the server's first effects.
 class start_attempts {
 public:
     struct handlers {
@@ -19,7 +20,7 @@
         /// The server waits for the reason given; called at the first attempt that fails and then
         /// once in a while.
         std::function<void(const absl::Status&)> waiting;
-        /// The server can never start.
+        /// The server can never start, or its start was broken off by an exception.
         std::function<void(const absl::Status&)> failed;
     };
 
@@ -31,6 +32,7 @@
     bool is_started() const { return is_started_; }
 
 private:
+    absl::Status start() const;
     void attempt();
 
     handlers handlers_;
