Idle connections do not keep a probe out of the admin server

Cause: a connection beyond the limit was accepted and closed, whoever it came from.

Change: the connection that has been idle longest is closed instead.

--- a/src/telemetry/admin_server.cpp
+++ b/src/telemetry/admin_server.cpp
@@ -17,7 +17,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <exception>
-#include <set>
+#include <list>
 #include <string_view>
 #include <tuple>
 #include <utility>
@@ -160,9 +160,13 @@
                 retry_timer_.expires_after(accept_retry_delay);
                 co_await retry_timer_.async_wait(use_result);
             }
-            if (error || streams_.size() >= max_connections) {
+            if (error) {
                 continue;
             }
+            if (streams_.size() >= max_connections) {
+                // Idle connections must not keep a probe out.
+                streams_.front()->close();
+            }
             asio::co_spawn(
                 acceptor_.get_executor(),
                 [self = shared_from_this(),
@@ -175,10 +179,11 @@
 
     static asio::awaitable<void> serve(std::shared_ptr<state> self, beast::tcp_stream stream)
     {
-        self->streams_.insert(&stream);
-        const absl::Cleanup forget = [&] { self->streams_.erase(&stream); };
+        const auto place = self->streams_.insert(self->streams_.end(), &stream);
+        const absl::Cleanup forget = [&] { self->streams_.erase(place); };
         beast::flat_buffer buffer;
         while (co_await self->serve_one(stream, buffer)) {
+            self->streams_.splice(self->streams_.end(), self->streams_, place);
         }
     }
 
@@ -210,7 +215,8 @@
     tcp::acceptor acceptor_;
     asio::steady_timer retry_timer_;
     admin_handlers handlers_;
-    std::set<beast::tcp_stream*> streams_;
+    /// The longest idle one first.
+    std::list<beast::tcp_stream*> streams_;
 };
 
 absl::StatusOr<std::unique_ptr<admin_server>>
--- a/tests/telemetry_admin_server_test.cpp
+++ b/tests/telemetry_admin_server_test.cpp
@@ -11,6 +11,7 @@
 #include <stdexcept>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace snipespar::telemetry {
 
@@ -25,6 +26,7 @@
     CPPUNIT_TEST(malformed_request_is_refused_and_the_server_continues);
     CPPUNIT_TEST(taken_port_is_an_error);
     CPPUNIT_TEST(failing_handler_ends_its_request_only);
+    CPPUNIT_TEST(idle_connections_do_not_keep_a_probe_out);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -99,7 +101,26 @@
         CPPUNIT_ASSERT_EQUAL(200U, get("/livez").status);
     }
 
+    // Guards against a process that counts as dead because idle connections take all places.
+    void idle_connections_do_not_keep_a_probe_out()
+    {
+        constexpr int connections = 100;
+        boost::asio::io_context context;
+        std::vector<boost::asio::ip::tcp::socket> idle;
+        idle.reserve(connections);
+        for (int i = 0; i < connections; ++i) {
+            idle.emplace_back(context).connect(server_address());
+        }
+        CPPUNIT_ASSERT_EQUAL(200U, get("/livez").status);
+        CPPUNIT_ASSERT_EQUAL(200U, get("/ready").status);
+    }
+
 private:
+    boost::asio::ip::tcp::endpoint server_address() const
+    {
+        return {boost::asio::ip::address_v4::loopback(), address_.port};
+    }
+
     std::string status() const
     {
         if (status_fails_) {
