Want of descriptors is not held against upstreams

Cause: a connect that fails for want of descriptors, ports or buffers counted as an upstream that cannot be reached: as a failure in its health, and as evidence of a crash.

Change: such an error says nothing about the upstream. The call, which has reached none, is refused at once ("connections_used_up"); a stream that has begun waits as for any other want.

The address sanitizer's runtime itself needs descriptors, so that the test is left out there, as the other one without descriptors.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -1083,6 +1083,14 @@
 }
 
 void call_exchange::on_failed(const absl::Status& status)
+    if (absl::IsResourceExhausted(status)) {
+        // No other upstream can be reached either.
+        --sends_;
+        --runs_;
+        log_failed_attempt(to_std(status.message()));
+        release_upstream(call_result::refused, false);
+        return give_up_for_now("connections_used_up");
+    }
 {
     if (absl::IsUnavailable(status)) {
         // The upstream has not received the request.
@@ -1151,8 +1159,7 @@
     give_up_for_now("upstreams_refused");
 }
 
-// The upstream broke off, stalled or sent an unusable response.
-void call_exchange::on_attempt_failed(std::string_view cause)
+void call_exchange::log_failed_attempt(std::string_view cause) const
 {
     context_.log.info("attempt_failed", {{"request", call_.request_id},
                                          {"upstream", upstream_.str()},
@@ -1160,6 +1167,12 @@
                                          {"sends", sends_},
                                          {"runs", runs_},
                                          {"answering", has_response_begun_},
+}
+
+// The upstream broke off, stalled or sent an unusable response.
+void call_exchange::on_attempt_failed(std::string_view cause)
+{
+    log_failed_attempt(cause);
                                          {"parts", shared_parts_text()}});
     if (is_stream_open_) {
         return resume_on_another_upstream(cause);
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -148,6 +148,7 @@
     void end_stream();
     void forward_buffered(const buffered_response& response);
     void on_not_run();
+    void log_failed_attempt(std::string_view cause) const;
     void on_attempt_failed(std::string_view cause);
     void resume_on_another_upstream(std::string_view cause);
     void release_upstream(call_result result, bool keeps_channel);
--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -1,5 +1,6 @@
 #include "gateway/upstream_channel.h"
 
+#include "net/resource_error.h"
 #include "net/socket_options.h"
 #include "platform/call_codec.h"
 
@@ -42,6 +43,12 @@
             absl::EqualsIgnoreCase(std::string(header[http::field::transfer_encoding]), "chunked"));
 }
 
+absl::Status connect_status(const boost::system::error_code& error)
+{
+    return net::is_resource_error(error) ? absl::ResourceExhaustedError(error.message())
+                                         : absl::UnavailableError(error.message());
+}
+
 } // namespace
 
 upstream_channel::upstream_channel(const asio::any_io_executor& executor, cli::endpoint upstream)
@@ -95,8 +102,7 @@
                                   return;
                               }
                               if (connect_error) {
-                                  return self->fail(
-                                      absl::UnavailableError(connect_error.message()));
+                                  return self->fail(connect_status(connect_error));
                               }
                               self->is_connected_ = true;
                               net::set_liveness_options(self->socket_);
--- a/src/net/bind_status.cpp
+++ b/src/net/bind_status.cpp
@@ -1,5 +1,7 @@
 #include "net/bind_status.h"
 
+#include "net/resource_error.h"
+
 #include <boost/asio/error.hpp>
 #include <boost/system/errc.hpp>
 
@@ -10,9 +12,7 @@
 bool is_transient(const boost::system::error_code& error)
 {
     namespace errc = boost::system::errc;
-    return error == errc::address_in_use || error == errc::address_not_available ||
-           error == errc::too_many_files_open || error == errc::too_many_files_open_in_system ||
-           error == errc::no_buffer_space || error == errc::not_enough_memory;
+    return error == errc::address_in_use || is_resource_error(error);
 }
 
 } // namespace
--- a/tests/process/gateway_delivery_test.cpp
+++ b/tests/process/gateway_delivery_test.cpp
@@ -1,3 +1,4 @@
+#include "process/support/descriptor_needs.h"
 #include "process/support/gateway_fleet.h"
 #include "process/support/raw_caller.h"
 #include "process/support/wait_until.h"
@@ -9,6 +10,7 @@
 #include <fmt/format.h>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -66,6 +68,9 @@
     CPPUNIT_TEST(open_requests_are_answered_before_the_end_of_the_grace);
     CPPUNIT_TEST(call_that_comes_late_in_the_grace_is_refused_at_once);
     CPPUNIT_TEST(idle_callers_do_not_use_up_the_descriptors);
+#ifndef SNIPESPAR_TEST_NEEDS_DESCRIPTORS
+    CPPUNIT_TEST(want_of_descriptors_is_not_held_against_upstreams);
+#endif
     CPPUNIT_TEST(refusal_reaches_a_caller_that_is_still_sending);
     CPPUNIT_TEST(answer_that_is_read_slowly_outlives_the_idle_timeout);
     CPPUNIT_TEST(stream_of_a_silent_engine_goes_on_when_no_other_can_take_it);
@@ -197,6 +202,41 @@
         CPPUNIT_ASSERT(gateway.process->output().find("too_many_callers") != std::string::npos);
     }
 
+    // Guards against sound upstreams that are avoided, or taken for crashed, because a gateway had
+    // no descriptor to connect to them.
+    void want_of_descriptors_is_not_held_against_upstreams()
+    {
+        constexpr std::size_t descriptors = 64;
+        constexpr int callers = 40;
+        constexpr std::size_t status_line_bytes = std::string_view("HTTP/1.1 200").size();
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        auto& gateway = fleet.gateways.front();
+        gateway.start.max_descriptors = descriptors;
+        gateway.process.reset();
+        gateway.restart();
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        std::vector<std::unique_ptr<raw_caller>> open;
+        open.reserve(callers);
+        for (int i = 0; i < callers; ++i) {
+            open.push_back(std::make_unique<raw_caller>(gateway.address));
+            open.back()->send(to_text(fleet.make_call("/unsafe/slow/x", fmt::format("d{}", i))));
+        }
+        int served = 0;
+        int refused = 0;
+        for (auto& caller : open) {
+            const auto head = caller->read_some(status_line_bytes);
+            served += head.starts_with("HTTP/1.1 200") ? 1 : 0;
+            refused += head.starts_with("HTTP/1.1 503") ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(callers, served + refused);
+        CPPUNIT_ASSERT(served > 0 && refused > 0);
+        const auto status = send_call(gateway.admin, {"GET", "/status", {}, {}});
+        CPPUNIT_ASSERT(status.ok());
+        const auto upstreams = nlohmann::json::parse(status->body)["upstreams"];
+        CPPUNIT_ASSERT_EQUAL(0.0, upstreams.at(0)["failure_rate"].get<double>());
+        CPPUNIT_ASSERT(gateway.process->output().find("connections_used_up") != std::string::npos);
+    }
+
     // Guards against a connection that is reset under its refusal because bytes were left unread.
     void refusal_reaches_a_caller_that_is_still_sending()
     {
--- a/tests/process/process_start_test.cpp
+++ b/tests/process/process_start_test.cpp
@@ -1,4 +1,5 @@
 #include "process/support/child_process.h"
+#include "process/support/descriptor_needs.h"
 #include "process/support/free_port.h"
 #include "process/support/gateway_fleet.h"
 #include "process/support/raw_caller.h"
@@ -20,14 +21,6 @@
 #include <unistd.h>
 #include <vector>
 
-// The address sanitizer's runtime opens files and pipes for its own checks, and ends a process that
-// has no free descriptor.
-#if defined(__has_feature)
-#if __has_feature(address_sanitizer)
-#define SNIPESPAR_TEST_NEEDS_DESCRIPTORS 1
-#endif
-#endif
-
 namespace snipespar::testing {
 
 namespace {
