Demands of a gateway that learns of many versions reach sidecars

Cause: a demand stated every version announced in the last 10 s, which to a gateway that has just started is every version there is. From about 1,500 on, the message exceeds a datagram and is lost without a line. Each demand also scanned all versions, of all adapters, for every engine.

Change: version_table. A demand states the versions of the adapters in use, and at most 4 KiB of other recent ones, in turn from a random place, so that several demands state them all. Its cost no longer grows with the number of adapters.

Result: unit gateway_version_table: with 82,000 new versions the encoded demand fits into a datagram; 200 demands state all of 1,000. There is no test of the code of before, which had no such object: 82,000 names of 35 bytes each went into one message.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -423,12 +423,11 @@
 
 std::uint64_t call_exchange::min_version(time_point now) const
 {
-    const auto found = context_.versions.find(adapter_key());
-    if (found == context_.versions.end()) {
+    const auto* announced = context_.versions.find(adapter_key());
+    if (announced == nullptr) {
         return 0;
     }
-    return now - found->second.known_since < version_grace ? found->second.previous
-                                                           : found->second.version;
+    return now - announced->known_since < version_grace ? announced->previous : announced->version;
 }
 
 void call_exchange::try_next_upstream()
@@ -1083,6 +1082,7 @@
 }
 
 void call_exchange::on_failed(const absl::Status& status)
+{
     if (absl::IsResourceExhausted(status)) {
         // No other upstream can be reached either.
         --sends_;
@@ -1091,7 +1091,6 @@
         release_upstream(call_result::refused, false);
         return give_up_for_now("connections_used_up");
     }
-{
     if (absl::IsUnavailable(status)) {
         // The upstream has not received the request.
         --sends_;
@@ -1167,13 +1166,13 @@
                                          {"sends", sends_},
                                          {"runs", runs_},
                                          {"answering", has_response_begun_},
+                                         {"parts", shared_parts_text()}});
 }
 
 // The upstream broke off, stalled or sent an unusable response.
 void call_exchange::on_attempt_failed(std::string_view cause)
 {
     log_failed_attempt(cause);
-                                         {"parts", shared_parts_text()}});
     if (is_stream_open_) {
         return resume_on_another_upstream(cause);
     }
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -13,6 +13,7 @@
 #include "gateway/team_meter.h"
 #include "gateway/upstream_selector.h"
 #include "gateway/upstream_table.h"
+#include "gateway/version_table.h"
 #include "resume/stream_key.h"
 #include "resume/stream_origin.h"
 #include "route/retry_budget.h"
@@ -35,16 +36,6 @@
 
 class call_exchange;
 
-/// An announced version of an adapter, and when this gateway learned of it.
-struct announced_version {
-    std::uint64_t version = 0;
-    /// The previous version, which may be used for a grace period.
-    std::uint64_t previous = 0;
-    time_point known_since;
-
-    friend bool operator==(const announced_version&, const announced_version&) = default;
-};
-
 /// State shared by all connections and exchanges of one gateway. Used on one thread.
 struct gateway_context {
     /// Of the memory of the process one part is for requests being received, and one for answers;
@@ -79,8 +70,7 @@
     /// Broken streams that wait for another upstream, by service.
     std::map<std::string, resume_queue> resumptions;
     std::uint64_t last_resumption = 0;
-    /// By `model/adapter`.
-    std::map<std::string, announced_version, std::less<>> versions;
+    version_table versions;
     channel_pool channels;
     std::mt19937_64 random;
     /// Exchanges in progress.
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -44,8 +44,6 @@
 constexpr std::uint64_t idle_demand_rounds = 2;
 constexpr std::uint64_t idle_demand_rounds_of_large_fleet = 4;
 constexpr int large_fleet_gateways = 16;
-// How long a new version is sent to all sidecars; afterwards only with uses of its adapter.
-constexpr auto version_announce_time = std::chrono::seconds(10);
 // The polls of upstreams also detect outages: a store that was unresponsive has lost the requests
 // that it accepted meanwhile, and the connection does not show it.
 constexpr auto upstream_poll_wait = milliseconds(1500);
@@ -677,9 +675,8 @@
                              {{"cause", std::string(announced.status().message())}});
         return;
     }
-    auto& known = context_.versions[announced->model + "/" + announced->adapter];
-    if (announced->version > known.version) {
-        known = {announced->version, known.version, steady_now()};
+    if (context_.versions.announce(announced->model + "/" + announced->adapter, announced->version,
+                                   steady_now())) {
         context_.log.info("version_announced", {{"model", announced->model},
                                                 {"adapter", announced->adapter},
                                                 {"version", announced->version}});
@@ -876,15 +873,12 @@
             const int waiting = calls.waiting + (now < calls.requested_until ? 1 : 0);
             demand.uses.push_back(
                 {name.substr(0, slash), name.substr(slash + 1), waiting, calls.running});
+            if (const auto* announced = context_.versions.find(name)) {
+                demand.versions[name] = announced->version;
+            }
         }
     }
-    for (const auto& [name, announced] : context_.versions) {
-        const auto used = state->adapters.find(name);
-        const bool is_used = used != state->adapters.end() && used->second.is_requested(now);
-        if (is_used || now - announced.known_since < version_announce_time) {
-            demand.versions[name] = announced.version;
-        }
-    }
+    context_.versions.add_recent(demand.versions, context_.random(), now);
     datagrams_.send({state->entry.address.ip, settings_.control_listen.port},
                     control::encode(demand));
 }
