Gateways on both sides of a cut share the limits of teams

Cause: a gateway charged the last known use of those that it no longer heard, from some seconds after their last report until 4 s after it, and forgot them then. Each side of a cut, or each gateway on its own, granted the whole limit. A cut was noticed late, as an unused team's gateways reported only when idle reports were due. When they were heard again, their whole use meanwhile was charged at once, so that teams within their limits were refused.

Change: silent gateways that did not say that they stop are kept for ten minutes; each side grants limits in proportion to the gateways that it hears, from their last report on, and what was assumed of a gateway is replaced by what it reports once it is heard again. Each report states when the next one follows at the latest; gateways whose teams have nearly used up a limit stay in contact. limit_share_changed is logged, and /status shows limit_share.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -486,6 +486,10 @@
     context_.upstreams.on_tick(now);
     context_.popularity.on_tick(now);
     context_.teams.on_tick(now);
+    if (limit_share_ != context_.teams.share()) {
+        limit_share_ = context_.teams.share();
+        context_.log.info("limit_share_changed", {{"share", limit_share_}});
+    }
     peers_.on_tick(now);
     if (context_.gateways != peers_.count()) {
         context_.gateways = peers_.count();
@@ -564,6 +568,7 @@
     const nlohmann::json value{
         {"config", context_.config == nullptr ? 0 : context_.config->version()},
         {"gateways", context_.gateways},
+        {"limit_share", limit_share_},
         {"in_flight", context_.exchanges.size()},
         {"upstreams", upstreams}};
     return value.dump();
@@ -902,7 +907,7 @@
         .team_tokens = std::move(stated->team_tokens),
         .leaving_upstreams = context_.upstreams.recently_leaving(now),
         .is_complete = stated->is_complete,
-        .report_interval = usage_reporter::idle_interval(context_.gateways),
+        .report_interval = stated->next_within,
     };
     send_to_peers(usage);
 }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -143,6 +143,8 @@
     new_peers new_peers_;
     std::uint64_t usage_sequence_ = 0;
     usage_reporter usage_reporter_;
+    /// As last logged.
+    double limit_share_ = 1;
     std::optional<time_point> last_tick_at_;
     time_point slow_tick_at_;
     time_point demand_sent_at_;
--- a/src/gateway/team_meter.h
+++ b/src/gateway/team_meter.h
@@ -20,7 +20,10 @@
 /// to it. The sum can exceed the limit by the tokens admitted during one report interval and by one
 /// call per gateway; the excess is paid back from the rate.
 ///
-/// If a gateway's reports stop, its last known rate is assumed to continue until it expires.
+/// A gateway whose reports stop without a farewell may be serving behind a cut, where it does not
+/// hear of this one's use either. Each side then has the limit in proportion to the gateways that
+/// it hears, so that the sides together keep it; what was assumed of a gateway is replaced by what
+/// it reports once it is heard again.
 class team_meter {
 public:
     /// `start`: start number of this process; peers with a higher one started later.
@@ -50,45 +53,56 @@
     /// Charges the tokens that another gateway has admitted since its last report.
     void on_usage(const control::gateway_usage& usage, time_point now);
 
-    /// Charges the assumed use of unresponsive gateways and drops expired ones.
+    /// Notices unresponsive gateways, and forgets those that have been for long.
     void on_tick(time_point now);
 
+    /// Share of the limits that this gateway and those it hears may grant: 1 unless gateways are
+    /// missing.
+    double share() const { return share_; }
+
     /// Tokens admitted by this process and not refunded, by team.
     const std::map<std::string, std::uint64_t>& admitted() const { return admitted_; }
 
 private:
     struct bucket {
+        /// Of the whole fleet.
         double rate_per_s = 0;
         double capacity = 0;
         double level = 0;
         time_point refilled;
-    };
-    struct peer_team {
-        std::uint64_t total = 0;
-        /// Smoothed use in tokens per second.
-        double rate = 0;
+        /// Tokens charged lately; decays exponentially.
+        double recent_use = 0;
     };
     struct peer {
         std::uint64_t start = 0;
         std::uint64_t sequence = 0;
         time_point last_report_at;
-        /// Its assumed use has been charged up to this moment.
-        time_point charged_until;
-        /// Longest time between two of its reports.
+        /// Longest time until its next report.
         duration report_interval{};
         /// Its next totals are not charged.
         bool is_baseline_due = false;
-        /// A team that is not in `teams` had no use at its last report.
+        /// Its reports have stopped.
+        bool is_missing = false;
+        /// A team that is not in `totals` had no use at its last report.
         bool is_complete = false;
-        std::map<std::string, peer_team> teams;
+        std::map<std::string, std::uint64_t> totals;
     };
 
-    static void refill(bucket& item, time_point now);
-    static void charge(bucket& item, double tokens, double lowest_level);
+    void refill(bucket& item, time_point now) const;
+    void charge(bucket& item, double tokens, double lowest_level) const;
+
+    /// Share of the limits that this gateway may grant together with those that it hears.
+    double present_share() const;
+
+    /// Applies a change of the share. `silence`: longest time since a report of those that have
+    /// just gone missing.
+    void update_share(duration silence, time_point now);
 
     std::uint64_t start_;
     std::map<std::string, bucket> buckets_;
     std::map<std::string, peer> peers_;
+    /// The present share, as applied to the buckets.
+    double share_ = 1;
     std::map<std::string, std::uint64_t> admitted_;
 };
 
--- a/src/gateway/usage_reporter.cpp
+++ b/src/gateway/usage_reporter.cpp
@@ -44,13 +44,17 @@
         const auto known = reported_.find(item.first);
         return known == reported_.end() || known->second.total != item.second;
     });
-    const auto wait = has_changed ? interval : idle_interval(gateways);
-    if (sent_at_ && now - *sent_at_ < wait) {
+    // Gateways that share a limit which is nearly used up have to know whether they are in contact.
+    const auto wait =
+        has_changed || urgency != usage_urgency::none ? interval : idle_interval(gateways);
+    if (sent_at_ && now - *sent_at_ < std::min(wait, next_within_)) {
         return std::nullopt;
     }
     sent_at_ = now;
+    next_within_ = wait;
     stated_ = admitted;
     usage_statement stated;
+    stated.next_within = next_within_;
     stated.is_complete = reports_++ % complete_report_rounds == 0;
     for (const auto& [team, total] : admitted) {
         auto& known = reported_[team];
--- a/src/gateway/usage_reporter.h
+++ b/src/gateway/usage_reporter.h
@@ -14,6 +14,8 @@
     std::map<std::string, std::uint64_t> team_tokens;
     /// All teams with any use are stated.
     bool is_complete = false;
+    /// Longest time until the next report.
+    duration next_within{};
 
     friend bool operator==(const usage_statement&, const usage_statement&) = default;
 };
@@ -31,7 +33,8 @@
 /// states.
 ///
 /// Every report goes to every gateway, so that the interval grows with their number: what one of
-/// them receives stays bounded. A report states the teams whose use has changed lately; every few
+/// them receives stays bounded. A report states when the next one follows at the latest, so that a
+/// gateway that is cut off is noticed the sooner the more it is used. A report states the teams whose use has changed lately; every few
 /// reports state all teams, for gateways that have just started.
 class usage_reporter {
 public:
@@ -57,6 +60,8 @@
     };
 
     std::optional<time_point> sent_at_;
+    /// As stated by the last report.
+    duration next_within_{};
     std::uint64_t reports_ = 0;
     std::map<std::string, reported_total> reported_;
     std::map<std::string, std::uint64_t> stated_;
