A full log file in the tests leaves room for the sanitizer's own files

process_survives_a_log_file_that_is_full failed in each run under the thread sanitizer and was in KNOWN-RED.txt, not traced.

Cause: of the test. It limited the size of files to 0, and the runtime of that sanitizer writes small files of its own before main(). Traced with a program of two lines that starts one thread: under `ulimit -f 0` it is killed by SIGXFSZ, under 1 to 64 KiB it ends by a bus error, under 1 MiB it runs.

Change: the log file has 64 MiB (sparse), and the limit is the same, so that each write of the process fails as before. The test checks what it did; it now prints the output of the fleet where three engines have ended (poison_request).

--- a/src/gateway/usage_reporter.h
+++ b/src/gateway/usage_reporter.h
@@ -34,8 +34,9 @@
 ///
 /// Every report goes to every gateway, so that the interval grows with their number: what one of
 /// them receives stays bounded. A report states when the next one follows at the latest, so that a
-/// gateway that is cut off is noticed the sooner the more it is used. A report states the teams whose use has changed lately; every few
-/// reports state all teams, for gateways that have just started.
+/// gateway that is cut off is noticed the sooner the more it is used. A report states the teams
+/// whose use has changed lately; every few reports state all teams, for gateways that have just
+/// started.
 class usage_reporter {
 public:
     /// Returns what to report now, or nothing if no report is due. `admitted`: total tokens by
--- a/tests/process/support/child_process.cpp
+++ b/tests/process/support/child_process.cpp
@@ -22,6 +22,8 @@
 
 constexpr int signal_exit_base = 128;
 constexpr int exec_failed = 127;
+// The thread sanitizer's runtime writes small files of its own before main().
+constexpr off_t full_file_bytes = off_t{1} << 26U;
 
 // Null-terminated array of pointers into `texts`, as exec expects.
 std::vector<char*> pointers(std::vector<std::string>& texts)
@@ -76,8 +78,11 @@
     }
     if (kind == program_output::full_file) {
         const int file = open("/tmp", O_TMPFILE | O_RDWR | O_CLOEXEC, S_IRUSR | S_IWUSR);
-        const rlimit none{0, 0};
-        setrlimit(RLIMIT_FSIZE, &none);
+        if (ftruncate(file, full_file_bytes) != 0 || lseek(file, 0, SEEK_END) < 0) {
+            _exit(exec_failed);
+        }
+        const rlimit limit{full_file_bytes, full_file_bytes};
+        setrlimit(RLIMIT_FSIZE, &limit);
         dup2(file, STDOUT_FILENO);
         dup2(file, STDERR_FILENO);
         return;
--- a/tests/process/upstream_faults_test.cpp
+++ b/tests/process/upstream_faults_test.cpp
@@ -69,7 +69,7 @@
         for (std::size_t i = 0; i < options.engines; ++i) {
             engines_running += test.engine(i).upstream->running() ? 1 : 0;
         }
-        CPPUNIT_ASSERT(engines_running + 2 >= options.engines);
+        CPPUNIT_ASSERT_MESSAGE(test.output(), engines_running + 2 >= options.engines);
         CPPUNIT_ASSERT(wait_until([&] {
             return call(test.entry().address, completion("a1@v1", "harmless")).status == 200U;
         }));
