An engine that is ending is seen as down

Cause, traced with lines for each submission, probe and finding on a scratch copy (trial): after the second crash the agent's probe of the engine was inconclusive ("state 2"), as the ending process had still accepted its connection and then reset it. The crash was not recorded, the request stayed a suspect with one crash, and a third engine ran it.

Change: the probe repeats a connection that breaks, up to ten times with a pause of 25 ms, until it is refused or answered.

--- a/src/agent/upstream_probe.cpp
+++ b/src/agent/upstream_probe.cpp
@@ -1,9 +1,14 @@
 #include "agent/upstream_probe.h"
 
 #include "base/json_reader.h"
+#include "net/steady_time.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -17,6 +22,9 @@
 using nlohmann::json;
 
 constexpr auto probe_timeout = std::chrono::seconds(2);
+// A process that ends still accepts connections until its listener is closed.
+constexpr int max_attempts = 10;
+constexpr auto retry_pause = std::chrono::milliseconds(25);
 constexpr std::size_t max_response_bytes = std::size_t{4} << 20U;
 constexpr int http_version = 11;
 
@@ -28,11 +36,18 @@
 asio::awaitable<json_response> get(net::http_client& client, const char* path)
 {
     const net::http_client::request request{http::verb::get, path, http_version};
+    const auto deadline = steady_now() + probe_timeout;
     auto response = co_await client.call(request, probe_timeout);
-    if (!response.ok() && !absl::IsUnavailable(response.status())) {
-        // A broken keep-alive connection is inconclusive; a new one shows whether the engine
-        // listens.
-        response = co_await client.call(request, probe_timeout);
+    // A broken connection is inconclusive; a new one shows whether the engine listens.
+    asio::steady_timer pause(co_await asio::this_coro::executor);
+    for (int attempt = 1; attempt < max_attempts && !response.ok() &&
+                          !absl::IsUnavailable(response.status()) && steady_now() < deadline;
+         ++attempt) {
+        response = co_await client.call(request, deadline - steady_now());
+        if (!response.ok() && !absl::IsUnavailable(response.status())) {
+            pause.expires_after(retry_pause);
+            co_await pause.async_wait(asio::use_awaitable);
+        }
     }
     if (!response.ok()) {
         co_return json_response{!absl::IsUnavailable(response.status()), std::nullopt};
