--- a/src/gateway/version_table.cpp
+++ b/src/gateway/version_table.cpp
@@ -1,6 +1,5 @@
 #include "gateway/version_table.h"
 
-#include <algorithm>
 #include <chrono>
 
 namespace snipespar::gateway {
