A report of use does not count all gateways

Change: it is recomputed only if the reporting gateway is new or was missing; no other report can change it.

--- a/src/gateway/team_meter.cpp
+++ b/src/gateway/team_meter.cpp
@@ -202,8 +202,11 @@
     if (is_same_process) {
         next.totals = std::move(known->second.totals);
     }
+    const bool is_new = known == peers_.end();
     auto& current = peers_[usage.gateway] = std::move(next);
-    update_share({}, now);
+    if (is_new || was_missing) {
+        update_share({}, now);
+    }
     for (const auto& [team, total] : usage.team_tokens) {
         const auto [last, is_first] = current.totals.try_emplace(team);
         // The first total of a peer that started before this process is a baseline, not a charge.
