Reads of the store that end are logged and counted

Cause: the log told config_behind and config_accepted only. Whether a gateway that stays behind starts its reads anew, runs into a time-out or decodes too slowly could not be told apart.

Change: store_read is logged for each read that is a list, large, given up or failed, with its cause, bytes and times; counters of reads, those given up and those failed; the version in use as a gauge. No decision changes.

--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -42,6 +42,15 @@
     telemetry::counter& unreadable_objects =
         registry.make_counter("snipespar_gateway_unreadable_objects_total",
                               "Objects of the platform's store that could not be read.");
+    telemetry::counter& store_reads = registry.make_counter(
+        "snipespar_gateway_store_reads_total", "Reads of the platform's store that have ended.");
+    telemetry::counter& store_reads_given_up = registry.make_counter(
+        "snipespar_gateway_store_reads_given_up_total",
+        "Reads of the platform's store whose result was not used, as a later one replaced them.");
+    telemetry::counter& store_reads_failed = registry.make_counter(
+        "snipespar_gateway_store_reads_failed_total", "Reads of the platform's store that failed.");
+    telemetry::gauge& config_version = registry.make_gauge("snipespar_gateway_config_version",
+                                                           "Version of the configuration in use.");
     telemetry::gauge& in_flight =
         registry.make_gauge("snipespar_gateway_in_flight", "Requests in progress.");
     telemetry::summary& latency = registry.make_summary(
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -65,6 +65,8 @@
 // Minimum interval between reads of the upstreams' entries for take-ups, which the platform
 // charges.
 constexpr auto registry_read_interval = milliseconds(400);
+// Reads of the store from this size on are logged.
+constexpr std::size_t notable_read_bytes = 64UL * 1024;
 constexpr int listen_backlog = 1024;
 // Pause after a connection could not be accepted.
 constexpr auto accept_retry_delay = milliseconds(50);
@@ -189,7 +191,8 @@
              if (kind == platform::wire::upstream_kind) {
                  context_.upstreams.on_registry_read(asked_at);
              }
-         }});
+         },
+         [this, kind](const platform::store_read& read) { on_read_ended(kind, read); }});
 }
 
 // The listener comes last, as the kernel accepts callers from then on.
@@ -597,6 +600,7 @@
         return;
     }
     context_.config = *std::move(config);
+    context_.metrics.config_version.set(static_cast<std::int64_t>(context_.config->version()));
     context_.teams.set_limits(*context_.config, steady_now());
     update_retry_budgets();
     context_.log.info("config_accepted", {{"version", context_.config->version()},
@@ -710,6 +714,36 @@
     }
 }
 
+// Polls of the usual kind and size are only counted, as there are several a second.
+void gateway_server::on_read_ended(const std::string& kind, const platform::store_read& read)
+{
+    context_.metrics.store_reads.add();
+    if (read.outcome == platform::read_outcome::superseded) {
+        context_.metrics.store_reads_given_up.add();
+    }
+    if (read.outcome == platform::read_outcome::failed) {
+        context_.metrics.store_reads_failed.add();
+    }
+    const bool is_usual = read.outcome == platform::read_outcome::used &&
+                          read.kind != platform::read_kind::list && read.bytes < notable_read_bytes;
+    if (is_usual) {
+        return;
+    }
+    const auto in_ms = [](duration time) {
+        return std::chrono::duration_cast<milliseconds>(time).count();
+    };
+    context_.log.info("store_read",
+                      {{"kind", kind},
+                       {"read", std::string(to_string(read.kind))},
+                       {"cause", std::string(to_string(read.cause))},
+                       {"outcome", std::string(to_string(read.outcome))},
+                       {"bytes", read.bytes},
+                       {"transfer_ms", in_ms(read.transfer)},
+                       {"processing_ms", in_ms(read.processing)},
+                       {"reason", read.error},
+                       {"config", context_.config == nullptr ? 0 : context_.config->version()}});
+}
+
 // The first watch that notices a restored store makes the others list at once, as their polls may
 // wait for revisions that are assigned again.
 void gateway_server::on_restored(const std::string& kind, std::uint64_t era)
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -82,6 +82,7 @@
     {
         position_.invalidate();
         is_catching_up_ = false;
+        cause_ = read_cause::wish;
         // A second coroutine lists immediately; the first ends when its poll returns.
         ++generation_;
         start();
@@ -93,6 +94,7 @@
     {
         if (position_.is_listed() && is_reachable_.value_or(false) && !is_catching_up_) {
             is_catching_up_ = true;
+            cause_ = read_cause::wish;
             ++generation_;
             start();
         }
@@ -132,11 +134,15 @@
     asio::awaitable<void> run(std::uint64_t generation)
     {
         while (generation == generation_) {
-            const auto status =
-                position_.is_listed() ? co_await poll(generation) : co_await list(generation);
+            store_read read;
+            read.cause = std::exchange(cause_, read_cause::next);
+            const auto status = position_.is_listed() ? co_await poll(generation, read)
+                                                      : co_await list(generation, read);
+            end_read(std::move(read), status, generation == generation_);
             if (generation != generation_) {
                 co_return;
             }
+            cause_ = next_cause(status);
             if (status.ok()) {
                 report_reachability(true, {});
                 retry_backoff_.reset();
@@ -161,13 +167,40 @@
         }
     }
 
-    asio::awaitable<absl::StatusOr<object_page>> get(std::string target, duration timeout)
+    static read_cause next_cause(const absl::Status& status)
+    {
+        if (absl::IsAborted(status)) {
+            return read_cause::restored;
+        }
+        if (absl::IsOutOfRange(status)) {
+            return read_cause::history_lost;
+        }
+        return status.ok() ? read_cause::next : read_cause::retry;
+    }
+
+    void end_read(store_read read, const absl::Status& status, bool is_current)
+    {
+        if (!status.ok()) {
+            read.error = std::string(status.message());
+        }
+        read.outcome = !is_current   ? read_outcome::superseded
+                       : status.ok() ? read_outcome::used
+                                     : read_outcome::failed;
+        handler_.read_ended(read);
+    }
+
+    asio::awaitable<absl::StatusOr<object_page>> get(std::string target, duration timeout,
+                                                     store_read& read)
     {
         net::http_client::request message{http::verb::get, target, 11};
+        const auto sent_at = steady_now();
         auto response = co_await client_.call(std::move(message), timeout);
+        const auto received_at = steady_now();
+        read.transfer += received_at - sent_at;
         if (!response.ok()) {
             co_return response.status();
         }
+        read.bytes += response->body().size();
         if (auto status = check_era(*response); !status.ok()) {
             co_return status;
         }
@@ -177,7 +210,9 @@
         if (response->result() != http::status::ok) {
             co_return absl::UnavailableError(fmt::format("status {}", response->result_int()));
         }
-        co_return decode_object_page(response->body());
+        auto page = decode_object_page(response->body());
+        read.processing += steady_now() - received_at;
+        co_return page;
     }
 
     // Aborted: the store was restored since the last response. Unavailable: the response is from
@@ -201,8 +236,9 @@
         return absl::UnavailableError("the response is from before the store was restored");
     }
 
-    asio::awaitable<absl::Status> list(std::uint64_t generation)
+    asio::awaitable<absl::Status> list(std::uint64_t generation, store_read& read)
     {
+        read.kind = read_kind::list;
         std::vector<watched_object> objects;
         std::vector<unreadable_object> unreadable;
         std::optional<std::uint64_t> revision;
@@ -213,7 +249,7 @@
             const auto target = after.empty()
                                     ? fmt::format("/objects/{}", kind_)
                                     : fmt::format("/objects/{}?after={}", kind_, escaped(after));
-            auto page = co_await get(target, response_timeout);
+            auto page = co_await get(target, response_timeout, read);
             if (!page.ok()) {
                 co_return page.status();
             }
@@ -229,22 +265,25 @@
             after = last;
         }
         if (generation == generation_) {
+            const auto used_at = steady_now();
             position_.on_listed(*revision);
             report(unreadable);
             handler_.listed(objects);
             handler_.read(asked_at);
+            read.processing += steady_now() - used_at;
         }
         co_return absl::OkStatus();
     }
 
-    asio::awaitable<absl::Status> poll(std::uint64_t generation)
+    asio::awaitable<absl::Status> poll(std::uint64_t generation, store_read& read)
     {
+        read.kind = is_catching_up_ ? read_kind::catch_up : read_kind::poll;
         const auto poll_wait = is_catching_up_ ? duration{} : poll_wait_;
         const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(poll_wait);
         const auto asked_at = steady_now();
         const auto response = co_await get(fmt::format("/objects/{}?watch={}&wait_ms={}", kind_,
                                                        position_.revision(), wait.count()),
-                                           poll_wait + response_timeout);
+                                           poll_wait + response_timeout, read);
         if (generation == generation_) {
             is_catching_up_ = false;
         }
@@ -254,12 +293,14 @@
         if (generation != generation_) {
             co_return absl::OkStatus();
         }
+        const auto used_at = steady_now();
         report(response->unreadable);
         for (const auto& object : response->objects) {
             handler_.changed(object);
         }
         position_.on_polled(response->revision);
         handler_.read(asked_at);
+        read.processing += steady_now() - used_at;
         co_return absl::OkStatus();
     }
 
@@ -287,6 +328,8 @@
     backoff retry_backoff_;
     asio::steady_timer timer_;
     watch_position position_;
+    /// Of the next read.
+    read_cause cause_ = read_cause::start;
     // Incremented to end the coroutines that were started with an earlier value.
     std::uint64_t generation_ = 0;
     std::optional<bool> is_reachable_;
--- a/src/platform/object_watch.h
+++ b/src/platform/object_watch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cli/endpoint.h"
+#include "platform/store_read.h"
 #include "platform/watched_object.h"
 #include "snipespar/time.h"
 
@@ -29,6 +30,8 @@
     std::function<void(bool is_reachable, const std::string& reason)> reachability_changed;
     /// All changes made before `asked_at` have been reported.
     std::function<void(time_point asked_at)> read;
+    /// A read has ended, also one without a result.
+    std::function<void(const store_read&)> read_ended;
 };
 
 /// Delays of an object watch's polls.
