--- a/tests/process/support/gateway_fleet.cpp
+++ b/tests/process/support/gateway_fleet.cpp
@@ -98,6 +98,7 @@
     for (std::size_t i = 0; i < options.gateways; ++i) {
         fleet_member gateway;
         gateway.id = fmt::format("front-{}", i);
+        const bool is_relayed = i == 0 || !options.relays_first_gateway_only;
         const auto ip = fmt::format("127.0.1.{}", i + 1);
         gateway.address = {ip, free_address().port};
         gateway.admin = {ip, free_address().port};
@@ -105,8 +106,8 @@
                          {"gateway", "--listen=" + gateway.address.str(),
                           "--admin-listen=" + gateway.admin.str(),
                           fmt::format("--control-listen={}:{}", ip, control_port_),
-                          "--platform=" + platform_.str(), "--host=" + gateway.id,
-                          "--failure-domain=a", "--seed=1"},
+                          "--platform=" + (is_relayed ? platform_ : store.address).str(),
+                          "--host=" + gateway.id, "--failure-domain=a", "--seed=1"},
                          {{"SNIPESPAR_NODE_FILE", "/nowhere"}}};
         gateway.start.arguments.insert(gateway.start.arguments.end(),
                                        options.gateway_arguments.begin(),
@@ -147,6 +148,38 @@
     return call;
 }
 
+bool gateway_fleet::add_routes(std::size_t count)
+{
+    return change_config([count](json& config) {
+        const auto first = config["routes"].size();
+        for (std::size_t i = first; i < first + count; ++i) {
+            config["routes"].push_back({{"name", fmt::format("added-{}", i)},
+                                        {"host", fmt::format("host-{}.example", i)},
+                                        {"path_prefix", fmt::format("/added-{}/", i)},
+                                        {"route_type", "safe"},
+                                        {"timeout_ms", 20000},
+                                        {"target_latency_ms", 5000},
+                                        {"priority", 2},
+                                        {"max_attempts", 3},
+                                        {"upstream", "desk"},
+                                        {"public", false}});
+        }
+    });
+}
+
+std::uint64_t gateway_fleet::config_version() const
+{
+    return config_["version"].get<std::uint64_t>();
+}
+
+std::uint64_t gateway_fleet::config_version_of(const fleet_member& gateway)
+{
+    const auto reply = send_call(gateway.admin, {"GET", "/status", {}, {}});
+    return reply.ok() && reply->status == 200
+               ? json::parse(reply->body)["config"].get<std::uint64_t>()
+               : 0;
+}
+
 bool gateway_fleet::announce(const fleet_member& upstream, const std::string& service,
                              bool is_draining)
 {
--- a/tests/process/support/gateway_fleet.h
+++ b/tests/process/support/gateway_fleet.h
@@ -6,6 +6,7 @@
 #include "support/http_probe.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -20,6 +21,8 @@
     std::size_t services = 2;
     /// Puts a relay between the gateways and the platform's store.
     bool has_store_relay = false;
+    /// Only the first gateway is behind that relay.
+    bool relays_first_gateway_only = false;
     /// Entries of upstreams state their process start.
     bool states_process_start = false;
     /// Software version of each engine, which marks the events of its streams. Without one, engines
@@ -69,6 +72,15 @@
         return put("config", "main", config_, false);
     }
 
+    /// Adds this many routes to the configuration, about 200 bytes each.
+    bool add_routes(std::size_t count);
+
+    /// Version of the configuration that was written last.
+    std::uint64_t config_version() const;
+
+    /// Version that the gateway uses; 0 if it has none or does not answer.
+    static std::uint64_t config_version_of(const fleet_member& gateway);
+
     /// Writes an upstream to the server list, as ready or draining.
     bool announce(const fleet_member& upstream, const std::string& service, bool is_draining);
     bool withdraw(const fleet_member& upstream);
--- a/tests/process/support/tcp_cutter.cpp
+++ b/tests/process/support/tcp_cutter.cpp
@@ -1,5 +1,6 @@
 #include "process/support/tcp_cutter.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
@@ -84,6 +85,7 @@
 
     std::atomic<relay_mode> towards_target{relay_mode::pass};
     std::atomic<relay_mode> from_target{relay_mode::pass};
+    std::atomic<std::size_t> bytes_per_s_from_target{0};
     std::atomic<bool> unreachable{false};
 
 private:
@@ -106,16 +108,19 @@
             co_return;
         }
         connections_.insert(connection);
-        asio::co_spawn(context_,
-                       pump(connection, connection->source, connection->target, towards_target),
-                       asio::detached);
-        co_await pump(connection, connection->target, connection->source, from_target);
+        asio::co_spawn(
+            context_,
+            pump(connection, connection->source, connection->target, towards_target, unlimited_),
+            asio::detached);
+        co_await pump(connection, connection->target, connection->source, from_target,
+                      bytes_per_s_from_target);
         connections_.erase(connection);
     }
 
     // Copies bytes in one direction until it ends; keeps the connection alive meanwhile.
-    static asio::awaitable<void> pump(relayed_ptr /*held*/, tcp::socket& from, tcp::socket& to,
-                                      const std::atomic<relay_mode>& mode)
+    asio::awaitable<void> pump(relayed_ptr /*held*/, tcp::socket& from, tcp::socket& to,
+                               const std::atomic<relay_mode>& mode,
+                               const std::atomic<std::size_t>& bytes_per_s)
     {
         std::array<char, 16384> bytes{};
         while (true) {
@@ -126,6 +131,7 @@
                 break;
             }
             co_await wait_while_frozen(from, mode);
+            co_await take_turn(size, bytes_per_s);
             if (mode == relay_mode::drop) {
                 continue;
             }
@@ -139,6 +145,20 @@
         std::ignore = to.shutdown(tcp::socket::shutdown_send, ignored);
     }
 
+    // Waits until the link has carried these bytes, after those of all connections before them.
+    asio::awaitable<void> take_turn(std::size_t bytes, const std::atomic<std::size_t>& bytes_per_s)
+    {
+        const auto rate = bytes_per_s.load();
+        if (rate == 0) {
+            co_return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        link_free_at_ = std::max(link_free_at_, now) +
+                        std::chrono::microseconds(std::chrono::seconds(1)) * bytes / rate;
+        asio::steady_timer timer(context_, link_free_at_);
+        co_await timer.async_wait(as_result);
+    }
+
     static asio::awaitable<void> wait_while_frozen(tcp::socket& from,
                                                    const std::atomic<relay_mode>& mode)
     {
@@ -149,6 +169,8 @@
         }
     }
 
+    const std::atomic<std::size_t> unlimited_{0};
+    std::chrono::steady_clock::time_point link_free_at_;
     asio::io_context context_{1};
     tcp::endpoint target_;
     tcp::acceptor acceptor_;
@@ -175,6 +197,11 @@
     state_->from_target = mode;
 }
 
+void tcp_cutter::set_rate_from_target(std::size_t bytes_per_s)
+{
+    state_->bytes_per_s_from_target = bytes_per_s;
+}
+
 void tcp_cutter::cut()
 {
     state_->cut();
--- a/tests/process/support/tcp_cutter.h
+++ b/tests/process/support/tcp_cutter.h
@@ -2,6 +2,7 @@
 
 #include "cli/endpoint.h"
 
+#include <cstddef>
 #include <memory>
 
 namespace snipespar::testing {
@@ -31,6 +32,9 @@
     void set_towards_target(relay_mode mode);
     void set_from_target(relay_mode mode);
 
+    /// Bytes a second that all connections together carry from the target; 0 sets no limit.
+    void set_rate_from_target(std::size_t bytes_per_s);
+
     /// Resets all present connections; new ones work.
     void cut();
 
