A read of the store that arrives is not replaced by news of what it brings

What callers saw: requests handled by a version that had been replaced seconds ago (CONFIG), on gateways with slow links, as long as the configuration grew.

Cause: a gateway that learned from a peer of a newer version listed the configuration anew, once a second, and dropped the result of the poll or list under way, which was that version. Where the transfer took longer than a second, no read ever ended.

Change: watch_plan decides which read is next. One read counts at a time; one whose response has begun to arrive always ends by itself, and news are served by a read that follows. A poll without any byte is replaced after 300 ms, since the store may have lost it, by a read of the changes instead of a list. The same for upstream entries and adapter versions. After an outage the changes are read, not the lists.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -55,8 +55,10 @@
 constexpr auto max_upstream_poll_delay = milliseconds(3000);
 constexpr platform::object_watch_timing version_watch_timing{std::chrono::seconds(25),
                                                              milliseconds(200)};
-// Minimum interval between refreshes of the configuration when other gateways have a newer version.
+// Minimum interval between reads of the configuration because other gateways have a newer version.
 constexpr auto config_refresh_interval = milliseconds(1000);
+// A response to a poll begins this long after a change at the latest, also if the store is slow.
+constexpr auto lost_poll_patience = milliseconds(300);
 // Requests named in the log when a forced stop cuts them off.
 constexpr int max_logged_cuts = 50;
 // Share of the fleet's retry budget that is divided among the gateways; the rest covers gateways
@@ -158,7 +160,7 @@
         const auto now = steady_now();
         if (now - registry_asked_at_ >= registry_read_interval) {
             registry_asked_at_ = now;
-            upstream_watch_.catch_up();
+            upstream_watch_.read_again({});
         }
     };
     context_.report_upstream_ended = [this](const upstream_id& upstream) {
@@ -699,8 +701,9 @@
         if (kind == platform::wire::upstream_kind) {
             context_.upstreams.on_registry_recovered(steady_now());
             if (std::exchange(is_registry_unreachable_, false)) {
-                config_watch_.refresh();
-                version_watch_.refresh();
+                // Polls of the outage may be lost.
+                config_watch_.read_again({});
+                version_watch_.read_again({});
             }
         }
     }
@@ -756,7 +759,7 @@
     context_.upstreams.on_registry_restored(steady_now());
     for (auto* watch : {&config_watch_, &upstream_watch_, &version_watch_}) {
         if (watch->kind() != kind) {
-            watch->refresh();
+            watch->list_again(era);
         }
     }
 }
@@ -863,7 +866,7 @@
         context_.log.warning(
             "config_behind",
             {{"version", known}, {"peer", usage.gateway}, {"peer_version", usage.config_version}});
-        config_watch_.refresh();
+        config_watch_.read_again(lost_poll_patience);
     }
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -36,6 +36,9 @@
 // Received bytes beyond a body: a header, or the header of a chunk.
 constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
 
+// Bytes that one read takes at most.
+constexpr std::size_t read_size = 32UL * 1024;
+
 struct connection {
     connection(const asio::any_io_executor& executor, std::size_t max_buffered_bytes)
         : stream(executor), buffer(max_buffered_bytes)
@@ -127,6 +130,12 @@
 
 asio::awaitable<absl::StatusOr<http_client::response>> http_client::call(request message,
                                                                          duration timeout)
+{
+    return call(std::move(message), timeout, [] { return true; });
+}
+
+asio::awaitable<absl::StatusOr<http_client::response>>
+http_client::call(request message, duration timeout, std::function<bool()> goes_on)
 {
     const auto shared = pool_;
     const auto deadline = std::chrono::steady_clock::now() + timeout;
@@ -151,10 +160,16 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(shared->max_body_bytes());
     parser.skip(message.method() == http::verb::head);
-    const auto [read_error, count] =
-        co_await http::async_read(used->stream, used->buffer, parser, as_result);
-    if (read_error) {
-        co_return absl::UnknownError(read_error.message());
+    used->buffer.reserve(read_size);
+    while (!parser.is_done()) {
+        const auto [read_error, count] =
+            co_await http::async_read_some(used->stream, used->buffer, parser, as_result);
+        if (read_error) {
+            co_return absl::UnknownError(read_error.message());
+        }
+        if (!parser.is_done() && !goes_on()) {
+            co_return absl::CancelledError("the response is not wanted any more");
+        }
     }
     if (parser.get().keep_alive() && used->buffer.size() == 0) {
         shared->put_idle(std::move(used));
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -29,6 +30,11 @@
     /// was sent; Unknown that the server may have executed the request.
     boost::asio::awaitable<absl::StatusOr<response>> call(request message, duration timeout);
 
+    /// The same, but asks `goes_on` whenever a part of the response has arrived. Cancelled: it
+    /// returned false, and the connection was closed.
+    boost::asio::awaitable<absl::StatusOr<response>> call(request message, duration timeout,
+                                                          std::function<bool()> goes_on);
+
 private:
     class pool;
     std::shared_ptr<pool> pool_;
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -1,18 +1,16 @@
 #include "platform/object_watch.h"
 
-#include "base/backoff.h"
 #include "net/http_client.h"
 #include "net/steady_time.h"
 #include "platform/object_codec.h"
-#include "platform/watch_position.h"
+#include "platform/watch_plan.h"
 #include "platform/wire_names.h"
 
 #include <absl/strings/numbers.h>
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <exception>
 #include <fmt/core.h>
 #include <iterator>
@@ -29,9 +27,6 @@
 
 // The store usually responds within 4 ms, and within 250 ms when it is slow.
 constexpr auto response_timeout = std::chrono::milliseconds(1'500);
-// Retry delays while the store is unreachable; the maximum keeps recovery within a second.
-constexpr auto initial_retry_delay = std::chrono::milliseconds(100);
-constexpr auto max_retry_delay = std::chrono::milliseconds(800);
 // A list is at most about one megabyte.
 constexpr std::size_t max_response_bytes = 8UL * 1024 * 1024;
 
@@ -60,141 +55,146 @@
     follower(asio::any_io_executor executor, const cli::endpoint& store, std::string kind,
              object_watch_timing timing, std::uint64_t seed, object_watch_handler handler)
         : executor_(std::move(executor)), client_(store.ip, store.port, max_response_bytes),
-          kind_(std::move(kind)), poll_delay_(timing.poll_delay), poll_wait_(timing.poll_wait),
-          handler_(std::move(handler)), retry_backoff_(initial_retry_delay, max_retry_delay, seed),
-          timer_(executor_)
+          kind_(std::move(kind)), poll_wait_(timing.poll_wait), handler_(std::move(handler)),
+          timer_(executor_), plan_(timing.poll_delay, seed)
     {
     }
 
-    void start()
-    {
-        asio::co_spawn(
-            executor_,
-            [self = shared_from_this(), generation = generation_]() -> asio::awaitable<void> {
-                co_await self->run(generation);
-            },
-            [self = shared_from_this(), generation = generation_](const std::exception_ptr& error) {
-                self->on_end(generation, error);
-            });
-    }
+    void start() { advance(); }
 
-    void refresh()
+    void read_again(duration patience)
     {
-        position_.invalidate();
-        is_catching_up_ = false;
-        cause_ = read_cause::wish;
-        // A second coroutine lists immediately; the first ends when its poll returns.
-        ++generation_;
-        start();
+        plan_.read_again(patience, steady_now());
+        advance();
     }
 
-    // A list, and the repetition of a failed request, go on as they are: taking their place again
-    // and again would keep them from ending while the store is slow.
-    void catch_up()
+    void list_again(std::uint64_t era)
     {
-        if (position_.is_listed() && is_reachable_.value_or(false) && !is_catching_up_) {
-            is_catching_up_ = true;
-            cause_ = read_cause::wish;
-            ++generation_;
-            start();
-        }
+        plan_.list_again(era, steady_now());
+        advance();
     }
 
     const std::string& kind() const { return kind_; }
 
     void stop()
     {
-        ++generation_;
+        is_stopped_ = true;
         timer_.cancel();
     }
 
 private:
-    // An exception caused by an unexpected object must not end the watch of its kind.
-    void on_end(std::uint64_t generation, const std::exception_ptr& error)
+    // Starts the read that is due and waits for the next one. Posted, as events of a read in
+    // progress may be what made another one due.
+    void advance()
+    {
+        asio::post(executor_, [self = shared_from_this()] {
+            if (self->is_stopped_) {
+                return;
+            }
+            if (const auto due = self->plan_.next(steady_now())) {
+                self->start_read(*due);
+            }
+            self->wait();
+        });
+    }
+
+    void wait()
     {
-        if (error == nullptr || generation != generation_) {
+        const auto next_at = plan_.next_at();
+        if (!next_at) {
+            timer_.cancel();
             return;
         }
-        try {
-            std::rethrow_exception(error);
-        }
-        catch (const std::exception& cause) {
-            report_reachability(false, cause.what());
-        }
-        position_.invalidate();
-        is_catching_up_ = false;
-        timer_.expires_after(max_retry_delay);
-        timer_.async_wait([self = shared_from_this(), generation](const auto& wait_error) {
-            if (!wait_error && generation == self->generation_) {
-                self->start();
+        timer_.expires_after(std::max(*next_at - steady_now(), duration{}));
+        timer_.async_wait([self = shared_from_this()](const auto& error) {
+            if (!error) {
+                self->advance();
             }
         });
     }
 
-    asio::awaitable<void> run(std::uint64_t generation)
+    // An exception caused by an unexpected object must not end the watch of its kind.
+    void start_read(const planned_read& due)
     {
-        while (generation == generation_) {
-            store_read read;
-            read.cause = std::exchange(cause_, read_cause::next);
-            const auto status = position_.is_listed() ? co_await poll(generation, read)
-                                                      : co_await list(generation, read);
-            end_read(std::move(read), status, generation == generation_);
-            if (generation != generation_) {
-                co_return;
-            }
-            cause_ = next_cause(status);
-            if (status.ok()) {
-                report_reachability(true, {});
-                retry_backoff_.reset();
-                if (poll_delay_ > duration{}) {
-                    timer_.expires_after(poll_delay_);
-                    co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+        asio::co_spawn(
+            executor_,
+            [self = shared_from_this(), due]() -> asio::awaitable<void> {
+                co_await self->perform(due);
+            },
+            [self = shared_from_this(), due](const std::exception_ptr& error) {
+                if (error == nullptr || self->is_stopped_) {
+                    return;
                 }
-                continue;
-            }
-            if (absl::IsAborted(status)) {
-                // A restored store is listed at once.
-                continue;
-            }
-            if (absl::IsOutOfRange(status)) {
-                position_.invalidate();
-            }
-            else {
-                report_reachability(false, std::string(status.message()));
-            }
-            timer_.expires_after(retry_backoff_.next());
-            co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
-        }
+                try {
+                    std::rethrow_exception(error);
+                }
+                catch (const std::exception& cause) {
+                    self->end_read(due, begun(due), absl::OutOfRangeError(cause.what()));
+                }
+            });
     }
 
-    static read_cause next_cause(const absl::Status& status)
+    static store_read begun(const planned_read& due)
     {
-        if (absl::IsAborted(status)) {
-            return read_cause::restored;
-        }
-        if (absl::IsOutOfRange(status)) {
-            return read_cause::history_lost;
+        store_read read;
+        read.kind = due.kind;
+        read.cause = due.cause;
+        return read;
+    }
+
+    asio::awaitable<void> perform(planned_read due)
+    {
+        auto read = begun(due);
+        const auto status =
+            due.kind == read_kind::list ? co_await list(due, read) : co_await poll(due, read);
+        if (!is_stopped_) {
+            end_read(due, std::move(read), status);
         }
-        return status.ok() ? read_cause::next : read_cause::retry;
     }
 
-    void end_read(store_read read, const absl::Status& status, bool is_current)
+    void end_read(const planned_read& due, store_read read, const absl::Status& status)
     {
         if (!status.ok()) {
             read.error = std::string(status.message());
         }
-        read.outcome = !is_current   ? read_outcome::superseded
-                       : status.ok() ? read_outcome::used
-                                     : read_outcome::failed;
+        if (absl::IsCancelled(status) || (!status.ok() && !plan_.is_current(due.number))) {
+            read.outcome = read_outcome::superseded;
+        }
+        else if (status.ok()) {
+            read.outcome = read_outcome::used;
+            report_reachability(true, {});
+        }
+        else {
+            on_failed(due, status);
+        }
         handler_.read_ended(read);
+        advance();
+    }
+
+    void on_failed(const planned_read& due, const absl::Status& status)
+    {
+        auto failure = read_failure::unavailable;
+        if (absl::IsAborted(status)) {
+            failure = read_failure::restored;
+        }
+        else if (absl::IsOutOfRange(status)) {
+            failure = read_failure::history_lost;
+        }
+        else {
+            report_reachability(false, std::string(status.message()));
+        }
+        plan_.on_failed(due.number, failure, steady_now());
     }
 
+    // Cancelled: another read has replaced this one.
     asio::awaitable<absl::StatusOr<object_page>> get(std::string target, duration timeout,
-                                                     store_read& read)
+                                                     const planned_read& due, store_read& read)
     {
         net::http_client::request message{http::verb::get, target, 11};
         const auto sent_at = steady_now();
-        auto response = co_await client_.call(std::move(message), timeout);
+        auto response =
+            co_await client_.call(std::move(message), timeout,
+                                  [this, number = due.number] { return plan_.on_bytes(number); });
         const auto received_at = steady_now();
         read.transfer += received_at - sent_at;
         if (!response.ok()) {
@@ -210,6 +210,9 @@
         if (response->result() != http::status::ok) {
             co_return absl::UnavailableError(fmt::format("status {}", response->result_int()));
         }
+        if (!plan_.is_current(due.number)) {
+            co_return absl::CancelledError("replaced");
+        }
         auto page = decode_object_page(response->body());
         read.processing += steady_now() - received_at;
         co_return page;
@@ -224,7 +227,7 @@
         std::uint64_t number = 0;
         const bool is_stated =
             absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &number);
-        switch (position_.on_era(is_stated ? std::optional(number) : std::nullopt)) {
+        switch (plan_.on_era(is_stated ? std::optional(number) : std::nullopt)) {
         case watch_position::era_change::none:
             return absl::OkStatus();
         case watch_position::era_change::restored:
@@ -236,9 +239,8 @@
         return absl::UnavailableError("the response is from before the store was restored");
     }
 
-    asio::awaitable<absl::Status> list(std::uint64_t generation, store_read& read)
+    asio::awaitable<absl::Status> list(planned_read due, store_read& read)
     {
-        read.kind = read_kind::list;
         std::vector<watched_object> objects;
         std::vector<unreadable_object> unreadable;
         std::optional<std::uint64_t> revision;
@@ -249,7 +251,7 @@
             const auto target = after.empty()
                                     ? fmt::format("/objects/{}", kind_)
                                     : fmt::format("/objects/{}?after={}", kind_, escaped(after));
-            auto page = co_await get(target, response_timeout, read);
+            auto page = co_await get(target, response_timeout, due, read);
             if (!page.ok()) {
                 co_return page.status();
             }
@@ -264,42 +266,33 @@
             }
             after = last;
         }
-        if (generation == generation_) {
-            const auto used_at = steady_now();
-            position_.on_listed(*revision);
-            report(unreadable);
-            handler_.listed(objects);
-            handler_.read(asked_at);
-            read.processing += steady_now() - used_at;
-        }
+        const auto used_at = steady_now();
+        report(unreadable);
+        handler_.listed(objects);
+        handler_.read(asked_at);
+        plan_.on_used(due.number, *revision, steady_now());
+        read.processing += steady_now() - used_at;
         co_return absl::OkStatus();
     }
 
-    asio::awaitable<absl::Status> poll(std::uint64_t generation, store_read& read)
+    asio::awaitable<absl::Status> poll(planned_read due, store_read& read)
     {
-        read.kind = is_catching_up_ ? read_kind::catch_up : read_kind::poll;
-        const auto poll_wait = is_catching_up_ ? duration{} : poll_wait_;
+        const auto poll_wait = due.kind == read_kind::catch_up ? duration{} : poll_wait_;
         const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(poll_wait);
         const auto asked_at = steady_now();
-        const auto response = co_await get(fmt::format("/objects/{}?watch={}&wait_ms={}", kind_,
-                                                       position_.revision(), wait.count()),
-                                           poll_wait + response_timeout, read);
-        if (generation == generation_) {
-            is_catching_up_ = false;
-        }
+        const auto response = co_await get(
+            fmt::format("/objects/{}?watch={}&wait_ms={}", kind_, due.revision, wait.count()),
+            poll_wait + response_timeout, due, read);
         if (!response.ok()) {
             co_return response.status();
         }
-        if (generation != generation_) {
-            co_return absl::OkStatus();
-        }
         const auto used_at = steady_now();
         report(response->unreadable);
         for (const auto& object : response->objects) {
             handler_.changed(object);
         }
-        position_.on_polled(response->revision);
         handler_.read(asked_at);
+        plan_.on_used(due.number, response->revision, steady_now());
         read.processing += steady_now() - used_at;
         co_return absl::OkStatus();
     }
@@ -322,19 +315,12 @@
     asio::any_io_executor executor_;
     net::http_client client_;
     std::string kind_;
-    duration poll_delay_;
     duration poll_wait_;
     object_watch_handler handler_;
-    backoff retry_backoff_;
     asio::steady_timer timer_;
-    watch_position position_;
-    /// Of the next read.
-    read_cause cause_ = read_cause::start;
-    // Incremented to end the coroutines that were started with an earlier value.
-    std::uint64_t generation_ = 0;
+    watch_plan plan_;
+    bool is_stopped_ = false;
     std::optional<bool> is_reachable_;
-    /// Set from the call of `catch_up` until its response or failure.
-    bool is_catching_up_ = false;
 };
 
 object_watch::object_watch(asio::any_io_executor executor, const cli::endpoint& store,
@@ -360,14 +346,14 @@
     return follower_->kind();
 }
 
-void object_watch::refresh()
+void object_watch::read_again(duration patience)
 {
-    follower_->refresh();
+    follower_->read_again(patience);
 }
 
-void object_watch::catch_up()
+void object_watch::list_again(std::uint64_t era)
 {
-    follower_->catch_up();
+    follower_->list_again(era);
 }
 
 } // namespace snipespar::platform
--- a/src/platform/object_watch.h
+++ b/src/platform/object_watch.h
@@ -45,6 +45,7 @@
 
 /// Watches all objects of one kind: a paged list, then one long poll after the other. After a lost
 /// response the request is repeated, after a dropped history the list, both with backoff.
+/// `watch_plan` decides which read is next.
 class object_watch {
 public:
     object_watch(boost::asio::any_io_executor executor, const cli::endpoint& store,
@@ -58,11 +59,11 @@
 
     const std::string& kind() const;
 
-    /// Lists again immediately, because a newer version is known to exist.
-    void refresh();
+    /// Reads what may be newer than the last response: see `watch_plan::read_again`.
+    void read_again(duration patience);
 
-    /// Asks immediately for the changes since the last response, without waiting for new ones.
-    void catch_up();
+    /// Lists again if the watch has not noticed yet that the store was restored in this era.
+    void list_again(std::uint64_t era);
 
 private:
     class follower;
