A transfer from the store ends by silence, not by its duration

What callers saw: a gateway behind a slow link never got a configuration whose bytes take longer than 1.5 s; one that had just started refused everything (no_configuration).

Cause: a list had 1.5 s in all, and the next attempt began from nothing.

Change: the time-outs of a read count until its response begins, and while it arrives in spans of 1.5 s that must bring 1 kB or the end. The bound on bytes stays.

Why it works: a transfer that goes on is never broken off, and one that sends a byte now and then is.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -114,6 +114,14 @@
         co_return opened;
     }
 
+    // Sends a request. The connection keeps the deadline that follows from `timeout`.
+    asio::awaitable<absl::StatusOr<std::unique_ptr<connection>>> send(request message,
+                                                                      duration timeout);
+
+    // Keeps the connection for the next call if the response allows it.
+    response finish(std::unique_ptr<connection> used,
+                    http::response_parser<http::string_body>& parser);
+
 private:
     std::string address_;
     std::uint16_t port_;
@@ -121,34 +129,67 @@
     std::vector<std::unique_ptr<connection>> idle_;
 };
 
-http_client::http_client(std::string address, std::uint16_t port, std::size_t max_body_bytes)
-    : pool_(std::make_shared<pool>(std::move(address), port, max_body_bytes))
+namespace {
+
+using response_parser = http::response_parser<http::string_body>;
+
+absl::Status read_error_status(const beast::error_code& error)
 {
+    return absl::UnknownError(error.message());
 }
 
-http_client::~http_client() = default;
+// Reads a response within the time that was set for the stream.
+asio::awaitable<absl::Status> read_response(connection& source, response_parser& parser)
+{
+    const auto [error, count] =
+        co_await http::async_read(source.stream, source.buffer, parser, as_result);
+    co_return error ? read_error_status(error) : absl::OkStatus();
+}
 
-asio::awaitable<absl::StatusOr<http_client::response>> http_client::call(request message,
-                                                                         duration timeout)
+// Reads a response whose beginning must arrive within the time that was set for the stream.
+asio::awaitable<absl::Status> read_response(connection& source, response_parser& parser,
+                                            duration between_parts,
+                                            const std::function<bool()>& goes_on)
 {
-    return call(std::move(message), timeout, [] { return true; });
+    source.buffer.reserve(read_size);
+    std::size_t bytes_of_span = min_transfer_bytes;
+    while (!parser.is_done()) {
+        const auto [error, count] =
+            co_await http::async_read_some(source.stream, source.buffer, parser, as_result);
+        if (error) {
+            co_return read_error_status(error);
+        }
+        if (parser.is_done()) {
+            break;
+        }
+        if (!goes_on()) {
+            co_return absl::CancelledError("the response is not wanted any more");
+        }
+        bytes_of_span += count;
+        if (bytes_of_span >= min_transfer_bytes) {
+            bytes_of_span = 0;
+            source.stream.expires_after(between_parts);
+        }
+    }
+    co_return absl::OkStatus();
 }
 
-asio::awaitable<absl::StatusOr<http_client::response>>
-http_client::call(request message, duration timeout, std::function<bool()> goes_on)
+} // namespace
+
+asio::awaitable<absl::StatusOr<std::unique_ptr<connection>>>
+http_client::pool::send(request message, duration timeout)
 {
-    const auto shared = pool_;
     const auto deadline = std::chrono::steady_clock::now() + timeout;
-    auto used = shared->take_idle();
+    auto used = take_idle();
     if (used == nullptr) {
-        auto opened = co_await shared->connect(deadline);
+        auto opened = co_await connect(deadline);
         if (!opened.ok()) {
             co_return opened.status();
         }
         used = std::move(*opened);
     }
     used->stream.expires_at(deadline);
-    message.set(http::field::host, shared->host());
+    message.set(http::field::host, host());
     message.prepare_payload();
     const auto [write_error, written] =
         co_await http::async_write(used->stream, message, as_result);
@@ -157,24 +198,57 @@
         co_return is_sent ? absl::UnknownError(write_error.message())
                           : absl::UnavailableError(write_error.message());
     }
-    http::response_parser<http::string_body> parser;
+    co_return used;
+}
+
+http_client::response http_client::pool::finish(std::unique_ptr<connection> used,
+                                                response_parser& parser)
+{
+    if (parser.get().keep_alive() && used->buffer.size() == 0) {
+        put_idle(std::move(used));
+    }
+    return parser.release();
+}
+
+http_client::http_client(std::string address, std::uint16_t port, std::size_t max_body_bytes)
+    : pool_(std::make_shared<pool>(std::move(address), port, max_body_bytes))
+{
+}
+
+http_client::~http_client() = default;
+
+asio::awaitable<absl::StatusOr<http_client::response>> http_client::call(request message,
+                                                                         duration timeout)
+{
+    const auto shared = pool_;
+    response_parser parser;
     parser.body_limit(shared->max_body_bytes());
     parser.skip(message.method() == http::verb::head);
-    used->buffer.reserve(read_size);
-    while (!parser.is_done()) {
-        const auto [read_error, count] =
-            co_await http::async_read_some(used->stream, used->buffer, parser, as_result);
-        if (read_error) {
-            co_return absl::UnknownError(read_error.message());
-        }
-        if (!parser.is_done() && !goes_on()) {
-            co_return absl::CancelledError("the response is not wanted any more");
-        }
+    auto used = co_await shared->send(std::move(message), timeout);
+    if (!used.ok()) {
+        co_return used.status();
     }
-    if (parser.get().keep_alive() && used->buffer.size() == 0) {
-        shared->put_idle(std::move(used));
+    if (auto status = co_await read_response(**used, parser); !status.ok()) {
+        co_return status;
+    }
+    co_return shared->finish(*std::move(used), parser);
+}
+
+asio::awaitable<absl::StatusOr<http_client::response>>
+http_client::call(request message, response_timeouts timeouts, std::function<bool()> goes_on)
+{
+    const auto shared = pool_;
+    response_parser parser;
+    parser.body_limit(shared->max_body_bytes());
+    auto used = co_await shared->send(std::move(message), timeouts.until_begin);
+    if (!used.ok()) {
+        co_return used.status();
+    }
+    auto status = co_await read_response(**used, parser, timeouts.between_parts, goes_on);
+    if (!status.ok()) {
+        co_return status;
     }
-    co_return parser.release();
+    co_return shared->finish(*std::move(used), parser);
 }
 
 } // namespace snipespar::net
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -25,7 +25,8 @@
 
 namespace {
 
-// The store usually responds within 4 ms, and within 250 ms when it is slow.
+// The store usually responds within 4 ms, and within 250 ms when it is slow. While a response
+// arrives, the same time without progress is taken for its end.
 constexpr auto response_timeout = std::chrono::milliseconds(1'500);
 // A list is at most about one megabyte.
 constexpr std::size_t max_response_bytes = 8UL * 1024 * 1024;
@@ -193,7 +194,7 @@
         net::http_client::request message{http::verb::get, target, 11};
         const auto sent_at = steady_now();
         auto response =
-            co_await client_.call(std::move(message), timeout,
+            co_await client_.call(std::move(message), {timeout, response_timeout},
                                   [this, number = due.number] { return plan_.on_bytes(number); });
         const auto received_at = steady_now();
         read.transfer += received_at - sent_at;
