Oversized answers are cut before other callers are refused

What callers saw: 503 memory_used_up on sound routes, while one upstream sent bodies without end. On a gateway of 160 MiB with 30 calls to such an upstream the third stream beside them was refused.

Cause: what an endless body takes was bounded for the answer and for the process, but whoever came while it was taken was refused, up to 16 MiB an answer. Besides, a call that waited to be sent again kept the part of the answer that had failed, and the size of an answer that ends with its connection, which may be cut short or endless, was taken for the usual size of its route.

Change: while memory for answers is scarce, the largest answer that is far above those of its route (eight times, or 1 MiB where none is known) is given up first; partial answers are dropped at the failure; only answers of a proven length are learned. /status shows the bytes held for requests and answers.

Why it works: endless answers are the largest ones, and give way as soon as anybody else needs memory.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -74,6 +74,11 @@
 constexpr std::size_t max_buffered_bytes = 16UL * 1024 * 1024;
 // Of the size of earlier answers, one part is forgotten with each smaller one.
 constexpr std::size_t answer_bytes_divisor = 8;
+// An answer is oversized from this multiple of the recent large ones of its route on, or from the
+// second bound while none is known. Small ones never are.
+constexpr std::size_t oversized_factor = 8;
+constexpr std::size_t max_unknown_answer_bytes = 1024UL * 1024;
+constexpr std::size_t max_small_answer_bytes = 64UL * 1024;
 // Bytes that a caller may leave unread before its stream is aborted.
 constexpr std::size_t max_unsent_bytes = 1024UL * 1024;
 // How long the previous version of an adapter may be used after a newer one was announced. The
@@ -149,6 +154,9 @@
         refuse({503, "gateway_stopping", retry_delay(), false});
         return false;
     }
+    if (context_.answer_memory->is_scarce()) {
+        context_.cut_oversized_answers();
+    }
     if (context_.answer_memory->is_scarce() || !answer_share_.try_resize(expected_answer_bytes())) {
         refuse({503, "memory_used_up", retry_delay(), false});
         return false;
@@ -823,7 +831,7 @@
     progress_at_ = now;
     has_response_begun_ = false;
     header_.reset();
-    body_.clear();
+    body_ = {};
     events_ = {};
     has_added_events_ = false;
     is_resumption_ = is_stream_open_ || call_.is_take_up();
@@ -1021,7 +1029,6 @@
     progress_at_ = now;
     body_ += bytes;
     if (!takes_memory_of_answer()) {
-        body_ = {};
         on_attempt_failed("answer_too_large");
     }
 }
@@ -1034,7 +1041,34 @@
 bool call_exchange::takes_memory_of_answer()
 {
     const auto needed = std::max(buffered_bytes(), expected_answer_bytes());
-    return body_.size() <= max_buffered_bytes && answer_share_.try_resize(needed);
+    if (body_.size() > max_buffered_bytes) {
+        return false;
+    }
+    if (answer_share_.try_resize(needed)) {
+        return true;
+    }
+    if (oversized_bytes() > 0) {
+        return false;
+    }
+    context_.cut_oversized_answers();
+    return answer_share_.try_resize(needed);
+}
+
+std::size_t call_exchange::oversized_bytes() const
+{
+    if (is_done_ || route_ == nullptr) {
+        return 0;
+    }
+    const auto expected = expected_answer_bytes();
+    const auto limit = expected == 0
+                           ? max_unknown_answer_bytes
+                           : std::max(oversized_factor * expected, max_small_answer_bytes);
+    return channel_ != nullptr && body_.capacity() > limit ? body_.capacity() : 0;
+}
+
+void call_exchange::cut_oversized_answer()
+{
+    on_attempt_failed("answer_too_large");
 }
 
 // What answers of the route have needed lately, unless they are passed on as they arrive.
@@ -1173,6 +1207,7 @@
 void call_exchange::on_attempt_failed(std::string_view cause)
 {
     log_failed_attempt(cause);
+    drop_partial_answer();
     if (is_stream_open_) {
         return resume_on_another_upstream(cause);
     }
@@ -1183,6 +1218,13 @@
     give_up("upstream_failed");
 }
 
+// The call may wait for a while before it is sent again.
+void call_exchange::drop_partial_answer()
+{
+    body_ = {};
+    answer_share_.resize(std::max(buffered_bytes(), expected_answer_bytes()));
+}
+
 void call_exchange::resume_on_another_upstream(std::string_view cause)
 {
     broken_at_ = upstream_;
@@ -1305,7 +1347,10 @@
 void call_exchange::forward_buffered(const buffered_response& response)
 {
     log_late_response();
-    learn_answer_bytes(response.body.size());
+    if (!response.header.ends_with_connection) {
+        // Others may be cut short, or never have been an answer.
+        learn_answer_bytes(response.body.size());
+    }
     context_.metrics.responses.add();
     context_.metrics.latency.record(
         std::chrono::duration<double>(steady_now() - arrived_at_).count());
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -64,6 +64,13 @@
     /// Checks the timeouts.
     void on_tick(time_point now);
 
+    /// Size of the answer being received if it is far larger than those of its route usually are,
+    /// otherwise 0.
+    std::size_t oversized_bytes() const;
+
+    /// Gives up that answer, so that its memory serves others.
+    void cut_oversized_answer();
+
     /// Logs that the process exits before the exchange has ended.
     void log_cut() const;
 
@@ -134,6 +141,7 @@
     void on_header(const answer_header& header);
     void note_upstream_state(const answer_header& header);
     void on_body(std::string_view bytes);
+    void drop_partial_answer();
     std::size_t buffered_bytes() const;
     bool takes_memory_of_answer();
     std::size_t expected_answer_bytes() const;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -84,6 +84,9 @@
     std::shared_ptr<memory_budget> answer_memory;
     /// Size of recent large answers, by route.
     std::map<std::string, std::size_t> answer_bytes;
+    /// Cuts the answers that are far larger than those of their routes usually are, the largest
+    /// first, until memory for answers is not scarce any more.
+    std::function<void()> cut_oversized_answers = [] {};
     bool is_draining = false;
     /// The process of this upstream has ended.
     std::function<void(const upstream_id&)> report_upstream_ended;
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -163,6 +163,7 @@
             upstream_watch_.read_again({});
         }
     };
+    context_.cut_oversized_answers = [this] { cut_oversized_answers(); };
     context_.report_upstream_ended = [this](const upstream_id& upstream) {
         on_upstream_ended(upstream);
     };
@@ -470,6 +471,23 @@
     });
 }
 
+void gateway_server::cut_oversized_answers()
+{
+    while (context_.answer_memory->is_scarce()) {
+        std::shared_ptr<call_exchange> largest;
+        for (const auto& exchange : context_.exchanges) {
+            if (exchange->oversized_bytes() >
+                (largest == nullptr ? 0 : largest->oversized_bytes())) {
+                largest = exchange;
+            }
+        }
+        if (largest == nullptr) {
+            return;
+        }
+        contain_exchange(*largest, [&] { largest->cut_oversized_answer(); });
+    }
+}
+
 void gateway_server::slow_tick(time_point now)
 {
     for (auto item = connections_.begin(); item != connections_.end();) {
@@ -575,6 +593,8 @@
         {"gateways", context_.gateways},
         {"limit_share", limit_share_},
         {"in_flight", context_.exchanges.size()},
+        {"request_bytes", context_.request_memory->used()},
+        {"answer_bytes", context_.answer_memory->used()},
         {"upstreams", upstreams}};
     return value.dump();
 }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -75,6 +75,7 @@
     void end_calls();
     void tick();
     void contain_exchange(call_exchange& exchange, const std::function<void()>& action);
+    void cut_oversized_answers();
     void slow_tick(time_point now);
     telemetry::readiness readiness() const;
     std::string status() const;
--- a/tests/process/gateway_memory_test.cpp
+++ b/tests/process/gateway_memory_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST_SUITE(gateway_memory_test);
     CPPUNIT_TEST(large_bodies_do_not_exceed_the_memory_of_the_host);
     CPPUNIT_TEST(answers_that_nobody_reads_do_not_exceed_the_memory_of_the_host);
+    CPPUNIT_TEST(sound_answers_are_served_beside_endless_ones);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -117,6 +118,46 @@
         CPPUNIT_ASSERT(wait_until([&] { return is_served(fleet, "/safe/x", "small"); }));
         assert_memory(gateway);
     }
+
+    // Guards against a faulty upstream whose endless answers take the memory for those of others.
+    void sound_answers_are_served_beside_endless_ones()
+    {
+        constexpr int callers = 30;
+        // The stand-in ends what is endless after a gigabyte.
+        constexpr int rounds = 4;
+        constexpr int calls_per_round = 10;
+        gateway_fleet fleet({.gateways = 1,
+                             .engines = 1,
+                             .services = 1,
+                             .gateway_arguments = {"--memory-limit=160MiB"}});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        CPPUNIT_ASSERT(wait_until([&] { return is_served(fleet, "/stream/x", "first"); }));
+        CPPUNIT_ASSERT(is_served(fleet, "/safe/x", "usual"));
+        const auto set =
+            send_call(fleet.services[0].address, {"POST", "/faults", {}, R"({"endless": "body"})"});
+        CPPUNIT_ASSERT(set.ok() && set->status == 200);
+        for (int round = 0; round < rounds; ++round) {
+            std::vector<std::unique_ptr<raw_caller>> open;
+            for (int i = 0; i < callers; ++i) {
+                open.push_back(std::make_unique<raw_caller>(gateway.address));
+                open.back()->send(
+                    to_text(fleet.make_call("/safe/x", fmt::format("e{}-{}", round, i))));
+            }
+            for (int i = 0; i < calls_per_round; ++i) {
+                const auto id = fmt::format("s{}-{}", round, i);
+                const auto reply = send_call(gateway.address, fleet.make_call("/stream/x", id));
+                CPPUNIT_ASSERT(reply.ok());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(id + "\n" + gateway.process->output(), 200U,
+                                             reply->status);
+            }
+        }
+        constexpr long limit_kb = 160L * 1024;
+        const auto used = peak_memory_kb(*gateway.process);
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} kB", used),
+                               !is_memory_comparable || used <= limit_kb);
+        CPPUNIT_ASSERT(gateway.process->running());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_memory_test);
