A sidecar tells of a new engine process before that can serve

What callers saw: a stream that software v1 had begun went on at v2 (ORDER), when its engine came back under its name and address with other software.

Cause: a lost engine was reported without a process start, which gateways took for no objection to the entry. Back again, it got the order to load its model first; reports were compared by models and adapters, so that the first one to name the new process was sent after the model was loaded.

Change: another process start is published at once and before the first order; the version of a lost engine is unknown to gateways.

Why it works: a restarted engine has no model until its sidecar orders one, so that no request can run there before the report that names the process has left.

--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -392,10 +392,14 @@
 
 std::string upstream_table::software_of(const upstream_state& state)
 {
-    const auto reported = state.status ? state.status->process_start_ms : 0;
-    const auto listed = state.entry.process_start_ms;
-    const bool is_other_process = reported != 0 && listed != 0 && reported != listed;
-    return is_other_process ? std::string() : state.entry.software;
+    if (!state.status || state.entry.process_start_ms == 0) {
+        return state.entry.software;
+    }
+    const auto reported = state.status->process_start_ms;
+    // Its sidecar has lost the engine, whose next process may run other software.
+    const bool is_lost = reported == 0 && state.status->models.empty();
+    const bool is_other_process = reported != 0 && reported != state.entry.process_start_ms;
+    return is_lost || is_other_process ? std::string() : state.entry.software;
 }
 
 bool upstream_table::has_version(const std::string& service, const std::string& software,
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -71,8 +71,9 @@
             const auto found = now.adapters.find(item.first);
             return found == now.adapters.end() || found->second != item.second;
         });
-    return has_lost_model || has_lost_adapter || before.is_full != now.is_full ||
-           before.is_short_of_slots != now.is_short_of_slots || before.is_paced != now.is_paced;
+    return has_lost_model || has_lost_adapter || before.process_start_ms != now.process_start_ms ||
+           before.is_full != now.is_full || before.is_short_of_slots != now.is_short_of_slots ||
+           before.is_paced != now.is_paced;
 }
 
 } // namespace
@@ -157,6 +158,10 @@
         is_urgent_ = false;
         try {
             co_await read_report();
+            if (published_.process_start_ms != planner_.status().process_start_ms) {
+                // Gateways have to know of another process before it can serve.
+                publish();
+            }
             co_await give_orders();
             publish();
             rounds_failed_ = 0;
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -553,6 +553,15 @@
         ++status.sequence;
         table.on_engine_status(status, start);
         CPPUNIT_ASSERT_EQUAL(std::string(), software());
+        // Its sidecar has lost it: what runs there next is not known.
+        auto lost = status;
+        lost.process_start_ms = 0;
+        lost.models.clear();
+        ++lost.sequence;
+        table.on_engine_status(lost, start);
+        CPPUNIT_ASSERT_EQUAL(std::string(), software());
+        status.sequence += 2;
+        table.on_engine_status(status, start);
         listed.process_start_ms = status.process_start_ms;
         listed.software = "v2";
         table.update(listed, start);
--- a/tests/process/sidecar_rounds_test.cpp
+++ b/tests/process/sidecar_rounds_test.cpp
@@ -2,14 +2,18 @@
 #include "process/support/gateway_fleet.h"
 #include "process/support/wait_until.h"
 
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
+#include <variant>
 
 namespace snipespar::testing {
 
@@ -34,6 +38,61 @@
                    {asio::ip::make_address(sidecar.address.ip), sidecar.address.port});
 }
 
+// A gateway that only listens.
+class listening_gateway {
+public:
+    explicit listening_gateway(const fleet_member& sidecar)
+        : socket_(context_, asio::ip::udp::v4()),
+          sidecar_(asio::ip::make_address(sidecar.address.ip), sidecar.address.port)
+    {
+        socket_.non_blocking(true);
+    }
+
+    void ask_for_model()
+    {
+        const control::adapter_demand demand{.gateway = "front-0",
+                                             .gateway_start = 1,
+                                             .upstream = "i-0",
+                                             .upstream_start_ms = 0,
+                                             .adapter_slots = 4,
+                                             .models = {"base"},
+                                             .uses = {{"base", "", 1, 0}},
+                                             .versions = {}};
+        socket_.send_to(asio::buffer(control::encode(demand)), sidecar_);
+    }
+
+    /// The next report that satisfies `accepts`, while the demand is repeated.
+    template <class Accepts>
+    std::optional<gateway::engine_status> wait_for_report(Accepts accepts)
+    {
+        std::optional<gateway::engine_status> found;
+        wait_until([&] {
+            ask_for_model();
+            boost::system::error_code error;
+            while (!found) {
+                const auto size = socket_.receive(asio::buffer(buffer_), 0, error);
+                if (error) {
+                    break;
+                }
+                const auto content = control::decode({buffer_.data(), size});
+                const auto* report =
+                    content.ok() ? std::get_if<control::sidecar_report>(&*content) : nullptr;
+                if (report != nullptr && accepts(report->status)) {
+                    found = report->status;
+                }
+            }
+            return found.has_value();
+        });
+        return found;
+    }
+
+private:
+    asio::io_context context_;
+    asio::ip::udp::socket socket_;
+    asio::ip::udp::endpoint sidecar_;
+    std::array<char, 65'536> buffer_{};
+};
+
 bool holds(const fleet_member& engine, const std::string& adapter)
 {
     const auto reply = send_call(engine.address, {"GET", "/report", {}, {}});
@@ -46,6 +105,7 @@
 class sidecar_rounds_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(sidecar_rounds_test);
     CPPUNIT_TEST(rounds_go_on_after_a_name_that_no_order_can_carry);
+    CPPUNIT_TEST(new_process_is_told_before_it_can_serve);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -71,6 +131,39 @@
             },
             std::chrono::seconds(5)));
     }
+
+    // Guards against gateways that take an engine for its predecessor, and join streams of two
+    // software versions: its sidecar told of the process only with the model that it had loaded.
+    void new_process_is_told_before_it_can_serve()
+    {
+        constexpr int restarts = 5;
+        gateway_fleet fleet({.gateways = 0,
+                             .engines = 1,
+                             .services = 0,
+                             .states_process_start = true,
+                             .software = {"v1"}});
+        auto& engine = fleet.engines.front();
+        listening_gateway gateway(fleet.sidecars.front());
+        engine.start.arguments.emplace_back("empty");
+        auto last = gateway.wait_for_report([](const auto& status) {
+            return status.process_start_ms != 0 && !status.models.empty();
+        });
+        CPPUNIT_ASSERT(last);
+        for (int i = 0; i < restarts; ++i) {
+            engine.process->kill();
+            CPPUNIT_ASSERT(gateway.wait_for_report(
+                [](const auto& status) { return status.process_start_ms == 0; }));
+            engine.restart();
+            const auto first = gateway.wait_for_report(
+                [](const auto& status) { return status.process_start_ms != 0; });
+            CPPUNIT_ASSERT(first);
+            CPPUNIT_ASSERT(first->process_start_ms != last->process_start_ms);
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("restart {}", i), first->models.empty());
+            last =
+                gateway.wait_for_report([](const auto& status) { return !status.models.empty(); });
+            CPPUNIT_ASSERT(last);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(sidecar_rounds_test);
