Only the operator's object is taken for the configuration

Cause: any object of the kind was a configuration.

Change: objects of other names are logged (config_rejected) and ignored. A sidecar also forgets the addresses of gateways that asked for admission once no prompt waits.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -611,6 +611,11 @@
     if (object.is_removed) {
         return;
     }
+    if (object.name != platform::wire::config_name) {
+        context_.log.warning("config_rejected",
+                             {{"cause", "not the operator's object"}, {"name", object.name}});
+        return;
+    }
     auto config = platform::decode_config(object.content);
     if (!config.ok()) {
         context_.log.warning("config_rejected",
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -11,6 +11,8 @@
 
 // Kinds of objects in the store.
 inline constexpr const char* config_kind = "config";
+/// The only object of that kind that the operator writes.
+inline constexpr std::string_view config_name = "main";
 /// Entries of upstreams; the platform calls an upstream a server.
 inline constexpr const char* upstream_kind = "servers";
 /// Announced versions of adapters.
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -380,6 +380,7 @@
     });
     origins_.on_tick(now);
     if (pacer_.waiting() == 0) {
+        asking_gateways_.clear();
         // Lets an unused limit expire.
         pacer_.decide(now);
     }
--- a/tests/process/gateway_odd_entries_test.cpp
+++ b/tests/process/gateway_odd_entries_test.cpp
@@ -122,6 +122,7 @@
     CPPUNIT_TEST(upstreams_are_followed_beside_an_odd_entry);
     CPPUNIT_TEST(gateway_starts_beside_odd_entries);
     CPPUNIT_TEST(configuration_is_followed_beside_an_odd_one);
+    CPPUNIT_TEST(configuration_is_followed_beside_one_that_is_not_the_operators);
     CPPUNIT_TEST(adapter_versions_are_followed_beside_an_odd_one);
     CPPUNIT_TEST_SUITE_END();
 
@@ -190,6 +191,27 @@
         CPPUNIT_ASSERT(fleet.wait_until_ready());
     }
 
+    // Guards against a configuration of another writer, with the largest version and without
+    // teams, that hides all later ones and admits calls without a key.
+    void configuration_is_followed_beside_one_that_is_not_the_operators()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        CPPUNIT_ASSERT(put_raw(
+            fleet, "config", "other",
+            object("\"other\"", R"({"version":18446744073709551615,"routes":[],"upstreams":[]})")));
+        CPPUNIT_ASSERT(fleet.add_routes(1));
+        CPPUNIT_ASSERT(
+            wait_until([&] { return fleet.config_version_of(gateway) == fleet.config_version(); },
+                       follow_limit));
+        auto call = fleet.make_call("/safe/x", "no-key");
+        call.headers.erase("Authorization");
+        const auto reply = send_call(gateway.address, call);
+        CPPUNIT_ASSERT(reply.ok());
+        CPPUNIT_ASSERT_EQUAL(401U, reply->status);
+    }
+
     void adapter_versions_are_followed_beside_an_odd_one()
     {
         gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
