Streams go on only at engines whose sidecar has been heard

Cause: a gateway that had no report of an engine's sidecar yet, in the first second after its own start, took the entry for the truth, though the engine had come back with other software meanwhile. The trace of the sidecars shows it: front-1 was first heard 0.1 s after the last wrong take-up.

Change: what has to go on at one version is sent to an engine only if its sidecar has been heard. A gateway asks all sidecars as soon as it has a configuration and the list of upstreams.

Why it works: a sidecar that is heard tells of another process before that can serve.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -355,7 +355,11 @@
 bool call_exchange::is_of_required_version(const upstream_id& upstream) const
 {
     const auto* state = context_.upstreams.find(upstream);
-    return state != nullptr && version_.allows(upstream_table::software_of(*state));
+    if (state == nullptr || !version_.allows(upstream_table::software_of(*state))) {
+        return false;
+    }
+    return version_.required().empty() || !service_->engine ||
+           upstream_table::is_process_confirmed(*state);
 }
 
 bool call_exchange::is_refused_for_crashes()
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -521,7 +521,7 @@
         context_.log.info("gateways_changed", {{"count", context_.gateways}});
         update_retry_budgets();
     }
-    if (now - demand_sent_at_ >= demand_interval) {
+    if (context_.config != nullptr && has_upstreams_ && now - demand_sent_at_ >= demand_interval) {
         demand_sent_at_ = now;
         ++demand_round_;
         const auto idle_rounds = context_.gateways < large_fleet_gateways
@@ -654,6 +654,9 @@
 {
     const auto now = steady_now();
     const auto known = context_.config == nullptr ? 0 : context_.config->version();
+    if (context_.config == nullptr) {
+        greet_sidecars();
+    }
     context_.config = std::move(config);
     context_.metrics.config_version.set(static_cast<std::int64_t>(context_.config->version()));
     context_.teams.set_limits(*context_.config, now);
@@ -667,6 +670,13 @@
           std::chrono::duration_cast<milliseconds>(now - config_read_began_at_).count()}});
 }
 
+// Makes the first demand messages due, which sidecars answer with their reports.
+void gateway_server::greet_sidecars()
+{
+    demand_sent_at_ = {};
+    slow_tick_at_ = {};
+}
+
 void gateway_server::on_upstreams_listed(const std::vector<platform::watched_object>& objects)
 {
     std::vector<upstream_entry> entries;
@@ -681,7 +691,9 @@
         }
     }
     context_.upstreams.replace(entries, steady_now());
-    has_upstreams_ = true;
+    if (!std::exchange(has_upstreams_, true)) {
+        greet_sidecars();
+    }
     context_.log.info("upstreams_listed", {{"count", entries.size()}});
 }
 
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -84,6 +84,7 @@
     void on_config_listed(const std::vector<platform::watched_object>& objects);
     void on_config_changed(const platform::watched_object& object);
     void read_config();
+    void greet_sidecars();
     void use_config(std::shared_ptr<const fleet_config> config);
     void on_upstreams_listed(const std::vector<platform::watched_object>& objects);
     void on_upstream_changed(const platform::watched_object& object);
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -183,6 +183,10 @@
             continue;
         }
         has_version = true;
+        if (!query.software.empty() && service.engine &&
+            !upstream_table::is_process_confirmed(state)) {
+            continue;
+        }
         if (now < state.closed_until) {
             opens_at = std::min(opens_at.value_or(state.closed_until), state.closed_until);
             rate_per_s += state.rate ? state.rate->per_s : 0;
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -120,6 +120,13 @@
     /// describes an earlier one.
     static std::string software_of(const upstream_state& state);
 
+    /// Whether the sidecar of an engine has been heard, so that another process than that of the
+    /// entry would be known. Entries that state no process cannot be confirmed.
+    static bool is_process_confirmed(const upstream_state& state)
+    {
+        return state.status.has_value() || state.entry.process_start_ms == 0;
+    }
+
     /// Whether an upstream of this version of the service serves. The result is kept for a moment,
     /// as every stream that waits asks.
     bool has_version(const std::string& service, const std::string& software, time_point now);
