--- a/tests/process/gateway_software_versions_test.cpp
+++ b/tests/process/gateway_software_versions_test.cpp
@@ -224,14 +224,13 @@
         }
         for (auto& stream : streams) {
             read_events(stream);
-            CPPUNIT_ASSERT_MESSAGE(fmt::format("{} has {} events of {} versions\n{}{}{}{}",
-                                               stream.received.id, stream.received.events.size(),
-                                               stream.received.versions().size(),
-                                               fleet.gateways[0].process->output(),
-                                               fleet.gateways[1].process->output(),
-                                               fleet.sidecars[0].process->output(),
-                                               fleet.sidecars[1].process->output()),
-                                   !stream.received.is_complete);
+            CPPUNIT_ASSERT_MESSAGE(
+                fmt::format(
+                    "{} has {} events of {} versions\n{}{}{}{}", stream.received.id,
+                    stream.received.events.size(), stream.received.versions().size(),
+                    fleet.gateways[0].process->output(), fleet.gateways[1].process->output(),
+                    fleet.sidecars[0].process->output(), fleet.sidecars[1].process->output()),
+                !stream.received.is_complete);
         }
         check(streams);
         take_up_none(fleet, streams);
