--- a/tests/process/sidecar_rounds_test.cpp
+++ b/tests/process/sidecar_rounds_test.cpp
@@ -21,20 +21,25 @@
 
 namespace asio = boost::asio;
 
-// Sends the sidecar what a gateway would.
+// What a gateway sends to a sidecar while a call waits for the adapter, or for the model if it has
+// no name.
+std::string demand_for(const std::string& adapter)
+{
+    return control::encode(control::adapter_demand{.gateway = "front-0",
+                                                   .gateway_start = 1,
+                                                   .upstream = "i-0",
+                                                   .upstream_start_ms = 0,
+                                                   .adapter_slots = 4,
+                                                   .models = {"base"},
+                                                   .uses = {{"base", adapter, 1, 0}},
+                                                   .versions = {}});
+}
+
 void send_demand(const fleet_member& sidecar, const std::string& adapter)
 {
-    const control::adapter_demand demand{.gateway = "front-0",
-                                         .gateway_start = 1,
-                                         .upstream = "i-0",
-                                         .upstream_start_ms = 0,
-                                         .adapter_slots = 4,
-                                         .models = {"base"},
-                                         .uses = {{"base", adapter, 1, 0}},
-                                         .versions = {}};
     asio::io_context context;
     asio::ip::udp::socket socket(context, asio::ip::udp::v4());
-    socket.send_to(asio::buffer(control::encode(demand)),
+    socket.send_to(asio::buffer(demand_for(adapter)),
                    {asio::ip::make_address(sidecar.address.ip), sidecar.address.port});
 }
 
@@ -48,26 +53,13 @@
         socket_.non_blocking(true);
     }
 
-    void ask_for_model()
-    {
-        const control::adapter_demand demand{.gateway = "front-0",
-                                             .gateway_start = 1,
-                                             .upstream = "i-0",
-                                             .upstream_start_ms = 0,
-                                             .adapter_slots = 4,
-                                             .models = {"base"},
-                                             .uses = {{"base", "", 1, 0}},
-                                             .versions = {}};
-        socket_.send_to(asio::buffer(control::encode(demand)), sidecar_);
-    }
-
     /// The next report that satisfies `accepts`, while the demand is repeated.
     template <class Accepts>
     std::optional<gateway::engine_status> wait_for_report(Accepts accepts)
     {
         std::optional<gateway::engine_status> found;
         wait_until([&] {
-            ask_for_model();
+            socket_.send_to(asio::buffer(demand_for("")), sidecar_);
             boost::system::error_code error;
             while (!found) {
                 const auto size = socket_.receive(asio::buffer(buffer_), 0, error);
