The store of the tests does not spin while several watches wait

Cause: the stand-in kept one timer for all waiting polls; setting it for one poll woke the others, which set it again, so that two polls kept half a core busy for as long as they waited. Seen in the list of processes beside the address sanitizer's tests: seven stores at 42 to 53% of a core each.

Change: each waiting poll has a timer of its own.

--- a/tools/users_platform_stand_in/store.cpp
+++ b/tools/users_platform_stand_in/store.cpp
@@ -61,7 +61,7 @@
     if (parts.path.front() == "history" && verb == http::verb::delete_) {
         history_.clear();
         history_begins_ = ++revision_;
-        changed_.cancel();
+        wake_watches();
         co_return co_await answer(socket, message, json_answer(200, "{}"));
     }
     if (parts.path.front() == "copy") {
@@ -114,7 +114,14 @@
     revision_ = copied_revision_;
     history_.clear();
     history_begins_ = revision_;
-    changed_.cancel();
+    wake_watches();
+}
+
+void store::wake_watches()
+{
+    for (auto* timer : waiting_) {
+        timer->cancel();
+    }
 }
 
 response store::list(const std::string& kind, const std::string& after) const
@@ -157,8 +164,10 @@
             co_return json_answer(200, fmt::format(R"({{"events":[{}],"current_rev":{}}})",
                                                    fmt::join(events, ","), revision_));
         }
-        changed_.expires_at(std::max(changed_.expiry(), deadline));
-        co_await changed_.async_wait(asio::as_tuple(asio::use_awaitable));
+        asio::steady_timer timer(context_, deadline);
+        waiting_.insert(&timer);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        waiting_.erase(&timer);
     }
 }
 
@@ -220,7 +229,7 @@
     ++revision_;
     history_.push_back(
         {revision_, kind, fmt::format(R"({{"object":{},"removed":{}}})", object, is_removed)});
-    changed_.cancel();
+    wake_watches();
 }
 
 } // namespace users_platform_stand_in
--- a/tools/users_platform_stand_in/store.h
+++ b/tools/users_platform_stand_in/store.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,7 +21,7 @@
 /// body removes them.
 class store {
 public:
-    explicit store(boost::asio::io_context& context) : changed_(context) {}
+    explicit store(boost::asio::io_context& context) : context_(context) {}
 
     boost::asio::awaitable<bool> handle(boost::asio::ip::tcp::socket& socket,
                                         const request& message);
@@ -36,6 +37,7 @@
     boost::asio::awaitable<bool> answer(boost::asio::ip::tcp::socket& socket,
                                         const request& message, response content) const;
     void restore();
+    void wake_watches();
     response list(const std::string& kind, const std::string& after) const;
     boost::asio::awaitable<response> watch(std::string kind, std::uint64_t from,
                                            std::uint64_t wait_ms);
@@ -52,8 +54,9 @@
     std::uint64_t era_ = 1;
     std::map<std::string, std::map<std::string, nlohmann::json>> copied_objects_;
     std::uint64_t copied_revision_ = 1;
-    /// Cancelled at each change.
-    boost::asio::steady_timer changed_;
+    boost::asio::io_context& context_;
+    /// One of each watch that waits; cancelled at each change.
+    std::set<boost::asio::steady_timer*> waiting_;
 };
 
 } // namespace users_platform_stand_in
