Responses state the load of their upstream, which is decoded and kept

Cause: upstreams name the calls that they run and hold back, their slots and, on shared hosts, how long work takes at the moment (Backend-Load). Nothing read it: a gateway knew of a plain service only its own calls in flight. Change: decoded once in the adapter into stated_load; the upstream table keeps the latest one. No decision uses it yet. Result: no change for callers. The new codec test fails without the decoder.

--- a/src/gateway/answer_header.h
+++ b/src/gateway/answer_header.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/stated_load.h"
 #include "snipespar/time.h"
 
 #include <cstdint>
@@ -35,6 +36,8 @@
     std::optional<double> rate_limit;
     /// It named a limit that cannot be read.
     bool has_invalid_rate_limit = false;
+    /// Load of the upstream when it responded; absent if it states none that can be read.
+    std::optional<stated_load> load;
     /// Seconds for which the upstream keeps an idle connection; 0 if not stated.
     unsigned keep_alive_s = 0;
     /// Header lines that are forwarded unchanged, each with its line end.
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -938,6 +938,9 @@
     if (header.is_from_other(upstream_.str())) {
         return;
     }
+    if (header.load) {
+        context_.upstreams.on_load_stated(upstream_, *header.load, progress_at_);
+    }
     const auto* state = context_.upstreams.find(upstream_);
     if (header.is_leaving && state != nullptr && !state->leaving_since) {
         context_.log.info("upstream_leaving",
--- a/src/gateway/upstream_state.h
+++ b/src/gateway/upstream_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/engine_status.h"
+#include "gateway/stated_load.h"
 #include "gateway/upstream_entry.h"
 #include "snipespar/time.h"
 
@@ -54,6 +55,11 @@
     std::optional<named_rate> rate;
     /// Calls sent there that have not ended.
     int in_flight = 0;
+    /// Load that it stated in its last response which named one, when that response began, and this
+    /// gateway's calls in flight at that time.
+    std::optional<stated_load> load;
+    time_point load_at;
+    int in_flight_at_load = 0;
     /// Prompt tokens of the calls whose response has not begun.
     std::uint64_t prompt_tokens = 0;
     /// When the last part of any response arrived.
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -246,6 +246,16 @@
     }
 }
 
+void upstream_table::on_load_stated(const upstream_id& id, const stated_load& load, time_point now)
+{
+    const auto found = states_.find(id);
+    if (found != states_.end()) {
+        found->second.load = load;
+        found->second.load_at = now;
+        found->second.in_flight_at_load = found->second.in_flight;
+    }
+}
+
 void upstream_table::on_call_sent(const upstream_id& id, std::string_view adapter,
                                   std::uint64_t tokens)
 {
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -81,6 +81,9 @@
     bool on_rate_named(const upstream_id& id, std::optional<double> rate_per_s, time_point sent_at,
                        time_point now);
 
+    /// A response of the upstream has stated its load.
+    void on_load_stated(const upstream_id& id, const stated_load& load, time_point now);
+
     void on_call_sent(const upstream_id& id, std::string_view adapter, std::uint64_t tokens);
     /// The upstream has begun its response to a call.
     void on_response_started(const upstream_id& id, std::uint64_t tokens, time_point now);
--- a/src/platform/call_codec.cpp
+++ b/src/platform/call_codec.cpp
@@ -229,6 +229,33 @@
     }
 }
 
+// Load that the upstream states of itself. Only a hint for the choice of an upstream, so that an
+// unparsable one counts as not stated.
+std::optional<gateway::stated_load> read_load(std::string_view text)
+{
+    // More calls than any upstream holds.
+    constexpr int max_calls = 1'000'000;
+    // Beyond a factor of a hundred in either direction the figure is no use.
+    constexpr int min_slowdown_percent = 1;
+    constexpr int max_slowdown_percent = 10'000;
+    constexpr std::size_t required_figures = 3;
+    constexpr std::size_t max_figures = 8;
+    const std::vector<absl::string_view> figures =
+        absl::StrSplit(to_absl(text), absl::MaxSplits(',', max_figures));
+    std::array<int, required_figures + 1> values{0, 0, 0, 100};
+    for (std::size_t i = 0; i < std::min(figures.size(), values.size()); ++i) {
+        if (!absl::SimpleAtoi(figures[i], &values.at(i)) || values.at(i) < 0 ||
+            values.at(i) > max_calls) {
+            return std::nullopt;
+        }
+    }
+    if (figures.size() < required_figures || values[2] == 0) {
+        return std::nullopt;
+    }
+    const int percent = std::clamp(values[3], min_slowdown_percent, max_slowdown_percent);
+    return gateway::stated_load{values[0], values[1], values[2], percent / 100.0};
+}
+
 // Statuses with which an upstream refuses a call. Any other one contradicts a refusal.
 bool can_refuse(unsigned status)
 {
@@ -347,6 +374,7 @@
     answer.is_leaving = field(header, wire::leaving) == "1";
     answer.retry_after = read_retry_after(to_view(header[http::field::retry_after]));
     read_rate_limit(field(header, wire::rate_limit), answer);
+    answer.load = read_load(field(header, wire::upstream_load));
     const auto keep_alive = to_view(header[http::field::keep_alive]);
     const auto timeout = keep_alive.find("timeout=");
     if (timeout != std::string_view::npos) {
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -43,6 +43,9 @@
 inline constexpr std::string_view leaving = "Server-Leaving";
 /// Requests per second, as a decimal number, that an upstream takes from all senders together.
 inline constexpr std::string_view rate_limit = "Server-Limit";
+/// Calls that an upstream runs, calls that wait there, its slots and, on some hosts, how long work
+/// takes there now as a percentage of the usual time, separated by commas.
+inline constexpr std::string_view upstream_load = "Backend-Load";
 /// Number of times that the store was restored from a copy.
 inline constexpr std::string_view store_era = "Store-Era";
 
--- a/tests/platform_call_codec_test.cpp
+++ b/tests/platform_call_codec_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(misdirected_call_has_not_run_only_if_the_answer_says_so);
     CPPUNIT_TEST(state_of_the_upstream_is_decoded);
     CPPUNIT_TEST(rate_that_an_upstream_names_is_decoded);
+    CPPUNIT_TEST(load_that_an_upstream_states_is_decoded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -296,6 +297,23 @@
             CPPUNIT_ASSERT_MESSAGE(invalid, decode_answer(header).has_invalid_rate_limit);
         }
     }
+
+    void load_that_an_upstream_states_is_decoded()
+    {
+        http::response_header<> header;
+        CPPUNIT_ASSERT(!decode_answer(header).load);
+        header.set("Backend-Load", "3,2,8");
+        CPPUNIT_ASSERT((*decode_answer(header).load == gateway::stated_load{3, 2, 8, 1.0}));
+        header.set("Backend-Load", "3,2,8,250");
+        CPPUNIT_ASSERT((*decode_answer(header).load == gateway::stated_load{3, 2, 8, 2.5}));
+        header.set("Backend-Load", "3, 2, 8, 0, future");
+        CPPUNIT_ASSERT((*decode_answer(header).load == gateway::stated_load{3, 2, 8, 0.01}));
+        for (const auto* invalid :
+             {"", "3,2", "3,2,0", "-1,2,8", "a,2,8", "3,2,8,slow", "9999999999,0,8"}) {
+            header.set("Backend-Load", invalid);
+            CPPUNIT_ASSERT_MESSAGE(invalid, !decode_answer(header).load);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(platform_call_codec_test);
