--- a/tests/support/test_worker_pool.cpp
+++ b/tests/support/test_worker_pool.cpp
@@ -3,6 +3,7 @@
 #include "support/test_selection.h"
 #include "support/unnamed_file.h"
 
+#include <chrono>
 #include <cppunit/Exception.h>
 #include <cppunit/SourceLine.h>
 #include <cppunit/TestFailure.h>
@@ -26,13 +27,19 @@
 
 namespace {
 
+// Whether to print the begin and the duration of each test.
+bool is_verbose()
+{
+    return std::getenv("SNIPESPAR_TEST_VERBOSE") != nullptr;
+}
+
 // Prints failures and collects results by test name.
 class verdict_listener : public CppUnit::TestListener {
 public:
     void startTest(CppUnit::Test* test) override
     {
         current_failed_ = false;
-        if (std::getenv("SNIPESPAR_TEST_VERBOSE") != nullptr) {
+        if (is_verbose()) {
             fmt::print(stderr, "run {}\n", test->getName());
         }
     }
@@ -63,6 +70,8 @@
     // Receives the output of the child; none before its start and once printed.
     std::unique_ptr<unnamed_file> output;
     std::optional<int> status;
+    std::chrono::steady_clock::time_point start;
+    std::chrono::steady_clock::time_point end;
 };
 
 bool is_success(int status)
@@ -126,7 +135,7 @@
     std::vector<test_run> runs;
     std::istringstream lines(text);
     for (std::string name; std::getline(lines, name);) {
-        runs.push_back({name, nullptr, std::nullopt});
+        runs.push_back({name, nullptr, std::nullopt, {}, {}});
     }
     return runs;
 }
@@ -143,6 +152,11 @@
     else if (WEXITSTATUS(status) != EXIT_SUCCESS && WEXITSTATUS(status) != EXIT_FAILURE) {
         fmt::print("FAIL {}: exit code {}\n", run.name, WEXITSTATUS(status));
     }
+    if (is_verbose()) {
+        fmt::print(
+            "{} took {} ms\n", run.name,
+            std::chrono::duration_cast<std::chrono::milliseconds>(run.end - run.start).count());
+    }
     std::fflush(stdout);
 }
 
@@ -164,6 +178,7 @@
     while (printed < runs.size()) {
         while (next < runs.size() && running.size() < jobs) {
             runs[next].output = std::make_unique<unnamed_file>();
+            runs[next].start = std::chrono::steady_clock::now();
             const pid_t child = start_child(*runs[next].output, [only, next] {
                 const test_selection selection(only);
                 return run_tests({selection.tests().at(next)}).failed.empty() ? EXIT_SUCCESS
@@ -178,6 +193,7 @@
             throw std::runtime_error("waitpid failed");
         }
         runs[ended->second].status = status;
+        runs[ended->second].end = std::chrono::steady_clock::now();
         running.erase(ended);
         for (; printed < next && runs[printed].status; ++printed) {
             auto& run = runs[printed];
