Test processes take ports from a source of their own

Cause: the ports of two test processes were told apart by the distance of their process ids only, and that a port is free was seen on 127.0.0.1, while programs bind 127.0.1.x and 127.0.2.x.

--- a/tests/process/support_test.cpp
+++ b/tests/process/support_test.cpp
@@ -1,10 +1,13 @@
 #include "process/support/child_process.h"
 #include "process/support/fleet.h"
+#include "process/support/port_source.h"
 #include "process/support/tcp_cutter.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
+#include <cstdint>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -16,6 +19,7 @@
     CPPUNIT_TEST(program_is_run_and_reaped);
     CPPUNIT_TEST(output_is_complete_when_the_program_has_ended);
     CPPUNIT_TEST(cutter_brings_each_fault_about);
+    CPPUNIT_TEST(sources_never_hand_out_the_same_port);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -63,6 +67,20 @@
         cutter.set_unreachable(true);
         CPPUNIT_ASSERT(!send_call(cutter.address(), call).ok());
     }
+
+    // Guards against tests in several processes that take each other's ports on 127.0.1.1 and so
+    // on.
+    void sources_never_hand_out_the_same_port()
+    {
+        constexpr int ports_of_each = 120;
+        port_source one;
+        port_source other;
+        std::set<std::uint16_t> ports;
+        for (int i = 0; i < ports_of_each; ++i) {
+            CPPUNIT_ASSERT(ports.insert(one.next()).second);
+            CPPUNIT_ASSERT(ports.insert(other.next()).second);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(process_support_test);
