The process test that waits for a minute starts first

Cause: sole_version_is_used_only_while_the_registry_is_read sleeps for 62 s, the lifetime of a stream's origin; begun among the last, it kept the process tests waiting for a minute with one test running.

--- a/tests/support/runner.cpp
+++ b/tests/support/runner.cpp
@@ -1,8 +1,9 @@
 // Runs every registered CppUnit test and prints a summary line that CI parses.
 //
-// usage: <program> [--known-red FILE] [--only TEXT] [--jobs N]
+// usage: <program> [--known-red FILE] [--only TEXT] [--jobs N [--first TEXT]]
 //
-// With `--jobs`, each test runs in a child process, N at a time. Without, all run in this one.
+// With `--jobs`, each test runs in a child process, N at a time, and those that match `--first`
+// start first. Without, all run in this one.
 //
 // A failing test whose name starts a line of FILE is reported as known red and does not fail the
 // run. A listed test that passes is reported too, so that its entry can be removed.
@@ -39,6 +40,7 @@
 {
     std::string known_red_path;
     std::string only;
+    std::string first;
     std::size_t jobs = 0;
     for (int i = 1; i + 1 < argc; i += 2) {
         const std::string_view flag = argv[i];
@@ -48,6 +50,9 @@
         if (flag == "--only") {
             only = argv[i + 1];
         }
+        if (flag == "--first") {
+            first = argv[i + 1];
+        }
         if (flag == "--jobs") {
             jobs = std::stoul(argv[i + 1]);
         }
@@ -55,7 +60,7 @@
 
     const auto known_red = read_known_red(known_red_path);
     const auto verdicts =
-        jobs > 0 ? snipespar::run_in_workers(only, jobs) : snipespar::run_in_turn(only);
+        jobs > 0 ? snipespar::run_in_workers(only, first, jobs) : snipespar::run_in_turn(only);
 
     std::size_t known = 0;
     for (const auto& name : verdicts.failed) {
--- a/tests/support/test_worker_pool.cpp
+++ b/tests/support/test_worker_pool.cpp
@@ -140,6 +140,21 @@
     return runs;
 }
 
+// Indices of the tests whose name contains `first`, if any, and then of all others.
+std::vector<std::size_t> start_order(const std::vector<test_run>& runs, std::string_view first)
+{
+    std::vector<std::size_t> order;
+    for (const bool is_first : {true, false}) {
+        for (std::size_t i = 0; i < runs.size(); ++i) {
+            const bool matches = !first.empty() && runs[i].name.find(first) != std::string::npos;
+            if (matches == is_first) {
+                order.push_back(i);
+            }
+        }
+    }
+    return order;
+}
+
 // Prints the output of an ended child, and how it ended if that is not how a failed test ends.
 void print_result(test_run& run)
 {
@@ -168,24 +183,26 @@
     return run_tests(selection.tests());
 }
 
-test_verdicts run_in_workers(std::string_view only, std::size_t jobs)
+test_verdicts run_in_workers(std::string_view only, std::string_view first, std::size_t jobs)
 {
     auto runs = list_tests(only);
+    const auto order = start_order(runs, first);
     test_verdicts verdicts;
     std::map<pid_t, std::size_t> running;
     std::size_t next = 0;
     std::size_t printed = 0;
     while (printed < runs.size()) {
-        while (next < runs.size() && running.size() < jobs) {
-            runs[next].output = std::make_unique<unnamed_file>();
-            runs[next].start = std::chrono::steady_clock::now();
-            const pid_t child = start_child(*runs[next].output, [only, next] {
+        while (next < order.size() && running.size() < jobs) {
+            const auto index = order[next++];
+            auto& run = runs[index];
+            run.output = std::make_unique<unnamed_file>();
+            run.start = std::chrono::steady_clock::now();
+            const pid_t child = start_child(*run.output, [only, index] {
                 const test_selection selection(only);
-                return run_tests({selection.tests().at(next)}).failed.empty() ? EXIT_SUCCESS
-                                                                              : EXIT_FAILURE;
+                return run_tests({selection.tests().at(index)}).failed.empty() ? EXIT_SUCCESS
+                                                                               : EXIT_FAILURE;
             });
-            running[child] = next;
-            ++next;
+            running[child] = index;
         }
         int status = 0;
         const auto ended = running.find(waitpid(-1, &status, 0));
@@ -195,7 +212,7 @@
         runs[ended->second].status = status;
         runs[ended->second].end = std::chrono::steady_clock::now();
         running.erase(ended);
-        for (; printed < next && runs[printed].status; ++printed) {
+        for (; printed < runs.size() && runs[printed].status; ++printed) {
             auto& run = runs[printed];
             print_result(run);
             (is_success(*run.status) ? verdicts.passed : verdicts.failed).push_back(run.name);
