Cold engines get permits from their sidecars; evacuated domains get nothing

Cause: nothing knew that an upstream is cold (cold_remaining_ms, cold_start_s, cold_per_s).

Change: a gateway takes an engine for cold while its entry says so, and for cold_start_s after it first knows the process, has stood still or a domain was taken back. It asks the engine's own sidecar, which issues moments one interval of the rate apart, for all gateways. Plain services use the permits for named rates.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -54,8 +54,11 @@
 // Divisor of the time limit: a repeatable request leaves a stalled upstream while half of its time
 // remains.
 constexpr int stall_limit_divisor = 2;
-// Refused permits after which a call goes only where no request rate was named.
+// Refused permits after which a call goes only where none is needed.
 constexpr int max_refused_permits = 4;
+// A cold engine whose sidecar does not answer gets no calls for half of the interval between
+// reports of a sound one.
+constexpr auto silent_sidecar_pause = milliseconds(250);
 // Callers refused because of load retry after a delay drawn uniformly from this range.
 constexpr auto min_retry_delay = milliseconds(150);
 constexpr auto max_retry_delay = milliseconds(600);
@@ -362,6 +365,11 @@
            upstream_table::is_process_confirmed(*state);
 }
 
+bool call_exchange::may_run_at(const upstream_id& upstream) const
+{
+    return is_of_required_version(upstream) && !context_.upstreams.find(upstream)->is_evacuated;
+}
+
 bool call_exchange::is_refused_for_crashes()
 {
     const auto now = steady_now();
@@ -504,7 +512,7 @@
 {
     const auto* state = context_.upstreams.find(upstream);
     return state != nullptr && upstream_table::is_open(*state, now) && !state->removal_at &&
-           !state->rate && now >= state->ejected_until &&
+           !upstream_table::request_rate(*state, *service_, now) && now >= state->ejected_until &&
            !upstream_table::is_unresponsive(*state, now) && (!service_->engine || state->status);
 }
 
@@ -586,22 +594,36 @@
     }
 }
 
-// Sends the call to the upstream, or asks for a permit first if that has named a request rate.
+// Sends the call to the upstream, or asks for a permit first if the upstream takes only some
+// requests per second.
 void call_exchange::dispatch(const upstream_id& upstream, time_point now)
 {
-    if (!is_of_required_version(upstream)) {
+    if (!may_run_at(upstream)) {
         return try_next_upstream();
     }
-    if (context_.upstreams.find(upstream)->rate) {
-        return wait_for_permit(upstream, now);
+    const auto& state = *context_.upstreams.find(upstream);
+    const bool is_cold = upstream_table::is_cold(state, *service_, now);
+    // Plain upstreams have no sidecar: a gateway issues their permits in either case.
+    if (state.rate || (is_cold && !service_->engine)) {
+        return wait_for_permit(upstream, permit_kind::named_rate, now);
+    }
+    dispatch_unlimited(upstream, now);
+}
+
+// The upstream has named no request rate, or has a permit for it.
+void call_exchange::dispatch_unlimited(const upstream_id& upstream, time_point now)
+{
+    const auto& state = *context_.upstreams.find(upstream);
+    if (service_->engine && upstream_table::is_cold(state, *service_, now)) {
+        return wait_for_permit(upstream, permit_kind::cold_engine, now);
     }
     dispatch_permitted(upstream, now);
 }
 
-void call_exchange::wait_for_permit(const upstream_id& upstream, time_point now)
+void call_exchange::wait_for_permit(const upstream_id& upstream, permit_kind kind, time_point now)
 {
     const auto number = ++context_.last_permit;
-    permit_.emplace(number, upstream, now);
+    permit_.emplace(number, upstream, now, kind);
     context_.permits[number] = weak_from_this();
     context_.upstreams.on_adapter_wait(upstream, adapter_key(), 1);
     ask_for_permit(now);
@@ -610,15 +632,22 @@
 void call_exchange::ask_for_permit(time_point now)
 {
     const auto* state = context_.upstreams.find(permit_->upstream());
-    if (state == nullptr || !state->rate) {
+    const auto rate =
+        state == nullptr ? std::nullopt : upstream_table::request_rate(*state, *service_, now);
+    if (!rate) {
         return on_permit({permit_->number(), true, false, {}});
     }
     const control::permit_request request{.call = permit_->number(),
                                           .upstream = permit_->upstream(),
                                           .process_start_ms = state->entry.process_start_ms,
-                                          .rate_per_s = state->rate->per_s,
+                                          .rate_per_s = *rate,
                                           .has_ended = false,
-                                          .age = now - state->rate->named_at};
+                                          .age = state->rate ? now - state->rate->named_at
+                                                             : duration{}};
+    if (permit_->kind() == permit_kind::cold_engine) {
+        context_.metrics.cold_permits_asked.add();
+        return context_.send_to_sidecar(permit_->upstream(), request);
+    }
     if (const auto answer = context_.ask_permit(request)) {
         on_permit(*answer);
     }
@@ -630,19 +659,46 @@
         return;
     }
     const auto now = steady_now();
+    if (answer.has_ended && permit_->kind() == permit_kind::named_rate) {
+        context_.upstreams.on_rate_named(permit_->upstream(), std::nullopt, now, now);
+    }
+    if (!answer.is_granted) {
+        return on_permit_denied(answer.wait, now);
+    }
+    if (answer.wait > duration{}) {
+        return permit_->on_granted(now + answer.wait);
+    }
+    on_permit_granted(now);
+}
+
+void call_exchange::on_permit_granted(time_point now)
+{
     const auto upstream = permit_->upstream();
+    const auto kind = permit_->kind();
     stop_waiting_for_permit();
     const auto* state = context_.upstreams.find(upstream);
-    if (answer.has_ended) {
-        context_.upstreams.on_rate_named(upstream, std::nullopt, now, now);
+    if (state == nullptr || !upstream_table::is_open(*state, now)) {
+        return try_next_upstream();
     }
-    if (answer.is_granted && state != nullptr && upstream_table::is_open(*state, now)) {
-        return dispatch_permitted(upstream, now);
+    if (kind == permit_kind::named_rate) {
+        return dispatch_unlimited(upstream, now);
     }
-    if (!answer.is_granted) {
-        context_.upstreams.on_overloaded(upstream, answer.wait, now);
-        ++refused_permits_;
+    dispatch_permitted(upstream, now);
+}
+
+void call_exchange::on_permit_denied(duration wait, time_point now)
+{
+    const auto upstream = permit_->upstream();
+    const auto kind = permit_->kind();
+    stop_waiting_for_permit();
+    if (kind == permit_kind::named_rate) {
+        context_.upstreams.on_overloaded(upstream, wait, now);
+    }
+    else {
+        context_.metrics.cold_permits_refused.add();
+        context_.upstreams.on_permit_refused(upstream, wait, now);
     }
+    ++refused_permits_;
     try_next_upstream();
 }
 
@@ -663,8 +719,13 @@
     case permit_wait::step::wait:
         return;
     case permit_wait::step::give_up:
+        if (permit_->kind() == permit_kind::cold_engine) {
+            return on_permit_denied(silent_sidecar_pause, now);
+        }
         context_.report_silent_issuer(permit_->upstream());
         return ask_for_permit(now);
+    case permit_wait::step::send:
+        return on_permit_granted(now);
     case permit_wait::step::ask_again:
         return ask_for_permit(now);
     }
@@ -682,13 +743,15 @@
 // Asks the sidecar of an engine first if the engine's prompts are paced.
 void call_exchange::dispatch_permitted(const upstream_id& upstream, time_point now)
 {
-    if (!is_of_required_version(upstream)) {
+    if (!may_run_at(upstream)) {
         return try_next_upstream();
     }
     const auto* state = context_.upstreams.find(upstream);
     const bool has_prompt = service_->engine && call_.prompt_tokens > 0;
-    // A call that an engine has begun goes on at once.
-    const bool must_ask = has_prompt && sends_ == 0 && state->status && state->status->is_paced;
+    // A call that an engine has begun goes on at once, as does one with a permit for a cold engine:
+    // permits that wait would be used together.
+    const bool must_ask = has_prompt && sends_ == 0 && state->status && state->status->is_paced &&
+                          !upstream_table::is_cold(*state, *service_, now);
     if (!must_ask) {
         if (reserve_attempt(now)) {
             send(upstream, now);
@@ -758,9 +821,13 @@
                                  admission_->number(), admission_->time_left(now));
     case admission_wait::step::send:
         stop_asking();
-        if (!is_of_required_version(upstream)) {
+        if (!may_run_at(upstream)) {
             return try_next_upstream();
         }
+        // It may have become cold since the question.
+        if (upstream_table::is_cold(*context_.upstreams.find(upstream), *service_, now)) {
+            return dispatch(upstream, now);
+        }
         if (reserve_attempt(now)) {
             send(upstream, now);
         }
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -124,8 +124,12 @@
     bool reserve_attempt(time_point now);
     void dispatch(const upstream_id& upstream, time_point now);
     void dispatch_permitted(const upstream_id& upstream, time_point now);
-    void wait_for_permit(const upstream_id& upstream, time_point now);
+    void dispatch_unlimited(const upstream_id& upstream, time_point now);
+    void wait_for_permit(const upstream_id& upstream, permit_kind kind, time_point now);
     void ask_for_permit(time_point now);
+    void on_permit_granted(time_point now);
+    void on_permit_denied(duration wait, time_point now);
+    bool may_run_at(const upstream_id& upstream) const;
     void report_rate_ended(const upstream_state& state);
     void stop_waiting_for_permit();
     void tick_permit(time_point now);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -37,6 +37,14 @@
         "Streams that callers took up and whose software version is not known or gone.");
     telemetry::counter& adapter_waits = registry.make_counter(
         "snipespar_gateway_adapter_waits_total", "Requests that waited for an adapter.");
+    telemetry::counter& cold_permits_asked =
+        registry.make_counter("snipespar_gateway_cold_permits_asked_total",
+                              "Questions to sidecars of cold engines whether to send a request.");
+    telemetry::counter& cold_permits_refused = registry.make_counter(
+        "snipespar_gateway_cold_permits_refused_total",
+        "Requests that a cold engine had no room for, or whose question was not answered.");
+    telemetry::gauge& evacuated_domains = registry.make_gauge(
+        "snipespar_gateway_evacuated_domains", "Failure domains that get no requests.");
     telemetry::counter& log_lines_dropped = registry.make_counter(
         "snipespar_gateway_log_lines_dropped_total", "Log lines dropped to bound the volume.");
     telemetry::counter& unreadable_objects =
--- a/src/gateway/service_rule.h
+++ b/src/gateway/service_rule.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "snipespar/time.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -28,6 +30,11 @@
     int max_connections = 0;
     /// Set for model services.
     std::optional<engine_rule> engine;
+    /// Time for which an upstream is cold after its start.
+    duration cold_time{};
+    /// Requests per second that a cold upstream takes from all gateways together; 0 if it takes as
+    /// many as a warm one.
+    double cold_rate_per_s = 0;
 
     friend bool operator==(const service_rule&, const service_rule&) = default;
 };
--- a/src/gateway/upstream_entry.h
+++ b/src/gateway/upstream_entry.h
@@ -2,6 +2,7 @@
 
 #include "cli/endpoint.h"
 #include "snipespar/ids.h"
+#include "snipespar/time.h"
 
 #include <cstdint>
 #include <string>
@@ -25,6 +26,8 @@
     /// Version of its software, not of the weights. What two versions write does not fit together.
     /// An entry that states none has a version of its own.
     std::string software = {};
+    /// Time for which it was still cold when it wrote this entry.
+    duration cold_time{};
 
     friend bool operator==(const upstream_entry&, const upstream_entry&) = default;
 };
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -187,14 +187,19 @@
             !upstream_table::is_process_confirmed(state)) {
             continue;
         }
-        if (now < state.closed_until) {
-            opens_at = std::min(opens_at.value_or(state.closed_until), state.closed_until);
-            rate_per_s += state.rate ? state.rate->per_s : 0;
-            has_unlimited = has_unlimited || !state.rate;
+        if (state.is_evacuated) {
+            continue;
+        }
+        const auto rate = upstream_table::request_rate(state, service, now);
+        const auto closed_until = std::max(state.closed_until, state.no_permits_until);
+        if (now < closed_until) {
+            opens_at = std::min(opens_at.value_or(closed_until), closed_until);
+            rate_per_s += rate.value_or(0);
+            has_unlimited = has_unlimited || !rate;
         }
-        else if (state.rate && !query.may_ask_for_permit) {
+        else if (rate && !query.may_ask_for_permit) {
             opens_at = opens_at.value_or(now);
-            rate_per_s += state.rate->per_s;
+            rate_per_s += *rate;
         }
         else if (!query.excluded.contains(id)) {
             candidates.push_back(&state);
--- a/src/gateway/upstream_selector.h
+++ b/src/gateway/upstream_selector.h
@@ -36,7 +36,7 @@
     std::uint64_t shared_tokens = 0;
     /// Whether the adapter may be loaded on further engines for the call.
     bool may_load = true;
-    /// Whether the call may ask for a permit where a request rate was named.
+    /// Whether the call may ask for a permit, which upstreams with a request rate need.
     bool may_ask_for_permit = true;
     /// The software version that began the stream; empty if any can run the call.
     std::string software = {};
--- a/src/gateway/upstream_state.h
+++ b/src/gateway/upstream_state.h
@@ -52,6 +52,17 @@
     time_point closed_until;
     /// Set while its responses name a rate. Calls need a permit then.
     std::optional<named_rate> rate;
+    /// It has stated, in its entry, that it is cold until then.
+    time_point cold_until;
+    /// Since then it may be cold without having stated so: its process, or what became of it, was
+    /// not known before.
+    time_point may_be_cold_since;
+    /// Start of the process that this gateway last heard of, in its entry or from its sidecar.
+    std::uint64_t known_start_ms = 0;
+    /// Its sidecar grants no permits until then, as the engine is cold.
+    time_point no_permits_until;
+    /// The operator has evacuated its failure domain: it gets no new work.
+    bool is_evacuated = false;
     /// Calls sent there that have not ended.
     int in_flight = 0;
     /// Prompt tokens of the calls whose response has not begun.
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -1,6 +1,7 @@
 #include "gateway/upstream_table.h"
 
 #include "control/sidecar_heartbeat.h"
+#include "gateway/service_rule.h"
 
 #include <algorithm>
 #include <set>
@@ -51,6 +52,8 @@
     if (is_new || is_other_process) {
         ++membership_;
     }
+    const auto known_start_ms = state.known_start_ms;
+    const auto may_be_cold_since = state.may_be_cold_since;
     if (!is_new && is_other_process) {
         // A new incarnation has this name; the state of the earlier one is void.
         versions_.on_left(state.entry.service, state.entry.software, now);
@@ -58,6 +61,18 @@
         state = {};
         state.in_flight = in_flight;
     }
+    if (is_new || is_other_process) {
+        // Its sidecar may have told of this process before.
+        const bool is_known = known_start_ms != 0 && known_start_ms == entry.process_start_ms;
+        state.known_start_ms = entry.process_start_ms;
+        state.may_be_cold_since = is_known ? may_be_cold_since : now;
+    }
+    if (entry.cold_time > duration{} &&
+        (is_new || is_other_process || entry.cold_time != state.entry.cold_time)) {
+        // Counted from now on, as the age of the statement is not known.
+        state.cold_until = std::max(state.cold_until, now + entry.cold_time);
+    }
+    state.is_evacuated = evacuated_.contains(entry.failure_domain);
     if (is_new) {
         if (const auto former = former_.find(entry.id);
             former != former_.end() && former->second.process_start_ms == entry.process_start_ms &&
@@ -129,6 +144,26 @@
     }
 }
 
+void upstream_table::on_standstill(time_point now)
+{
+    versions_.on_gap_ended(now);
+    for (auto& [id, state] : states_) {
+        state.may_be_cold_since = now;
+    }
+}
+
+void upstream_table::set_evacuated(std::set<failure_domain_id> domains, time_point now)
+{
+    evacuated_ = std::move(domains);
+    for (auto& [id, state] : states_) {
+        const bool was_evacuated = state.is_evacuated;
+        state.is_evacuated = evacuated_.contains(state.entry.failure_domain);
+        if (was_evacuated && !state.is_evacuated) {
+            state.may_be_cold_since = now;
+        }
+    }
+}
+
 void upstream_table::on_registry_recovered(time_point now)
 {
     registry_recovered_at_ = now;
@@ -179,6 +214,14 @@
     }
 }
 
+void upstream_table::on_permit_refused(const upstream_id& id, duration wait, time_point now)
+{
+    const auto found = states_.find(id);
+    if (found != states_.end()) {
+        found->second.no_permits_until = std::max(found->second.no_permits_until, now + wait);
+    }
+}
+
 bool upstream_table::on_rate_named(const upstream_id& id, std::optional<double> rate_per_s,
                                    time_point sent_at, time_point now)
 {
@@ -217,6 +260,11 @@
                                  state.status->sidecar_start == status.sidecar_start &&
                                  state.status->sequence >= status.sequence;
         if (!is_outdated) {
+            if (status.process_start_ms != 0 && status.process_start_ms != state.known_start_ms) {
+                // Another process has begun, which its entry does not name yet.
+                state.known_start_ms = status.process_start_ms;
+                state.may_be_cold_since = now;
+            }
             state.status = status;
             state.status_at = now;
             state.sidecar_heard_at = now;
@@ -381,7 +429,7 @@
 
 bool upstream_table::is_open(const upstream_state& state, time_point now)
 {
-    return is_serving(state, now) && now >= state.closed_until;
+    return is_serving(state, now) && !state.is_evacuated && now >= state.closed_until;
 }
 
 bool upstream_table::is_serving(const upstream_state& state, time_point now)
@@ -390,6 +438,26 @@
            (!state.removal_at || now < *state.removal_at);
 }
 
+bool upstream_table::is_cold(const upstream_state& state, const service_rule& service,
+                             time_point now)
+{
+    return service.cold_rate_per_s > 0 &&
+           (now < state.cold_until || now < state.may_be_cold_since + service.cold_time);
+}
+
+std::optional<double> upstream_table::request_rate(const upstream_state& state,
+                                                   const service_rule& service, time_point now)
+{
+    std::optional<double> rate;
+    if (state.rate) {
+        rate = state.rate->per_s;
+    }
+    if (is_cold(state, service, now)) {
+        rate = std::min(rate.value_or(service.cold_rate_per_s), service.cold_rate_per_s);
+    }
+    return rate;
+}
+
 std::string upstream_table::software_of(const upstream_state& state)
 {
     if (!state.status || state.entry.process_start_ms == 0) {
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,6 +20,8 @@
 
 namespace snipespar::gateway {
 
+struct service_rule;
+
 /// How a call at an upstream ended, as far as the upstream's health is concerned.
 enum class call_result {
     success,
@@ -54,7 +57,12 @@
     bool is_registry_read_since(time_point when) const { return versions_.is_read_since(when); }
 
     /// This process was not run for a while.
-    void on_standstill(time_point now) { versions_.on_gap_ended(now); }
+    void on_standstill(time_point now);
+
+    /// The upstreams of these failure domains get no new work from now on, all others may. Those
+    /// of a domain that is taken back may be cold.
+    void set_evacuated(std::set<failure_domain_id> domains, time_point now);
+    const std::set<failure_domain_id>& evacuated() const { return evacuated_; }
 
     /// The registry was restored from an old copy. Entries that it lost are about to be written
     /// again, and entries of upstreams that had gone may have come back.
@@ -76,6 +84,10 @@
     /// The upstream takes no calls for this long: it is overloaded, or its rate is used up.
     void on_overloaded(const upstream_id& id, duration retry_after, time_point now);
 
+    /// The sidecar of a cold engine grants no permits for this long. Calls that already wait there
+    /// go on waiting.
+    void on_permit_refused(const upstream_id& id, duration wait, time_point now);
+
     /// A response to a call sent at `sent_at` named a request rate, or none. Returns whether that
     /// is new.
     bool on_rate_named(const upstream_id& id, std::optional<double> rate_per_s, time_point sent_at,
@@ -116,6 +128,13 @@
     /// Whether the upstream is listed and not about to stop. It may be closed for a while.
     static bool is_serving(const upstream_state& state, time_point now);
 
+    /// Whether the upstream is cold, or may be so far as this gateway knows.
+    static bool is_cold(const upstream_state& state, const service_rule& service, time_point now);
+
+    /// Requests per second that the upstream takes from all gateways together, if it is limited.
+    static std::optional<double> request_rate(const upstream_state& state,
+                                              const service_rule& service, time_point now);
+
     /// Software version of the process that runs there; empty if it is unknown, as the entry
     /// describes an earlier one.
     static std::string software_of(const upstream_state& state);
@@ -157,6 +176,7 @@
     std::map<std::pair<std::string, std::string>, std::pair<bool, time_point>> serving_versions_;
     resume::software_history versions_;
     std::map<upstream_id, former_incarnation> former_;
+    std::set<failure_domain_id> evacuated_;
     /// Until then an entry that reappears does not prove that its upstream runs.
     time_point restored_until_;
     /// Last status by engine address, kept for engines whose entry is not known yet.
--- a/src/platform/config_reader.cpp
+++ b/src/platform/config_reader.cpp
@@ -5,6 +5,7 @@
 #include "base/whole_number.h"
 
 #include <algorithm>
+#include <chrono>
 #include <limits>
 #include <utility>
 
@@ -16,6 +17,8 @@
 constexpr int step_work = 2'000;
 constexpr int work_of_decoded_route = 20;
 constexpr int work_of_shared_route = 1;
+// Longer than any start-up; bounds what a configuration can make gateways hold back.
+constexpr double max_cold_s = 3600;
 
 duration milliseconds(const json_reader& fields, const char* name)
 {
@@ -81,6 +84,10 @@
     gateway::service_rule service;
     service.name = fields.text("name");
     service.max_connections = integer_or(fields, "max_connections", 0);
+    const std::chrono::duration<double> cold_time{
+        std::clamp(real_or(fields, "cold_start_s", 0), 0.0, max_cold_s)};
+    service.cold_time = std::chrono::ceil<duration>(cold_time);
+    service.cold_rate_per_s = std::max(real_or(fields, "cold_per_s", 0), 0.0);
     const auto found = content.find("engine");
     if (found != content.end() && found->is_object()) {
         const json_reader engine(*found, fields.path() + ".engine", status);
--- a/src/platform/upstream_entry_codec.cpp
+++ b/src/platform/upstream_entry_codec.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/strings/ascii.h>
 #include <algorithm>
+#include <chrono>
 #include <fmt/format.h>
 
 namespace snipespar::platform {
@@ -30,6 +31,19 @@
     return text;
 }
 
+// Longer than any start-up; bounds what an entry can make gateways hold back.
+constexpr double max_cold_ms = 3600.0 * 1000;
+
+duration read_cold_time(const json_reader& fields)
+{
+    if (!fields.has("cold_remaining_ms")) {
+        return {};
+    }
+    const std::chrono::duration<double, std::milli> stated{
+        std::clamp(fields.real("cold_remaining_ms"), 0.0, max_cold_ms)};
+    return std::chrono::ceil<duration>(stated);
+}
+
 std::string read_software(const gateway::upstream_entry& entry, const nlohmann::json& content)
 {
     const auto version = content.find("version");
@@ -62,6 +76,7 @@
         fields.fail(fields.path() + ".state", "is unknown");
     }
     entry.process_start_ms = fields.has("born") ? fields.integer<std::uint64_t>("born") : 0;
+    entry.cold_time = read_cold_time(fields);
     const auto address = cli::parse_endpoint(fields.text("address"));
     if (!address.ok()) {
         fields.fail(fields.path() + ".address", to_std(address.status().message()));
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -22,6 +22,13 @@
     telemetry::counter& admissions_refused =
         registry.make_counter("snipespar_sidecar_admissions_refused_total",
                               "Calls whose prompt the engine could not take in time.");
+    telemetry::counter& cold_permits =
+        registry.make_counter("snipespar_sidecar_cold_permits_total",
+                              "Answers to gateways that asked to send a request to the engine "
+                              "while it is cold.");
+    telemetry::counter& cold_permits_refused =
+        registry.make_counter("snipespar_sidecar_cold_permits_refused_total",
+                              "Of these, refusals: the engine has no room soon.");
     telemetry::counter& origins = registry.make_counter(
         "snipespar_sidecar_origins_total", "Origins of streams recorded here by gateways.");
     telemetry::counter& demands = registry.make_counter("snipespar_sidecar_demands_total",
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -279,6 +279,9 @@
     else if (const auto* request = std::get_if<control::admission_request>(&content)) {
         on_admission(*request, from);
     }
+    else if (const auto* permit = std::get_if<control::permit_request>(&content)) {
+        on_permit_request(*permit, from);
+    }
     else if (const auto* record = std::get_if<control::origin_record>(&content)) {
         metrics_.origins.add();
         origins_.put(record->key, record->origin, steady_now());
@@ -299,6 +302,17 @@
     }
 }
 
+void sidecar_server::on_permit_request(const control::permit_request& request,
+                                       const cli::endpoint& from)
+{
+    const auto answer = cold_permits_.answer(request, from.str(), steady_now());
+    metrics_.cold_permits.add();
+    if (!answer.is_granted) {
+        metrics_.cold_permits_refused.add();
+    }
+    datagrams_.send(from, control::encode(answer));
+}
+
 void sidecar_server::on_admission(const control::admission_request& request,
                                   const cli::endpoint& from)
 {
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -6,6 +6,7 @@
 #include "net/http_client.h"
 #include "resume/origin_store.h"
 #include "sidecar/adapter_planner.h"
+#include "sidecar/cold_permits.h"
 #include "sidecar/prompt_pacer.h"
 #include "sidecar/sidecar_metrics.h"
 #include "telemetry/admin_handlers.h"
@@ -50,6 +51,7 @@
     boost::asio::awaitable<void> give_orders();
     void on_message(const control::message& content, const cli::endpoint& from);
     void on_demand(const control::adapter_demand& demand, const cli::endpoint& from);
+    void on_permit_request(const control::permit_request& request, const cli::endpoint& from);
     void on_admission(const control::admission_request& request, const cli::endpoint& from);
     void send_decision(const admission_decision& decision, const cli::endpoint& to);
     void pace();
@@ -63,6 +65,7 @@
     sidecar_metrics metrics_;
     adapter_planner planner_;
     prompt_pacer pacer_;
+    cold_permits cold_permits_;
     /// Held for the gateways, whichever engine began the streams.
     resume::origin_store origins_;
     boost::asio::steady_timer pace_timer_;
--- a/tests/platform_config_reader_test.cpp
+++ b/tests/platform_config_reader_test.cpp
@@ -29,6 +29,7 @@
              "upstream": "desk", "public": true}],
         "upstreams": [
             {"name": "llm", "health_check": "/health", "max_connections": 370,
+             "cold_start_s": 2.5, "cold_per_s": 35.0,
              "engine": {"slots": 64, "kv_capacity": 244427, "adapter_slots": 16,
                         "models": [{"name": "base", "adapters": 3000}]}},
             {"name": "desk", "health_check": "/health", "max_connections": 110}],
@@ -67,6 +68,9 @@
         const auto* plain = (*config)->find_route("a.example", "/q/x");
         CPPUNIT_ASSERT(plain->is_public && plain->services.front().service == "desk");
         CPPUNIT_ASSERT_EQUAL(16, (*config)->find_service("llm")->engine->adapter_slots);
+        CPPUNIT_ASSERT((*config)->find_service("llm")->cold_time == milliseconds(2500));
+        CPPUNIT_ASSERT_EQUAL(35.0, (*config)->find_service("llm")->cold_rate_per_s);
+        CPPUNIT_ASSERT_EQUAL(0.0, (*config)->find_service("desk")->cold_rate_per_s);
         CPPUNIT_ASSERT(!(*config)->find_service("desk")->engine);
         CPPUNIT_ASSERT_EQUAL(100812.0, (*config)->find_team("k2")->rate_per_s);
         CPPUNIT_ASSERT((*config)->limits().idle_timeout == milliseconds(15'000));
--- a/tests/platform_upstream_entry_codec_test.cpp
+++ b/tests/platform_upstream_entry_codec_test.cpp
@@ -41,6 +41,14 @@
                                                           "v1"}));
         content["state"] = "draining";
         CPPUNIT_ASSERT(decode_upstream_entry("i-1", content)->is_draining);
+        content["cold_remaining_ms"] = 1500;
+        CPPUNIT_ASSERT(decode_upstream_entry("i-1", content)->cold_time ==
+                       duration(std::chrono::milliseconds(1500)));
+        content["cold_remaining_ms"] = 1e200;
+        CPPUNIT_ASSERT(decode_upstream_entry("i-1", content)->cold_time ==
+                       duration(std::chrono::hours(1)));
+        content["cold_remaining_ms"] = "soon";
+        CPPUNIT_ASSERT(!decode_upstream_entry("i-1", content).ok());
     }
 
     // Anyone may write entries, so only complete ones with known values are used.
