Gateways follow evacuations of failure domains

Change: where the deployment states a bound (--evacuation-bound, absent or odd values turn it off) each gateway watches the kind. A change holds at once; calls that wait there go elsewhere, what runs may end. The last known evacuations hold in an outage; restored and forgotten history are listed again. Nothing is written: the ack is the store's answer to the operator.

Process test gateway_evacuation failed before: the setting was unknown. deploy_file_test gets the new placeholder, also with odd values.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -230,6 +230,7 @@
         .memory_limit = reader.read_or_default("memory-limit", parse_byte_size),
         .max_descriptors = reader.read_or_default("max-descriptors", parse_number),
         .leave_bound = reader.read_or_default("leave-bound", parse_time_span),
+        .evacuation_bound = reader.read_or_default("evacuation-bound", parse_time_span),
         .retry_ratio = reader.read_or_default("retry-ratio", parse_real),
         .retry_slack = reader.read_or_default("retry-slack", parse_real),
         .seed = reader.read_or_default("seed", parse_number),
--- a/src/cli/gateway_settings.h
+++ b/src/cli/gateway_settings.h
@@ -28,6 +28,9 @@
     std::uint64_t max_descriptors = 0;
     /// Time after its announced stop or removal from which an upstream must get no new work.
     duration leave_bound{};
+    /// Time after the operator's request from which an evacuated failure domain must get no new
+    /// work; 0 if the deployment has no evacuations.
+    duration evacuation_bound{};
     /// Retries allowed per request, and beyond those per window, over all gateways.
     double retry_ratio = 0;
     double retry_slack = 0;
--- a/src/cli/setting_tables.cpp
+++ b/src/cli/setting_tables.cpp
@@ -133,6 +133,9 @@
     setting{"leave-bound", "<duration>", presence::defaulted, "2s",
             "Time after its announced stop or removal from which an upstream must get no new work. "
             "The registry is polled the less often the longer it is."},
+    setting{"evacuation-bound", "<duration>", presence::defaulted, "0s",
+            "Time after the operator's request from which an evacuated failure domain must get no "
+            "new work. With 0 evacuations are not watched."},
     setting{"retry-ratio", "<number>", presence::defaulted, "0.2",
             "Retries allowed per request, over all gateways."},
     setting{"retry-slack", "<number>", presence::defaulted, "50",
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -56,6 +56,10 @@
     std::chrono::seconds(25), {}, platform::content_form::text};
 constexpr platform::object_watch_options version_watch_options{std::chrono::seconds(25),
                                                                milliseconds(200)};
+constexpr platform::object_watch_options evacuation_watch_options{std::chrono::seconds(25), {}};
+// Far more than any deployment has; bounds what writers of the store can make a gateway keep.
+constexpr std::size_t max_evacuated_domains = 1024;
+constexpr std::size_t max_domain_name_bytes = 253;
 // Minimum interval between reads of the configuration because other gateways have a newer version.
 constexpr auto config_refresh_interval = milliseconds(1000);
 // A response to a poll begins this long after a change at the latest, also if the store is slow.
@@ -128,6 +132,9 @@
       version_watch_(make_watch(platform::wire::version_kind, version_watch_options,
                                 &gateway_server::on_versions_listed,
                                 &gateway_server::on_version_changed)),
+      evacuation_watch_(make_watch(platform::wire::evacuation_kind, evacuation_watch_options,
+                                   &gateway_server::on_evacuations_listed,
+                                   &gateway_server::on_evacuation_changed)),
       max_connections_(max_caller_connections(settings.max_descriptors))
 {
     context_.send_demand = [this](const upstream_id& upstream) { queue_demand(upstream); };
@@ -212,9 +219,9 @@
     if (auto status = listen(); !status.ok()) {
         return status;
     }
-    config_watch_.start();
-    upstream_watch_.start();
-    version_watch_.start();
+    for (auto* watch : watches()) {
+        watch->start();
+    }
     accept();
     tick();
     context_.log.info("started", {{"role", "gateway"},
@@ -587,6 +594,7 @@
                              {"address", state.entry.address.str()},
                              {"software", state.entry.software},
                              {"draining", state.entry.is_draining || state.is_leaving},
+                             {"evacuated", state.is_evacuated},
                              {"in_flight", state.in_flight},
                              {"failure_rate", state.failure_rate}});
     }
@@ -730,6 +738,59 @@
     context_.upstreams.update(*entry, now);
 }
 
+void gateway_server::on_evacuations_listed(const std::vector<platform::watched_object>& objects)
+{
+    std::set<failure_domain_id> domains;
+    for (const auto& object : objects) {
+        domains.insert(failure_domain_id(object.name));
+    }
+    evacuate(std::move(domains));
+}
+
+void gateway_server::on_evacuation_changed(const platform::watched_object& object)
+{
+    auto domains = context_.upstreams.evacuated();
+    if (object.is_removed) {
+        domains.erase(failure_domain_id(object.name));
+    }
+    else {
+        domains.insert(failure_domain_id(object.name));
+    }
+    evacuate(std::move(domains));
+}
+
+void gateway_server::evacuate(std::set<failure_domain_id> domains)
+{
+    std::erase_if(domains,
+                  [](const auto& domain) { return domain.str().size() > max_domain_name_bytes; });
+    if (domains.size() > max_evacuated_domains) {
+        context_.log.warning("evacuations_rejected", {{"count", domains.size()}});
+        return;
+    }
+    const auto known = context_.upstreams.evacuated();
+    for (const auto& domain : domains) {
+        if (!known.contains(domain)) {
+            context_.log.warning("domain_evacuated", {{"failure_domain", domain.str()}});
+        }
+    }
+    for (const auto& domain : known) {
+        if (!domains.contains(domain)) {
+            context_.log.info("domain_returned", {{"failure_domain", domain.str()}});
+        }
+    }
+    context_.metrics.evacuated_domains.set(static_cast<std::int64_t>(domains.size()));
+    context_.upstreams.set_evacuated(std::move(domains), steady_now());
+}
+
+std::vector<platform::object_watch*> gateway_server::watches()
+{
+    std::vector<platform::object_watch*> running{&config_watch_, &upstream_watch_, &version_watch_};
+    if (settings_.evacuation_bound > duration{}) {
+        running.push_back(&evacuation_watch_);
+    }
+    return running;
+}
+
 void gateway_server::on_unreadable(const std::string& kind, const std::string& name,
                                    const std::string& reason)
 {
@@ -771,8 +832,11 @@
             context_.upstreams.on_registry_recovered(steady_now());
             if (std::exchange(is_registry_unreachable_, false)) {
                 // Polls of the outage may be lost.
-                config_watch_.read_again({});
-                version_watch_.read_again({});
+                for (auto* watch : watches()) {
+                    if (watch != &upstream_watch_) {
+                        watch->read_again({});
+                    }
+                }
             }
         }
     }
@@ -826,7 +890,7 @@
     store_era_ = era;
     context_.log.warning("store_restored", {{"kind", kind}, {"era", era}});
     context_.upstreams.on_registry_restored(steady_now());
-    for (auto* watch : {&config_watch_, &upstream_watch_, &version_watch_}) {
+    for (auto* watch : watches()) {
         if (watch->kind() != kind) {
             watch->list_again(era);
         }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -25,6 +25,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace snipespar::telemetry {
 class admin_server;
@@ -90,6 +91,11 @@
     void on_upstream_changed(const platform::watched_object& object);
     void on_versions_listed(const std::vector<platform::watched_object>& objects);
     void on_version_changed(const platform::watched_object& object);
+    void on_evacuations_listed(const std::vector<platform::watched_object>& objects);
+    void on_evacuation_changed(const platform::watched_object& object);
+    void evacuate(std::set<failure_domain_id> domains);
+    /// The watches that run.
+    std::vector<platform::object_watch*> watches();
     void on_unreadable(const std::string& kind, const std::string& name, const std::string& reason);
     void on_contact(const std::string& kind, bool is_reached, const std::string& reason);
 
@@ -139,6 +145,8 @@
     platform::object_watch config_watch_;
     platform::object_watch upstream_watch_;
     platform::object_watch version_watch_;
+    /// Runs only where the deployment states a bound on evacuations.
+    platform::object_watch evacuation_watch_;
     std::unique_ptr<telemetry::admin_server> admin_;
     time_point registry_asked_at_;
     std::list<std::weak_ptr<caller_connection>> connections_;
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -17,6 +17,8 @@
 inline constexpr const char* upstream_kind = "servers";
 /// Announced versions of adapters.
 inline constexpr const char* version_kind = "versions";
+/// Failure domains whose upstreams are to get nothing; an object's name is that of the domain.
+inline constexpr const char* evacuation_kind = "evacuations";
 
 inline constexpr std::string_view request_id = "Request-Id";
 /// Milliseconds for which the sender waits for the response.
--- a/tests/deploy_file_test.cpp
+++ b/tests/deploy_file_test.cpp
@@ -28,6 +28,7 @@
     {"node_id", "front-lk-west-a-1"},
     {"zone", "lk-west-a"},
     {"bounds.drain_ms", "2000"},
+    {"bounds.evacuate_ms", "5000"},
     {"bounds.grace_s", "8"},
     {"limits.memory_mb", "260"},
     {"limits.max_fds", "4100"},
@@ -105,7 +106,7 @@
     {
         for (const std::string name :
              {"bounds.drain_ms", "bounds.grace_s", "limits.memory_mb", "limits.max_fds",
-              "bounds.retry_budget_ratio", "bounds.budget_slack", "zone"}) {
+              "bounds.retry_budget_ratio", "bounds.budget_slack", "bounds.evacuate_ms", "zone"}) {
             auto values = sound_values;
             for (const std::string text : {"", "0", "2000.5", "2e3", "false", "null"}) {
                 values[name] = text;
