Gateways compare the evacuations that they know

Cause: a watch whose connection to the store has fallen silent hears of an evacuation when its poll ends, up to 26 s later; the users allow 5 s. Configurations have the same gap closed by versions in usage messages.

Change: usage messages state a digest of the evacuated domains where these are watched. A gateway that hears of another one reads the store once, in each ten seconds at most while that digest is stated.

--- a/src/control/gateway_usage.h
+++ b/src/control/gateway_usage.h
@@ -24,6 +24,8 @@
     bool is_complete = true;
     /// Longest time between two reports; zero if not stated.
     duration report_interval{};
+    /// Digest of the evacuated failure domains that the gateway knows; 0 if not stated.
+    std::uint64_t evacuations = 0;
 
     friend bool operator==(const gateway_usage&, const gateway_usage&) = default;
 };
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -68,6 +68,9 @@
     value["interval_ms"] = static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(content.report_interval).count());
     value["teams"] = content.team_tokens;
+    if (content.evacuations != 0) {
+        value["evacuations"] = content.evacuations;
+    }
     return value;
 }
 
@@ -276,7 +279,12 @@
         .leaving_upstreams = {},
         .is_complete = true,
         .report_interval = {},
+        .evacuations = 0,
     };
+    // Stated only where evacuations are watched.
+    if (fields.has("evacuations")) {
+        content.evacuations = fields.integer<std::uint64_t>("evacuations");
+    }
     // Absent in messages of earlier builds.
     if (fields.has("leaving_upstreams")) {
         content.leaving_upstreams = read_versions(fields, "leaving_upstreams");
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -779,6 +779,7 @@
         }
     }
     context_.metrics.evacuated_domains.set(static_cast<std::int64_t>(domains.size()));
+    evacuation_news_.on_read(domains, steady_now());
     context_.upstreams.set_evacuated(std::move(domains), steady_now());
 }
 
@@ -993,6 +994,10 @@
     }
     peers_.on_seen(from, now);
     inform_new_peer(usage, from, now);
+    if (evacuation_news_.should_read(usage.evacuations, now)) {
+        context_.log.info("evacuations_differ", {{"peer", usage.gateway}});
+        evacuation_watch_.read_again(lost_poll_patience);
+    }
     const auto known = context_.config == nullptr ? 0 : context_.config->version();
     if (usage.config_version > known && now - config_refreshed_at_ > config_refresh_interval) {
         config_refreshed_at_ = now;
@@ -1078,6 +1083,7 @@
         .leaving_upstreams = context_.upstreams.recently_leaving(now),
         .is_complete = stated->is_complete,
         .report_interval = stated->next_within,
+        .evacuations = evacuation_news_.stated(),
     };
     send_to_peers(usage);
 }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -3,6 +3,7 @@
 #include "cli/gateway_settings.h"
 #include "control/datagram_socket.h"
 #include "control/message.h"
+#include "gateway/evacuation_news.h"
 #include "gateway/gateway_context.h"
 #include "gateway/new_peers.h"
 #include "gateway/peer_directory.h"
@@ -147,6 +148,7 @@
     platform::object_watch version_watch_;
     /// Runs only where the deployment states a bound on evacuations.
     platform::object_watch evacuation_watch_;
+    evacuation_news evacuation_news_;
     std::unique_ptr<telemetry::admin_server> admin_;
     time_point registry_asked_at_;
     std::list<std::weak_ptr<caller_connection>> connections_;
