--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -3,6 +3,7 @@
 #include "cli/gateway_settings.h"
 #include "control/datagram_socket.h"
 #include "control/message.h"
+#include "gateway/evacuation_news.h"
 #include "gateway/gateway_context.h"
 #include "gateway/new_peers.h"
 #include "gateway/peer_directory.h"
@@ -25,6 +26,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace snipespar::telemetry {
 class admin_server;
@@ -90,6 +92,11 @@
     void on_upstream_changed(const platform::watched_object& object);
     void on_versions_listed(const std::vector<platform::watched_object>& objects);
     void on_version_changed(const platform::watched_object& object);
+    void on_evacuations_listed(const std::vector<platform::watched_object>& objects);
+    void on_evacuation_changed(const platform::watched_object& object);
+    void evacuate(std::set<failure_domain_id> domains);
+    /// The watches that run.
+    std::vector<platform::object_watch*> watches();
     void on_unreadable(const std::string& kind, const std::string& name, const std::string& reason);
     void on_contact(const std::string& kind, bool is_reached, const std::string& reason);
 
@@ -139,6 +146,9 @@
     platform::object_watch config_watch_;
     platform::object_watch upstream_watch_;
     platform::object_watch version_watch_;
+    /// Runs only where the deployment states a bound on evacuations.
+    platform::object_watch evacuation_watch_;
+    evacuation_news evacuation_news_;
     std::unique_ptr<telemetry::admin_server> admin_;
     time_point registry_asked_at_;
     std::list<std::weak_ptr<caller_connection>> connections_;
