Sidecars name a bounded part of the gateways beyond 72

Cause: every sidecar names every gateway to every gateway each 1.8 s. Reckoned from the messages' sizes, one gateway received 191 kB/s of such lists at 150 gateways and 150 engines, by far the most of all kinds, and 21 kB/s at 50.

Change: beyond 72 gateways a list names 72 * 72 / gateways of them (at least 16), and the next list goes on behind; sidecars begin at different places and name those first that have just come. Up to 72 gateways nothing changes, and no message has another form.

Result: virtual-time fleet test with the real rosters and a real directory at 100, 150 and 300 hosts of each role, a tenth of the lists lost, then half of the sidecars frozen: at most 72 * 72 names received in one interval, and no gateway is dropped. It fails with whole lists and with sidecars that begin at the same place. Run by itself, as the other unit tests were not built. Reckoned: about 44 kB/s instead of 191 at 150 and 150.

--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/sidecar_server.h"
 
+#include "base/stable_hash.h"
 #include "control/message.h"
 #include "net/start_number.h"
 #include "net/steady_time.h"
@@ -17,6 +18,7 @@
 #include <exception>
 #include <nlohmann/json.hpp>
 #include <utility>
+#include <vector>
 
 namespace snipespar::sidecar {
 
@@ -82,7 +84,8 @@
                                telemetry::logger& log)
     : io_(io), settings_(settings), log_(log), start_(net::start_number()), pace_timer_(io),
       datagrams_(io.get_executor()),
-      engine_(settings.engine.ip, settings.engine.port, max_report_bytes), poll_timer_(io)
+      engine_(settings.engine.ip, settings.engine.port, max_report_bytes), poll_timer_(io),
+      roster_(stable_hash(settings.engine.str()))
 {
 }
 
@@ -360,6 +363,7 @@
     gateways_[from] = {demand.gateway, now};
     planner_.on_demand(demand, now);
     if (is_new) {
+        roster_.on_new(from);
         published_at_ = {};
         broadcast_at_ = {};
         gateways_published_at_ = {};
@@ -416,7 +420,12 @@
     control::sidecar_report report{std::move(status), {}};
     if (is_broadcast && now - gateways_published_at_ >= gateway_list_interval) {
         gateways_published_at_ = now;
-        for (const auto& [gateway, known] : gateways_) {
+        std::vector<cli::endpoint> known;
+        known.reserve(gateways_.size());
+        for (const auto& [gateway, heard] : gateways_) {
+            known.push_back(gateway);
+        }
+        for (const auto& gateway : roster_.next(known)) {
             report.gateways.push_back(gateway.str());
         }
     }
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -6,6 +6,7 @@
 #include "net/http_client.h"
 #include "resume/origin_store.h"
 #include "sidecar/adapter_planner.h"
+#include "sidecar/gateway_roster.h"
 #include "sidecar/prompt_pacer.h"
 #include "sidecar/sidecar_metrics.h"
 #include "telemetry/admin_handlers.h"
@@ -78,6 +79,7 @@
     };
 
     std::map<cli::endpoint, known_gateway> gateways_;
+    gateway_roster roster_;
     /// The status last sent to any gateway, and when one was last sent to all.
     gateway::engine_status published_;
     time_point published_at_;
