--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -7,6 +7,7 @@
 #include "resume/origin_store.h"
 #include "sidecar/adapter_planner.h"
 #include "sidecar/cold_permits.h"
+#include "sidecar/gateway_roster.h"
 #include "sidecar/prompt_pacer.h"
 #include "sidecar/sidecar_metrics.h"
 #include "telemetry/admin_handlers.h"
@@ -81,6 +82,7 @@
     };
 
     std::map<cli::endpoint, known_gateway> gateways_;
+    gateway_roster roster_;
     /// The status last sent to any gateway, and when one was last sent to all.
     gateway::engine_status published_;
     time_point published_at_;
