Plain calls go where they are forecast to finish first

Cause: a gateway knew of a plain service only its own calls in flight, a third of a call on average, and nothing was refused before an upstream's queue stood at its limit; every call that was served was late then. Change: finish_forecaster learns what the calls of a route cost and how fast each upstream is, and forecasts the finish from the stated load, its age, and the own calls in flight. plain_chooser draws the upstream with shares that no herd of gateways overloads, and refuses a call with its turn (upstreams_backlogged) where the wait is longer than the call and the finish beyond the route's aim.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -15,6 +15,7 @@
 #include "resume/origin_directory.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 #include <utility>
 
@@ -462,6 +463,7 @@
     if (none.is_version_gone) {
         return give_up_for_good();
     }
+    has_turn_ = none.is_backlogged;
     if (none.opens_at && none.rate_per_s > 0) {
         opens_at_ = context_.returns[service_->name].next(*none.opens_at,
                                                           none.rate_per_s / context_.gateways, now);
@@ -472,12 +474,26 @@
     if (refused_admissions_ > 0) {
         return give_up_for_now("prompt_backlog");
     }
+    if (none.is_backlogged) {
+        context_.metrics.backlog_refusals.add();
+        return give_up_for_now("upstreams_backlogged");
+    }
     give_up_for_now(none.is_overloaded ? "upstreams_full" : "no_upstream");
 }
 
+// When an answer is wanted. One that comes later is given all the same; but a plain call that has
+// not been sent yet is refused if that is forecast: others are then answered in time instead of
+// waiting behind it, and its caller is told when its turn comes.
+time_point call_exchange::wanted_by() const
+{
+    return sends_ > 0 ? deadline_ : std::min(arrived_at_ + route_->target_latency, deadline_);
+}
+
 // Returns where the call can go now, and requests the replicas that its adapter should get.
 placement call_exchange::choose_upstream(time_point now)
 {
+    const bool may_ask_for_permit = refused_permits_ < max_refused_permits;
+    const bool was_turned_away = sends_ > runs_;
     const placement_query query{service_->name,
                                 service_->engine ? adapter_key() : std::string(),
                                 call_.model,
@@ -487,8 +503,12 @@
                                 call_.session,
                                 call_.shared_tokens,
                                 refused_admissions_ == 0,
-                                refused_permits_ < max_refused_permits,
-                                version_.required()};
+                                may_ask_for_permit,
+                                version_.required(),
+                                route_->id.str(),
+                                route_->target_latency,
+                                wanted_by(),
+                                was_turned_away};
     const auto chosen =
         context_.selector.choose(query, *service_, context_.upstreams, context_.gateways, now);
     for (const auto& replica : chosen.replicas) {
@@ -843,6 +863,15 @@
     const auto address = state->entry.address;
     version_.on_sent(upstream_table::software_of(*state));
     log_resumption(*state);
+    if (!service_->engine) {
+        auto& forecaster = context_.selector.forecaster();
+        const auto route = route_->id.str();
+        placed_ = placed_call{upstream, service_->name, route,
+                              forecaster.forecast(*state, route, context_.gateways, now), now};
+        forecaster.on_sent(*placed_);
+        forecast_ = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(placed_->forecast.finish_s()));
+    }
     context_.upstreams.on_call_sent(upstream, adapter_key(), call_.prompt_tokens);
 
     attempt_header attempt;
@@ -998,6 +1027,7 @@
                                     {"waiting", has_status ? state->status->waiting : 0},
                                     {"in_flight", state == nullptr ? 0 : state->in_flight},
                                     {"status_age_ms", ms(status_age_)},
+                                    {"forecast_ms", ms(forecast_)},
                                     {"config", config_->version()}});
 }
 
@@ -1192,6 +1222,9 @@
                                           {"stated", header_->states_not_run},
                                           {"other_upstream", is_other},
                                           {"sends", sends_}});
+    if (placed_ && !is_other && header_->load) {
+        context_.selector.forecaster().on_shed(*placed_, *header_->load, steady_now());
+    }
     release_upstream(call_result::refused, true);
     if (can_try_again(steady_now())) {
         return try_next_upstream();
@@ -1408,6 +1441,7 @@
             }
         }
     }
+    learn_cost(result, now);
     const auto used = std::exchange(channel_, nullptr);
     const auto outstanding_tokens = has_response_begun_ ? 0 : call_.prompt_tokens;
     if (context_.upstreams.on_call_ended(upstream_, adapter_key(), outstanding_tokens, result,
@@ -1422,6 +1456,24 @@
     }
 }
 
+// Compares what the attempt took with its forecast.
+void call_exchange::learn_cost(call_result result, time_point now)
+{
+    if (!placed_) {
+        return;
+    }
+    const auto placed = *std::exchange(placed_, std::nullopt);
+    auto& forecaster = context_.selector.forecaster();
+    const bool is_answered =
+        result == call_result::success && header_->is_success() && header_->load;
+    if (!is_answered) {
+        return forecaster.on_given_up(placed, !has_response_begun_, now);
+    }
+    if (const auto error_s = forecaster.on_answered(placed, *header_->load, now)) {
+        context_.metrics.forecast_error.record(std::abs(*error_s));
+    }
+}
+
 // Sends the final response to a request for which no upstream is left.
 void call_exchange::give_up(std::string_view cause)
 {
@@ -1518,6 +1570,9 @@
     std::uniform_int_distribution<duration::rep> spread(duration(min_retry_delay).count(),
                                                         duration(max_retry_delay).count());
     const auto until_open = opens_at_ ? *opens_at_ - steady_now() : duration{};
+    if (has_turn_) {
+        return std::max(until_open, duration{});
+    }
     return std::max(until_open, duration{}) + duration(spread(context_.random));
 }
 
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -9,6 +9,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/memory_share.h"
 #include "gateway/permit_wait.h"
+#include "gateway/placed_call.h"
 #include "gateway/request_prints.h"
 #include "gateway/stream_version.h"
 #include "gateway/upstream_selector.h"
@@ -140,6 +141,8 @@
     void log_resumption(const upstream_state& state);
     void on_header(const answer_header& header);
     void note_upstream_state(const answer_header& header);
+    time_point wanted_by() const;
+    void learn_cost(call_result result, time_point now);
     void on_body(std::string_view bytes);
     void drop_partial_answer();
     std::size_t buffered_bytes() const;
@@ -228,6 +231,9 @@
     upstream_id upstream_;
     std::shared_ptr<upstream_channel> channel_;
     time_point sent_at_;
+    /// What was forecast for the current attempt; set for plain calls.
+    std::optional<placed_call> placed_;
+    duration forecast_{};
     /// Staleness of the status from which the upstream was chosen.
     duration status_age_{};
     time_point progress_at_;
@@ -240,6 +246,8 @@
 
     /// When an upstream presumably accepts the call, if none did so far.
     std::optional<time_point> opens_at_;
+    /// `opens_at_` is this caller's own turn.
+    bool has_turn_ = false;
     upstream_id pending_upstream_;
     /// Deadline for all waits for the adapter, set at the first one.
     std::optional<time_point> wait_deadline_;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -37,6 +37,9 @@
         "Streams that callers took up and whose software version is not known or gone.");
     telemetry::counter& adapter_waits = registry.make_counter(
         "snipespar_gateway_adapter_waits_total", "Requests that waited for an adapter.");
+    telemetry::counter& backlog_refusals = registry.make_counter(
+        "snipespar_gateway_backlog_refusals_total",
+        "Requests refused as no upstream was forecast to answer them when they are wanted.");
     telemetry::counter& log_lines_dropped = registry.make_counter(
         "snipespar_gateway_log_lines_dropped_total", "Log lines dropped to bound the volume.");
     telemetry::counter& unreadable_objects =
@@ -56,6 +59,9 @@
     telemetry::summary& latency = registry.make_summary(
         "snipespar_gateway_latency_seconds",
         "Time from a request to its response header, for forwarded responses.");
+    telemetry::summary& forecast_error = registry.make_summary(
+        "snipespar_gateway_forecast_error_seconds",
+        "Difference between the time that a call took at a plain upstream and its forecast.");
 };
 
 } // namespace snipespar::gateway
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -510,6 +510,7 @@
     context_.channels.on_tick(now);
     context_.upstreams.on_tick(now);
     context_.popularity.on_tick(now);
+    context_.selector.forecaster().on_tick(now);
     context_.teams.on_tick(now);
     if (limit_share_ != context_.teams.share()) {
         limit_share_ = context_.teams.share();
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -215,11 +215,21 @@
     if (service.engine) {
         return choose_engine(query, service, std::move(candidates), gateways, now);
     }
-    return {choose_plain(candidates), {}};
+    return {choose_plain(query, candidates, gateways, now), {}};
 }
 
-placement upstream_selector::choose_plain(const std::vector<const upstream_state*>& candidates)
+placement upstream_selector::choose_plain(const placement_query& query,
+                                          const std::vector<const upstream_state*>& candidates,
+                                          int gateways, time_point now)
 {
+    const plain_chooser::need need{query.route, query.aim, query.wanted_by, query.needs_room,
+                                   gateways};
+    if (const auto choice = plain_.choose(need, candidates, random_, now)) {
+        if (choice->upstream == nullptr) {
+            return no_upstream{true, choice->opens_at, choice->rate_per_s, false, true};
+        }
+        return send_to{choice->upstream->entry.id};
+    }
     std::uniform_real_distribution<double> jitter(0, 0.1);
     const upstream_state* best = nullptr;
     double lowest_cost = 0;
--- a/src/gateway/upstream_selector.h
+++ b/src/gateway/upstream_selector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/plain_chooser.h"
 #include "gateway/upstream_state.h"
 #include "snipespar/ids.h"
 #include "snipespar/time.h"
@@ -40,6 +41,11 @@
     bool may_ask_for_permit = true;
     /// The software version that began the stream; empty if any can run the call.
     std::string software = {};
+    /// What a plain call needs, where upstreams state their load (`plain_chooser::need`).
+    std::string route = {};
+    duration aim{};
+    time_point wanted_by = time_point::max();
+    bool needs_room = false;
 };
 
 /// The call can be sent immediately.
@@ -66,6 +72,8 @@
     double rate_per_s = 0;
     /// No upstream of the required software version serves any more.
     bool is_version_gone = false;
+    /// Upstreams are open, but none is forecast to finish the call when it is wanted.
+    bool is_backlogged = false;
 
     friend bool operator==(const no_upstream&, const no_upstream&) = default;
 };
@@ -86,20 +94,25 @@
 /// the calls, plus one while all of them are busy. A call goes to the less busy one of two randomly
 /// drawn replicas: the load known to gateways is stale, so that all of them would pick the least
 /// busy one. Calls with a long shared prompt return to the replica that has read it unless that is
-/// busy.
+/// busy. Plain services that state their load are left to `plain_chooser`.
 class upstream_selector {
 public:
     /// `gateways`: number of gateways that share the upstreams.
     upstream_selector(failure_domain_id own_domain, std::uint64_t seed)
-        : own_domain_(std::move(own_domain)), random_(seed)
+        : own_domain_(std::move(own_domain)), plain_(own_domain_), random_(seed)
     {
     }
 
     placement_decision choose(const placement_query& query, const service_rule& service,
                               const upstream_table& table, int gateways, time_point now);
 
+    /// What plain calls cost and take.
+    finish_forecaster& forecaster() { return plain_.forecaster(); }
+
 private:
-    placement choose_plain(const std::vector<const upstream_state*>& candidates);
+    placement choose_plain(const placement_query& query,
+                           const std::vector<const upstream_state*>& candidates, int gateways,
+                           time_point now);
     placement_decision choose_engine(const placement_query& query, const service_rule& service,
                                      std::vector<const upstream_state*> candidates, int gateways,
                                      time_point now);
@@ -108,6 +121,7 @@
                                            std::size_t replica_count, double busy);
 
     failure_domain_id own_domain_;
+    plain_chooser plain_;
     std::mt19937_64 random_;
 };
 
