--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -45,6 +45,9 @@
         "Requests that a cold engine had no room for, or whose question was not answered.");
     telemetry::gauge& evacuated_domains = registry.make_gauge(
         "snipespar_gateway_evacuated_domains", "Failure domains that get no requests.");
+    telemetry::counter& backlog_refusals = registry.make_counter(
+        "snipespar_gateway_backlog_refusals_total",
+        "Requests refused as no upstream was forecast to answer them when they are wanted.");
     telemetry::counter& log_lines_dropped = registry.make_counter(
         "snipespar_gateway_log_lines_dropped_total", "Log lines dropped to bound the volume.");
     telemetry::counter& unreadable_objects =
@@ -64,6 +67,9 @@
     telemetry::summary& latency = registry.make_summary(
         "snipespar_gateway_latency_seconds",
         "Time from a request to its response header, for forwarded responses.");
+    telemetry::summary& forecast_error = registry.make_summary(
+        "snipespar_gateway_forecast_error_seconds",
+        "Difference between the time that a call took at a plain upstream and its forecast.");
 };
 
 } // namespace snipespar::gateway
