A fresh stated load holds whatever a gateway has in flight itself

Cause: the forecast took the own calls for a sample of all calls even right after an answer had named the queue; a gateway that knows of no other ignored the figure. Change: own calls correct the backlog only as far as the figure is old. A route without an aim is judged by the deadline. The stand-in can state a load.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -486,7 +486,10 @@
 // waiting behind it, and its caller is told when its turn comes.
 time_point call_exchange::wanted_by() const
 {
-    return sends_ > 0 ? deadline_ : std::min(arrived_at_ + route_->target_latency, deadline_);
+    if (sends_ > 0 || route_->target_latency <= duration{}) {
+        return deadline_;
+    }
+    return std::min(arrived_at_ + route_->target_latency, deadline_);
 }
 
 // Returns where the call can go now, and requests the replicas that its adapter should get.
--- a/src/gateway/finish_forecaster.cpp
+++ b/src/gateway/finish_forecaster.cpp
@@ -59,14 +59,13 @@
 }
 
 // Backlog of an upstream where this gateway, which sends it that share of its calls, has `own`
-// calls in flight: the posterior mean of a gamma distribution. Without a recent figure (`certainty`
-// 0) its shape is that of a queue; with a fresh one (1) nothing is left to learn. Own calls are
-// known without delay, and many of them show a queue before any figure does.
+// calls in flight. A fresh figure (`certainty` 1) holds as it is. Without one (0) it is the
+// posterior mean for a backlog distributed as that of a queue: own calls are known without delay,
+// and many of them show a queue before any figure does.
 double backlog_given_own(double expected, double certainty, double own, double share)
 {
-    constexpr double min_doubt = 0.01;
-    const double shape = 1 / std::max(1 - certainty * certainty, min_doubt);
-    return own + (1 - share) * (shape + own) * expected / (shape + share * expected);
+    const double others = (1 - share) * (1 + own) * expected / (1 + share * expected);
+    return certainty * std::max(expected, own) + (1 - certainty) * (own + others);
 }
 
 // Calls left at the upstream once the answered one has gone. It can't run more than its slots.
@@ -176,11 +175,11 @@
     return error_s;
 }
 
-void finish_forecaster::on_given_up(const placed_call& call, bool ran_out, time_point now)
+void finish_forecaster::on_given_up(const placed_call& call, bool is_unanswered, time_point now)
 {
     forget_sent(call, now);
     const double took_s = to_seconds(now - call.sent_at);
-    if (ran_out && took_s > call.forecast.finish_s()) {
+    if (is_unanswered && took_s > call.forecast.finish_s()) {
         const double queue = queue_per_slot(call.forecast.backlog, call.forecast.slots);
         const double expected_s = expected_work_s(call.service, call.route, now);
         upstream_of(call.upstream, now)
--- a/src/gateway/finish_forecaster.h
+++ b/src/gateway/finish_forecaster.h
@@ -30,8 +30,8 @@
     std::optional<double> on_answered(const placed_call& call, const stated_load& load,
                                       time_point now);
 
-    /// The call ended without a success. `ran_out`: its time ran out at the upstream.
-    void on_given_up(const placed_call& call, bool ran_out, time_point now);
+    /// The call ended without a success. `is_unanswered`: its response has not begun.
+    void on_given_up(const placed_call& call, bool is_unanswered, time_point now);
 
     /// An upstream has turned a call away as it is full, and stated its load.
     void on_shed(const placed_call& call, const stated_load& load, time_point now);
--- a/tools/users_platform_stand_in/worker.cpp
+++ b/tools/users_platform_stand_in/worker.cpp
@@ -350,6 +350,7 @@
     resumption_ = body.value("resumption", resumption_);
     crash_on_part_ = body.value("crash_on_part", crash_on_part_);
     rate_limit_ = body.value("rate_limit", rate_limit_);
+    stated_load_ = body.value("stated_load", stated_load_);
     trickles_ = body.value("trickle", trickles_);
     repeats_answers_ = body.value("repeat_answers", repeats_answers_);
     repeats_refusal_ = body.value("repeat_refusal", repeats_refusal_);
@@ -369,6 +370,9 @@
     if (rate_limit_ > 0) {
         answer.set("Server-Limit", fmt::format("{}", rate_limit_));
     }
+    if (!stated_load_.empty()) {
+        answer.set("Backend-Load", stated_load_);
+    }
     return answer;
 }
 
--- a/tools/users_platform_stand_in/worker.h
+++ b/tools/users_platform_stand_in/worker.h
@@ -87,6 +87,8 @@
     std::size_t min_answer_bytes_ = 0;
     /// Named in all answers; 0 for none.
     double rate_limit_ = 0;
+    /// Load stated in all answers but those of streams; empty for none.
+    std::string stated_load_;
     bool is_unframed_ = false;
     bool cuts_in_event_ = false;
     bool resets_in_body_ = false;
