Prompts are not held while the engine could read them

Change: where the engine's reading speed is known, the limit does not fall below what it reads in 0.8 of an event's time. Such prompts cannot delay an event beyond its pause.

The new test gets a smaller limit without the change.

--- a/src/sidecar/prompt_pacer.cpp
+++ b/src/sidecar/prompt_pacer.cpp
@@ -33,10 +33,15 @@
 constexpr auto unused_limit_lifetime = std::chrono::seconds(20);
 // Calls of average size that may always be given within one window.
 constexpr double lowest_limit_calls = 2;
+// Part of an event's time that may always be spent on prompts. The steps of the event itself need
+// less than the rest.
+constexpr double free_read_share = 0.8;
 // How long tokens given and tickets granted are remembered, in windows.
 constexpr int remembered_windows = 3;
 constexpr auto granted_lifetime = std::chrono::seconds(2);
 
+constexpr double ms_per_s = 1000;
+
 double seconds(duration span)
 {
     return std::chrono::duration<double>(span).count();
@@ -114,7 +119,7 @@
     if (!limit_ || (is_next && has_room(tokens, now))) {
         give(tokens, now);
         granted_[ticket] = now;
-        return {ticket, verdict::granted, {}};
+        return {ticket, verdict::granted, {}, tokens};
     }
     bound_at_ = now;
     const auto wait = expected_wait(place, tokens, now);
@@ -170,13 +175,14 @@
 admission_decision prompt_pacer::finish(queue::iterator item, verdict outcome, time_point now)
 {
     const auto ticket = item->second.ticket;
+    const auto tokens = outcome == verdict::granted ? item->second.tokens : 0;
     if (outcome == verdict::granted) {
-        give(item->second.tokens, now);
+        give(tokens, now);
         granted_[ticket] = now;
     }
     places_.erase(ticket);
     waiting_.erase(item);
-    return {ticket, outcome, {}};
+    return {ticket, outcome, {}, tokens};
 }
 
 std::optional<time_point> prompt_pacer::next_decision_at(time_point now) const
@@ -219,14 +225,16 @@
 
 double prompt_pacer::lowest_limit() const
 {
+    const double read_in_window = tokens_per_ms_ * seconds(window_) * ms_per_s;
+    const double unpaced = free_read_share * read_in_window;
     if (given_.empty()) {
-        return 0;
+        return unpaced;
     }
     double sum = 0;
     for (const auto& item : given_) {
         sum += static_cast<double>(item.tokens);
     }
-    return lowest_limit_calls * sum / static_cast<double>(given_.size());
+    return std::max(unpaced, lowest_limit_calls * sum / static_cast<double>(given_.size()));
 }
 
 // A call larger than the limit is given when nothing else is.
@@ -259,6 +267,10 @@
     if (!limit_) {
         return;
     }
+    if (tokens_per_ms_ > 0) {
+        // The speed may have been measured after the limit was set.
+        limit_ = std::max(*limit_, lowest_limit());
+    }
     if (!waiting_.empty()) {
         bound_at_ = now;
     }
--- a/src/sidecar/prompt_pacer.h
+++ b/src/sidecar/prompt_pacer.h
@@ -38,6 +38,8 @@
     control::admission_answer::verdict verdict = control::admission_answer::verdict::granted;
     /// Expected wait of a queued call; for a refused one, the time after which to ask again.
     duration wait{};
+    /// Prompt tokens of a granted call that the engine has not been given before.
+    std::uint64_t prompt_tokens = 0;
 
     friend bool operator==(const admission_decision&, const admission_decision&) = default;
 };
@@ -62,6 +64,11 @@
     /// A stream paused for `gap`, where its route wants at most `target`.
     void on_pause(duration gap, duration target, time_point now);
 
+    /// The engine reads so many prompt tokens in a millisecond. Prompts that take a part of an
+    /// event's time to read cannot pause streams beyond it, so that the limit does not fall below
+    /// these.
+    void on_read_speed(double tokens_per_ms) { tokens_per_ms_ = tokens_per_ms; }
+
     /// A call asks to be sent. Asking again is harmless. Returns the answer to give now.
     admission_decision ask(const admission_ticket& ticket, std::uint64_t tokens, int urgency,
                            admission_times times, time_point now);
@@ -124,6 +131,8 @@
     void forget(time_point now);
 
     duration window_{};
+    /// 0 while unknown.
+    double tokens_per_ms_ = 0;
     std::optional<double> limit_;
     /// The lowest limit at which streams paused, with some distance.
     double ceiling_ = 0;
--- a/tests/sidecar_prompt_pacer_test.cpp
+++ b/tests/sidecar_prompt_pacer_test.cpp
@@ -157,6 +157,7 @@
     CPPUNIT_TEST(repeated_question_is_charged_once);
     CPPUNIT_TEST(cancelled_call_leaves_its_place);
     CPPUNIT_TEST(call_larger_than_the_limit_is_given_alone);
+    CPPUNIT_TEST(prompts_are_not_held_while_the_engine_could_read_them);
     CPPUNIT_TEST(unused_limit_expires);
     CPPUNIT_TEST(burst_of_prompts_leaves_streams_their_pace);
     CPPUNIT_TEST_SUITE_END();
@@ -309,6 +310,23 @@
         CPPUNIT_ASSERT(ask(pacer, 3, now + target).verdict != verdict::refused);
     }
 
+    // Guards against prompts that are held while the engine has nothing to read: a limit learned
+    // from little load at the start of a day.
+    void prompts_are_not_held_while_the_engine_could_read_them()
+    {
+        auto pacer = make_pacing(4);
+        pacer.on_read_speed(chunked_engine::tokens_per_ms);
+        const auto now = start + seconds(1);
+        pacer.decide(now);
+        std::uint64_t given = 0;
+        for (std::uint64_t call = 1; ask(pacer, call, now).verdict == verdict::granted; ++call) {
+            given += prompt;
+        }
+        const double readable = chunked_engine::tokens_per_ms * static_cast<double>(target.count());
+        CPPUNIT_ASSERT(static_cast<double>(given) >= 0.8 * readable - static_cast<double>(prompt));
+        CPPUNIT_ASSERT(static_cast<double>(given) <= 0.8 * readable + 1);
+    }
+
     void unused_limit_expires()
     {
         auto pacer = make_pacing(4);
