Sidecars learn what their engines have not read yet, and how fast they read

Cause: engines of one service differ in speed by a factor of two and prompts in length by one of fourteen, but all that was known of an engine was its number of calls. Change: prompt_queue adds up the prompts that gateways tell of and takes the last ones for those that the engine reports as waiting; it measures the speed while prompts wait. Without it nothing changes. Result: no decision of a gateway uses them yet.

--- a/src/cli/setting_tables.cpp
+++ b/src/cli/setting_tables.cpp
@@ -150,6 +150,9 @@
     setting{"engine", "<ip:port>", presence::required, "",
             "Address of the engine on this host, as gateways address it."},
     host_setting,
+    setting{"placement", "<rule>", presence::defaulted, "load",
+            "What gateways learn of the engine to choose where calls go: `load`, the number of its "
+            "calls, or `work`, also the prompt tokens that it has not read and its speed."},
 };
 
 constexpr std::array operator_settings_list{
--- a/src/cli/sidecar_settings.h
+++ b/src/cli/sidecar_settings.h
@@ -15,6 +15,9 @@
     /// The engine on this host, as gateways address it.
     endpoint engine;
     host_id host;
+    /// Whether gateways are told what the engine still has to do, so that calls go where they begin
+    /// soonest.
+    bool states_work = false;
     /// Settings that were ignored because of their text.
     findings ignored;
 
--- a/src/cli/value_parsers.cpp
+++ b/src/cli/value_parsers.cpp
@@ -269,6 +269,17 @@
     return parse_optional_foreign_name(text);
 }
 
+absl::StatusOr<placement_rule> parse_placement(std::string_view text)
+{
+    if (text == "load") {
+        return placement_rule::load;
+    }
+    if (text == "work") {
+        return placement_rule::work;
+    }
+    return unexpected(text, "load or work");
+}
+
 absl::StatusOr<std::string> parse_path(std::string_view text)
 {
     if (text.empty()) {
--- a/src/cli/value_parsers.h
+++ b/src/cli/value_parsers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cli/endpoint.h"
+#include "cli/placement_rule.h"
 #include "snipespar/time.h"
 
 #include <absl/status/statusor.h>
@@ -53,6 +54,9 @@
 /// As `parse_foreign_name`; the name may be empty.
 absl::StatusOr<std::string> parse_optional_foreign_name(std::string_view text);
 
+/// `load` or `work`.
+absl::StatusOr<placement_rule> parse_placement(std::string_view text);
+
 /// A path of a file; not empty.
 absl::StatusOr<std::string> parse_path(std::string_view text);
 
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -3,6 +3,8 @@
 #include "base/cbor.h"
 #include "base/json_reader.h"
 #include "base/json_text.h"
+#include "control/time_codec.h"
+#include "control/workload_codec.h"
 #include "poison/suspect_codec.h"
 
 #include <algorithm>
@@ -92,6 +94,7 @@
     value["running"] = to_count(status.running);
     value["waiting"] = to_count(status.waiting);
     value["memory"] = status.memory_used;
+    add_workload(value, status.workload);
     value["full"] = status.is_full;
     value["short"] = status.is_short_of_slots;
     value["paced"] = status.is_paced;
@@ -109,6 +112,7 @@
     value["report"] = content.report_sequence;
     value["running"] = to_count(content.running);
     value["waiting"] = to_count(content.waiting);
+    add_workload(value, content.workload);
     return value;
 }
 
@@ -119,12 +123,6 @@
     return value;
 }
 
-std::uint64_t to_ms(duration span)
-{
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(span).count(), 0));
-}
-
 json to_json(const admission_request& content)
 {
     auto value = header("admit");
@@ -318,6 +316,7 @@
     status.running = count(fields, "running");
     status.waiting = count(fields, "waiting");
     status.memory_used = fields.integer<std::uint64_t>("memory");
+    status.workload = read_workload(fields);
     status.is_full = fields.flag("full");
     status.is_short_of_slots = fields.flag("short");
     // Absent in messages of earlier builds.
@@ -336,14 +335,10 @@
         .report_sequence = fields.integer<std::uint64_t>("report"),
         .running = count(fields, "running"),
         .waiting = count(fields, "waiting"),
+        .workload = read_workload(fields),
     };
 }
 
-duration milliseconds(const json_reader& fields, const char* name)
-{
-    return std::chrono::milliseconds(fields.integer<std::uint32_t>(name));
-}
-
 // A number that stands for one of the enumerators up to `last`.
 template <class Enum>
 Enum enumerator(const json_reader& fields, const char* name, Enum last)
@@ -364,8 +359,8 @@
         .intent = enumerator(fields, "intent", admission_request::purpose::cancel),
         .prompt_tokens = fields.integer<std::uint32_t>("tokens"),
         .urgency = count(fields, "urgency"),
-        .aim_wait = milliseconds(fields, "aim_ms"),
-        .max_wait = milliseconds(fields, "wait_ms"),
+        .aim_wait = read_ms(fields, "aim_ms"),
+        .max_wait = read_ms(fields, "wait_ms"),
     };
 }
 
@@ -374,13 +369,13 @@
     return {
         .call = fields.integer<std::uint64_t>("call"),
         .decision = enumerator(fields, "verdict", admission_answer::verdict::refused),
-        .wait = milliseconds(fields, "wait_ms"),
+        .wait = read_ms(fields, "wait_ms"),
     };
 }
 
 stream_pause read_pause(const json_reader& fields)
 {
-    return {.gap = milliseconds(fields, "gap_ms"), .target = milliseconds(fields, "target_ms")};
+    return {.gap = read_ms(fields, "gap_ms"), .target = read_ms(fields, "target_ms")};
 }
 
 permit_request read_permit_request(const json_reader& fields)
@@ -391,7 +386,7 @@
         .process_start_ms = fields.integer<std::uint64_t>("born"),
         .rate_per_s = static_cast<double>(fields.integer<std::uint32_t>("rate_milli")) / milli,
         .has_ended = fields.flag("ended"),
-        .age = milliseconds(fields, "age_ms"),
+        .age = read_ms(fields, "age_ms"),
     };
 }
 
@@ -401,7 +396,7 @@
         .call = fields.integer<std::uint64_t>("call"),
         .is_granted = fields.flag("granted"),
         .has_ended = fields.flag("ended"),
-        .wait = milliseconds(fields, "wait_ms"),
+        .wait = read_ms(fields, "wait_ms"),
     };
 }
 
--- a/src/control/sidecar_heartbeat.h
+++ b/src/control/sidecar_heartbeat.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gateway/engine_workload.h"
+
 #include <cstdint>
 #include <string>
 
@@ -17,6 +19,7 @@
     std::uint64_t report_sequence = 0;
     int running = 0;
     int waiting = 0;
+    gateway::engine_workload workload = {};
 
     friend bool operator==(const sidecar_heartbeat&, const sidecar_heartbeat&) = default;
 };
--- a/src/gateway/engine_status.h
+++ b/src/gateway/engine_status.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "snipespar/ids.h"
+#include "gateway/engine_workload.h"
 
 #include <cstdint>
 #include <map>
@@ -28,6 +28,7 @@
     int running = 0;
     int waiting = 0;
     std::uint64_t memory_used = 0;
+    engine_workload workload = {};
     /// Loads are backlogged; no further adapters are accepted at present.
     bool is_full = false;
     /// More adapters are pending than slots are free: gateways should report immediately when they
--- a/src/gateway/upstream_state.h
+++ b/src/gateway/upstream_state.h
@@ -84,13 +84,14 @@
     /// It gets no work until then unless it is the only choice.
     time_point ejected_until;
     duration ejection{};
-    /// Last report of its sidecar, when it arrived, and this gateway's calls in flight at that
-    /// time.
+    /// Last report of its sidecar, when it arrived, and this gateway's calls in flight and prompt
+    /// tokens at that time.
     std::optional<engine_status> status;
     time_point status_at;
     /// When its sidecar was last heard, also with a message that did not renew the status.
     time_point sidecar_heard_at;
     int in_flight_at_status = 0;
+    std::uint64_t prompt_tokens_at_status = 0;
     /// By `model/adapter`.
     std::map<std::string, adapter_calls, std::less<>> adapters;
 
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -269,6 +269,7 @@
             state.status_at = now;
             state.sidecar_heard_at = now;
             state.in_flight_at_status = state.in_flight;
+            state.prompt_tokens_at_status = state.prompt_tokens;
         }
     }
     return affected;
@@ -289,8 +290,10 @@
         state.status->sequence = heartbeat.sequence;
         state.status->running = heartbeat.running;
         state.status->waiting = heartbeat.waiting;
+        state.status->workload = heartbeat.workload;
         state.status_at = now;
         state.in_flight_at_status = state.in_flight;
+        state.prompt_tokens_at_status = state.prompt_tokens;
     }
 }
 
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "telemetry/counter.h"
+#include "telemetry/gauge.h"
 #include "telemetry/metrics_registry.h"
 
 namespace snipespar::sidecar {
@@ -29,6 +30,12 @@
     telemetry::counter& cold_permits_refused =
         registry.make_counter("snipespar_sidecar_cold_permits_refused_total",
                               "Of these, refusals: the engine has no room soon.");
+    telemetry::gauge& waiting_prompt_tokens =
+        registry.make_gauge("snipespar_sidecar_waiting_prompt_tokens",
+                            "Prompt tokens that the engine has not read yet.");
+    telemetry::gauge& prompt_tokens_per_s =
+        registry.make_gauge("snipespar_sidecar_prompt_tokens_per_s",
+                            "Prompt tokens that the engine reads in a second while some wait.");
     telemetry::counter& origins = registry.make_counter(
         "snipespar_sidecar_origins_total", "Origins of streams recorded here by gateways.");
     telemetry::counter& demands = registry.make_counter("snipespar_sidecar_demands_total",
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -54,6 +54,7 @@
 // Shortest time between two rounds of admission.
 constexpr auto min_pace_interval = milliseconds(2);
 constexpr std::size_t max_report_bytes = 1024UL * 1024;
+constexpr double ms_per_s = 1000;
 
 // Whether the statuses differ only in the load.
 bool equal_but_for_load(const gateway::engine_status& left, gateway::engine_status right)
@@ -61,6 +62,7 @@
     right.running = left.running;
     right.waiting = left.waiting;
     right.memory_used = left.memory_used;
+    right.workload = left.workload;
     return left == right;
 }
 
@@ -196,8 +198,9 @@
         const auto report = platform::decode_engine_report(response->body());
         status = report.status();
         if (report.ok()) {
-            planner_.on_report(*report, steady_now());
             reported_at_ = steady_now();
+            planner_.on_report(*report, reported_at_);
+            follow_prompts(*report);
         }
     }
     if (!status.ok()) {
@@ -274,6 +277,35 @@
     return body;
 }
 
+// Counts a prompt that the engine is given.
+void sidecar_server::give_prompt(std::uint64_t tokens)
+{
+    if (settings_.states_work && tokens > 0) {
+        prompts_.on_given(tokens, steady_now());
+    }
+}
+
+void sidecar_server::follow_prompts(const engine_report& report)
+{
+    if (!settings_.states_work) {
+        return;
+    }
+    prompts_.on_report(report.process_start_ms, report.waiting, reported_at_);
+    pacer_.on_read_speed(prompts_.tokens_per_ms());
+    metrics_.waiting_prompt_tokens.set(static_cast<std::int64_t>(prompts_.waiting_tokens()));
+    metrics_.prompt_tokens_per_s.set(
+        static_cast<std::int64_t>(prompts_.tokens_per_ms() * ms_per_s));
+}
+
+// What the engine still has to do, if calls are placed by that.
+gateway::engine_workload sidecar_server::workload() const
+{
+    if (!settings_.states_work) {
+        return {};
+    }
+    return {prompts_.waiting_tokens(), prompts_.tokens_per_ms()};
+}
+
 void sidecar_server::on_message(const control::message& content, const cli::endpoint& from)
 {
     if (const auto* demand = std::get_if<control::adapter_demand>(&content)) {
@@ -323,6 +355,7 @@
     const auto now = steady_now();
     switch (request.intent) {
     case control::admission_request::purpose::sent:
+        give_prompt(request.prompt_tokens);
         return pacer_.on_sent(request.prompt_tokens, now);
     case control::admission_request::purpose::cancel:
         pacer_.cancel(ticket);
@@ -340,6 +373,7 @@
 void sidecar_server::send_decision(const admission_decision& decision, const cli::endpoint& to)
 {
     metrics_.admissions.add();
+    give_prompt(decision.prompt_tokens);
     if (decision.verdict == control::admission_answer::verdict::refused) {
         metrics_.admissions_refused.add();
     }
@@ -406,6 +440,7 @@
     const bool is_lost = reports_missed_ >= missed_report_limit;
     auto status = is_lost ? gateway::engine_status{} : planner_.status();
     status.is_paced = pacer_.is_pacing();
+    status.workload = is_lost ? gateway::engine_workload{} : workload();
     const bool is_broadcast =
         withdraws(published_, status) || now - published_at_ >= publish_interval;
     const bool has_additions =
@@ -464,6 +499,7 @@
         .report_sequence = broadcast_sequence_,
         .running = status.running,
         .waiting = status.waiting,
+        .workload = status.workload,
     });
     for (const auto& [address, gateway] : gateways_) {
         datagrams_.send(address, bytes);
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -9,6 +9,7 @@
 #include "sidecar/cold_permits.h"
 #include "sidecar/gateway_roster.h"
 #include "sidecar/prompt_pacer.h"
+#include "sidecar/prompt_queue.h"
 #include "sidecar/sidecar_metrics.h"
 #include "telemetry/admin_handlers.h"
 #include "telemetry/logger.h"
@@ -54,6 +55,9 @@
     void on_demand(const control::adapter_demand& demand, const cli::endpoint& from);
     void on_permit_request(const control::permit_request& request, const cli::endpoint& from);
     void on_admission(const control::admission_request& request, const cli::endpoint& from);
+    void give_prompt(std::uint64_t tokens);
+    void follow_prompts(const engine_report& report);
+    gateway::engine_workload workload() const;
     void send_decision(const admission_decision& decision, const cli::endpoint& to);
     void pace();
     void publish();
@@ -67,6 +71,7 @@
     adapter_planner planner_;
     prompt_pacer pacer_;
     cold_permits cold_permits_;
+    prompt_queue prompts_;
     /// Held for the gateways, whichever engine began the streams.
     resume::origin_store origins_;
     boost::asio::steady_timer pace_timer_;
--- a/tests/control_message_test.cpp
+++ b/tests/control_message_test.cpp
@@ -44,8 +44,10 @@
         report.status.memory_used = 41'000;
         report.status.is_full = true;
         report.status.is_short_of_slots = true;
+        report.status.workload = {12'000, 44.25};
         report.gateways = {"10.0.0.9:7600"};
-        const sidecar_heartbeat heartbeat{"10.0.0.1:80", 4, 6, 5, 11, 2};
+        const sidecar_heartbeat heartbeat{"10.0.0.1:80", 4, 6, 5, 11, 2, {700, 0}};
+        const sidecar_heartbeat unknown_work{"10.0.0.1:80", 4, 6, 5, 11, 2, {}};
         const crash_findings findings{
             {{77, {{{upstream_id("i-1"), 5}, false, true, std::chrono::seconds(3)}}}}};
         report.status.is_paced = true;
@@ -71,8 +73,8 @@
         for (const auto& content :
              {message(record), message(question), message(known), message(unknown), message(permit),
               message(permitted), message(demand), message(usage), message(report),
-              message(heartbeat), message(findings), message(request), message(answer),
-              message(pause)}) {
+              message(heartbeat), message(unknown_work), message(findings), message(request),
+              message(answer), message(pause)}) {
             const auto decoded = decode(encode(content));
             CPPUNIT_ASSERT(decoded.ok());
             CPPUNIT_ASSERT(*decoded == content);
