Calls go to the engine that is forecast to begin them sooner

Cause: of two engines that hold an adapter the one with fewer calls was taken, though it may be the slower one or have a long prompt to read. Change: engine_forecast turns the stated work, the own prompts sent since and the prompt into a time; upstream_selector compares times where they are known, and loads otherwise.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -519,7 +519,8 @@
                                 route_->id.str(),
                                 route_->target_latency,
                                 wanted_by(),
-                                was_turned_away};
+                                was_turned_away,
+                                call_.prompt_tokens};
     const auto chosen =
         context_.selector.choose(query, *service_, context_.upstreams, context_.gateways, now);
     for (const auto& replica : chosen.replicas) {
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -1,11 +1,13 @@
 #include "gateway/upstream_selector.h"
 
 #include "base/stable_hash.h"
+#include "gateway/engine_forecast.h"
 #include "gateway/service_rule.h"
 #include "gateway/upstream_table.h"
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace snipespar::gateway {
 
@@ -13,8 +15,33 @@
 struct ranked_engine {
     double score = 0;
     double load = 0;
+    /// Predicted time until it would begin the call, were the adapter resident; 0 while unknown.
+    double start_ms = 0;
     std::uint64_t address_hash = 0;
     const upstream_state* state = nullptr;
+
+    /// Whether a call is expected to begin sooner than on the other one.
+    bool is_better_than(const ranked_engine& other) const
+    {
+        return start_ms != other.start_ms ? start_ms < other.start_ms : load < other.load;
+    }
+};
+
+/// Thresholds above which engines get fewer calls, or none.
+struct load_limits {
+    /// Calls that an engine runs concurrently.
+    double slots = 0;
+    /// An engine with this load, in calls, is busy.
+    double busy = 0;
+    /// An engine with this load, in calls, gets no further calls.
+    double full = 0;
+    /// An engine that takes longer to begin a call is busy.
+    double busy_ms = std::numeric_limits<double>::infinity();
+
+    bool is_busy(const ranked_engine& engine) const
+    {
+        return engine.load >= busy || engine.start_ms >= busy_ms;
+    }
 };
 
 namespace {
@@ -36,9 +63,17 @@
 constexpr double replica_headroom = 1.25;
 // Calls that may queue at an engine, as a share of its slots.
 constexpr double queue_share = 0.5;
+// An engine is busy if a call's prompt is read later than after this share of the time in which its
+// caller expects the first event: the rest is for the way to the caller and for stale reports.
+constexpr double busy_target_share = 0.3;
 // Failure rate above which an engine is skipped while others are healthy.
 constexpr double unhealthy_failure_rate = 0.35;
 
+double to_ms(duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
 // Calls that run or wait at the upstream: the reported ones plus those sent since the report.
 double load_of(const upstream_state& state, int gateways)
 {
@@ -75,16 +110,6 @@
     return std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(worth)), 1, engines);
 }
 
-/// Load thresholds of engines, in calls.
-struct load_limits {
-    /// Calls that an engine runs concurrently.
-    double slots = 0;
-    /// An engine with this load is busy.
-    double busy = 0;
-    /// An engine with this load gets no further calls.
-    double full = 0;
-};
-
 /// The engines of a ranking, grouped by their state for one adapter; each group in ranking order.
 struct engine_groups {
     /// Engines on which it is resident and that are not full.
@@ -102,28 +127,35 @@
 std::vector<ranked_engine> rank(const placement_query& query,
                                 const std::vector<const upstream_state*>& candidates, int gateways)
 {
+    const engine_forecast forecast(candidates);
     const auto key = stable_hash(query.adapter.empty() ? query.model : query.adapter);
     std::vector<ranked_engine> ranking;
     ranking.reserve(candidates.size());
     for (const auto* state : candidates) {
         // Ranked by address, which survives a restart of the engine.
         const auto candidate = stable_hash(state->entry.address.str());
-        ranking.push_back(
-            {rendezvous_score(key, candidate, 1.0), load_of(*state, gateways), candidate, state});
+        ranking.push_back({rendezvous_score(key, candidate, 1.0), load_of(*state, gateways),
+                           forecast.start_ms(*state, query.prompt_tokens), candidate, state});
     }
     std::sort(ranking.begin(), ranking.end(),
               [](const auto& left, const auto& right) { return left.score > right.score; });
     return ranking;
 }
 
-load_limits limits_of(const std::vector<ranked_engine>& ranking, double slots)
+load_limits limits_of(const std::vector<ranked_engine>& ranking, const placement_query& query,
+                      double slots)
 {
     double sum = 0;
     for (const auto& engine : ranking) {
         sum += engine.load;
     }
     const double average = sum / static_cast<double>(ranking.size());
-    return {slots, std::min(busy_factor * average + busy_margin, slots), slots * (1 + queue_share)};
+    load_limits limits{slots, std::min(busy_factor * average + busy_margin, slots),
+                       slots * (1 + queue_share)};
+    if (query.aim > duration{}) {
+        limits.busy_ms = busy_target_share * to_ms(query.aim);
+    }
+    return limits;
 }
 
 engine_groups group(const std::vector<ranked_engine>& ranking, const placement_query& query,
@@ -256,7 +288,7 @@
 const ranked_engine&
 upstream_selector::pick_ready_engine(const placement_query& query,
                                      const std::vector<const ranked_engine*>& ready_engines,
-                                     std::size_t replica_count, double busy)
+                                     std::size_t replica_count, const load_limits& limits)
 {
     const auto pool_size = std::min(ready_engines.size(), replica_count);
     const auto pool_end = ready_engines.begin() + static_cast<std::ptrdiff_t>(pool_size);
@@ -266,19 +298,19 @@
                 return rendezvous_score(query.session, left->address_hash, 1.0) <
                        rendezvous_score(query.session, right->address_hash, 1.0);
             });
-        if (home->load < busy) {
+        if (!limits.is_busy(*home)) {
             return *home;
         }
     }
     std::uniform_int_distribution<std::size_t> draw(0, pool_size - 1);
     const auto* first = ready_engines[draw(random_)];
     const auto* second = ready_engines[draw(random_)];
-    const auto& less_busy = second->load < first->load ? *second : *first;
-    if (less_busy.load < busy) {
+    const auto& less_busy = second->is_better_than(*first) ? *second : *first;
+    if (!limits.is_busy(less_busy)) {
         return less_busy;
     }
     return **std::min_element(ready_engines.begin(), ready_engines.end(),
-                              [](auto left, auto right) { return left->load < right->load; });
+                              [](auto left, auto right) { return left->is_better_than(*right); });
 }
 
 placement_decision upstream_selector::choose_engine(const placement_query& query,
@@ -289,7 +321,7 @@
     prefer(candidates,
            [](const auto* state) { return state->failure_rate < unhealthy_failure_rate; });
     const auto ranking = rank(query, candidates, gateways);
-    const auto limits = limits_of(ranking, std::max(service.engine->slots, 1));
+    const auto limits = limits_of(ranking, query, std::max(service.engine->slots, 1));
     const auto groups = group(ranking, query, limits, now);
     const bool needs_adapter = !query.adapter.empty();
     const auto replica_count =
@@ -308,8 +340,7 @@
         }
     }
     if (!groups.ready_engines.empty()) {
-        const auto& best =
-            pick_ready_engine(query, groups.ready_engines, replica_count, limits.busy);
+        const auto& best = pick_ready_engine(query, groups.ready_engines, replica_count, limits);
         const bool is_busy = needs_adapter && best.load >= limits.busy;
         if (is_busy && groups.loading == nullptr && has_spare_loader) {
             decision.replicas.push_back((*spare_loader)->state->entry.id);
--- a/src/gateway/upstream_selector.h
+++ b/src/gateway/upstream_selector.h
@@ -18,6 +18,7 @@
 
 struct service_rule;
 class upstream_table;
+struct load_limits;
 struct ranked_engine;
 
 /// Requirements of a call on the upstream that runs it.
@@ -41,11 +42,14 @@
     bool may_ask_for_permit = true;
     /// The software version that began the stream; empty if any can run the call.
     std::string software = {};
-    /// What a plain call needs, where upstreams state their load (`plain_chooser::need`).
     std::string route = {};
+    /// Time to the first event, or to the complete response, that the caller expects.
     duration aim{};
+    /// What a plain call needs beside, where upstreams state their load (`plain_chooser::need`).
     time_point wanted_by = time_point::max();
     bool needs_room = false;
+    /// Prompt of the call, which an engine has to read.
+    std::uint64_t prompt_tokens = 0;
 };
 
 /// The call can be sent immediately.
@@ -94,7 +98,11 @@
 /// the calls, plus one while all of them are busy. A call goes to the less busy one of two randomly
 /// drawn replicas: the load known to gateways is stale, so that all of them would pick the least
 /// busy one. Calls with a long shared prompt return to the replica that has read it unless that is
-/// busy. Plain services that state their load are left to `plain_chooser`.
+/// busy.
+///
+/// Where sidecars state what their engines still have to do, the less busy engine is the one that
+/// is predicted to begin the call sooner.
+/// Plain services that state their load are left to `plain_chooser`.
 class upstream_selector {
 public:
     /// `gateways`: number of gateways that share the upstreams.
@@ -118,7 +126,7 @@
                                      time_point now);
     const ranked_engine& pick_ready_engine(const placement_query& query,
                                            const std::vector<const ranked_engine*>& ready_engines,
-                                           std::size_t replica_count, double busy);
+                                           std::size_t replica_count, const load_limits& limits);
 
     failure_domain_id own_domain_;
     plain_chooser plain_;
