--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -5,6 +5,7 @@
 #include "net/start_number.h"
 #include "net/steady_time.h"
 #include "platform/engine_codec.h"
+#include "sidecar/status_change.h"
 #include "telemetry/admin_handlers.h"
 #include "telemetry/admin_server.h"
 #include "telemetry/work_boundary.h"
@@ -56,30 +57,6 @@
 constexpr std::size_t max_report_bytes = 1024UL * 1024;
 constexpr double ms_per_s = 1000;
 
-// Whether the statuses differ only in the load.
-bool equal_but_for_load(const gateway::engine_status& left, gateway::engine_status right)
-{
-    right.running = left.running;
-    right.waiting = left.waiting;
-    right.memory_used = left.memory_used;
-    right.workload = left.workload;
-    return left == right;
-}
-
-// Whether the new status withdraws or changes something that was advertised before.
-bool withdraws(const gateway::engine_status& before, const gateway::engine_status& now)
-{
-    const bool has_lost_model = before.models != now.models;
-    const bool has_lost_adapter =
-        std::any_of(before.adapters.begin(), before.adapters.end(), [&](const auto& item) {
-            const auto found = now.adapters.find(item.first);
-            return found == now.adapters.end() || found->second != item.second;
-        });
-    return has_lost_model || has_lost_adapter || before.process_start_ms != now.process_start_ms ||
-           before.is_full != now.is_full || before.is_short_of_slots != now.is_short_of_slots ||
-           before.is_paced != now.is_paced;
-}
-
 } // namespace
 
 sidecar_server::sidecar_server(asio::io_context& io, const cli::sidecar_settings& settings,
