--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -3,6 +3,7 @@
 #include "base/cbor.h"
 #include "base/json_reader.h"
 #include "base/json_text.h"
+#include "control/origin_codec.h"
 #include "control/time_codec.h"
 #include "control/workload_codec.h"
 #include "poison/suspect_codec.h"
@@ -175,18 +176,6 @@
     return value;
 }
 
-void add_key(json& value, const resume::stream_key& key)
-{
-    value["high"] = key.high;
-    value["low"] = key.low;
-}
-
-void add_origin(json& value, const resume::stream_origin& origin)
-{
-    value["service"] = origin.service;
-    value["software"] = origin.software;
-}
-
 json to_json(const origin_record& content)
 {
     auto value = header("began");
@@ -400,16 +389,6 @@
     };
 }
 
-resume::stream_key read_key(const json_reader& fields)
-{
-    return {fields.integer<std::uint64_t>("high"), fields.integer<std::uint64_t>("low")};
-}
-
-resume::stream_origin read_origin(const json_reader& fields)
-{
-    return {fields.text("service"), fields.text("software")};
-}
-
 origin_answer read_origin_answer(const json_reader& fields)
 {
     origin_answer content{
