--- a/src/sidecar/prompt_pacer.cpp
+++ b/src/sidecar/prompt_pacer.cpp
@@ -33,9 +33,9 @@
 constexpr auto unused_limit_lifetime = std::chrono::seconds(20);
 // Calls of average size that may always be given within one window.
 constexpr double lowest_limit_calls = 2;
-// Part of an event's time that may always be spent on prompts. The steps of the event itself need
-// less than the rest.
-constexpr double free_read_share = 0.8;
+// Part of an event's time that may always be spent on prompts. The rest is for the steps of the
+// event and for prompts given before that are still being read: a stream waits for both.
+constexpr double free_read_share = 0.5;
 // How long tokens given and tickets granted are remembered, in windows.
 constexpr int remembered_windows = 3;
 constexpr auto granted_lifetime = std::chrono::seconds(2);
