--- a/src/gateway/upstream_selector.h
+++ b/src/gateway/upstream_selector.h
@@ -42,6 +42,7 @@
     bool may_ask_for_permit = true;
     /// The software version that began the stream; empty if any can run the call.
     std::string software = {};
+    /// Route of the call; what plain calls cost is learned by it.
     std::string route = {};
     /// Time to the first event, or to the complete response, that the caller expects.
     duration aim{};
