Adapters are retained by the demand of all gateways

The sidecar evicted the adapter that it had not seen in use for longest, and saw uses only in samples twice a second: a call of 300 ms is mostly over between two of them.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -246,6 +246,7 @@
         .engine = reader.read_or_empty("engine", parse_endpoint),
         .host = host_id(reader.read_or_empty("host", parse_foreign_name)),
         .states_work = reader.read_or_default("placement", parse_placement) == placement_rule::work,
+        .retention = reader.read_or_default("retention", parse_retention),
         .ignored = {},
     };
 }
--- a/src/cli/setting_tables.cpp
+++ b/src/cli/setting_tables.cpp
@@ -153,6 +153,9 @@
     setting{"placement", "<rule>", presence::defaulted, "load",
             "What gateways learn of the engine to choose where calls go: `load`, the number of its "
             "calls, or `work`, also the prompt tokens that it has not read and its speed."},
+    setting{"retention", "<rule>", presence::defaulted, "recency",
+            "Which adapter gives up its slot: `recency`, the one not used for longest, or "
+            "`demand`, the one for which fewest calls are expected."},
 };
 
 constexpr std::array operator_settings_list{
--- a/src/cli/sidecar_settings.h
+++ b/src/cli/sidecar_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cli/endpoint.h"
+#include "cli/retention_rule.h"
 #include "snipespar/finding.h"
 #include "snipespar/ids.h"
 
@@ -18,6 +19,8 @@
     /// Whether gateways are told what the engine still has to do, so that calls go where they begin
     /// soonest.
     bool states_work = false;
+    /// Which adapter gives up its slot.
+    retention_rule retention = retention_rule::recency;
     /// Settings that were ignored because of their text.
     findings ignored;
 
--- a/src/cli/value_parsers.cpp
+++ b/src/cli/value_parsers.cpp
@@ -280,6 +280,17 @@
     return unexpected(text, "load or work");
 }
 
+absl::StatusOr<retention_rule> parse_retention(std::string_view text)
+{
+    if (text == "recency") {
+        return retention_rule::recency;
+    }
+    if (text == "demand") {
+        return retention_rule::demand;
+    }
+    return unexpected(text, "recency or demand");
+}
+
 absl::StatusOr<std::string> parse_path(std::string_view text)
 {
     if (text.empty()) {
--- a/src/cli/value_parsers.h
+++ b/src/cli/value_parsers.h
@@ -2,6 +2,7 @@
 
 #include "cli/endpoint.h"
 #include "cli/placement_rule.h"
+#include "cli/retention_rule.h"
 #include "snipespar/time.h"
 
 #include <absl/status/statusor.h>
@@ -57,6 +58,9 @@
 /// `load` or `work`.
 absl::StatusOr<placement_rule> parse_placement(std::string_view text);
 
+/// `recency` or `demand`.
+absl::StatusOr<retention_rule> parse_retention(std::string_view text);
+
 /// A path of a file; not empty.
 absl::StatusOr<std::string> parse_path(std::string_view text);
 
--- a/src/control/adapter_demand.h
+++ b/src/control/adapter_demand.h
@@ -15,6 +15,9 @@
     int waiting = 0;
     /// Calls in flight to the engine.
     int running = 0;
+    /// Calls sent to the engine since the gateway's last message; stated only to sidecars that
+    /// count calls.
+    int begun = 0;
 
     friend bool operator==(const adapter_use&, const adapter_use&) = default;
 };
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -48,10 +48,14 @@
     value["born"] = content.upstream_start_ms;
     value["slots"] = to_count(content.adapter_slots);
     value["models"] = content.models;
-    // Counts of waiting and running calls, by model/adapter.
+    // Counts of waiting, running and, where stated, begun calls, by model/adapter.
     auto uses = json::object();
     for (const auto& use : content.uses) {
-        uses[use.model + "/" + use.adapter] = {to_count(use.waiting), to_count(use.running)};
+        auto& counts = uses[use.model + "/" + use.adapter];
+        counts = {to_count(use.waiting), to_count(use.running)};
+        if (use.begun > 0) {
+            counts.push_back(to_count(use.begun));
+        }
     }
     value["uses"] = std::move(uses);
     value["versions"] = content.versions;
@@ -99,6 +103,9 @@
     value["full"] = status.is_full;
     value["short"] = status.is_short_of_slots;
     value["paced"] = status.is_paced;
+    if (status.counts_calls) {
+        value["counts_calls"] = true;
+    }
     value["born"] = status.process_start_ms;
     value["gateways"] = content.gateways;
     return value;
@@ -241,14 +248,15 @@
     };
     fields.each_member("uses", [&](const std::string& name, const json& use) {
         const auto slash = name.find('/');
-        const bool is_valid = slash != std::string::npos && use.is_array() && use.size() == 2 &&
-                              is_count(use[0]) && is_count(use[1]);
+        const bool is_valid = slash != std::string::npos && use.is_array() &&
+                              (use.size() == 2 || use.size() == 3) &&
+                              std::all_of(use.begin(), use.end(), is_count);
         if (!is_valid) {
             return fields.fail("message.uses." + name,
-                               "must be two counts, keyed by model/adapter");
+                               "must be two or three counts, keyed by model/adapter");
         }
-        content.uses.push_back(
-            {name.substr(0, slash), name.substr(slash + 1), use[0].get<int>(), use[1].get<int>()});
+        content.uses.push_back({name.substr(0, slash), name.substr(slash + 1), use[0].get<int>(),
+                                use[1].get<int>(), use.size() == 3 ? use[2].get<int>() : 0});
     });
     content.versions = read_versions(fields, "versions");
     return content;
@@ -310,6 +318,7 @@
     status.is_short_of_slots = fields.flag("short");
     // Absent in messages of earlier builds.
     status.is_paced = fields.has("paced") && fields.flag("paced");
+    status.counts_calls = fields.has("counts_calls") && fields.flag("counts_calls");
     status.process_start_ms = fields.has("born") ? fields.integer<std::uint64_t>("born") : 0;
     content.gateways = fields.texts("gateways");
     return content;
--- a/src/gateway/engine_status.h
+++ b/src/gateway/engine_status.h
@@ -36,6 +36,8 @@
     bool is_short_of_slots = false;
     /// Gateways must ask the sidecar before they send a prompt.
     bool is_paced = false;
+    /// Gateways should state how many calls they have sent for each adapter.
+    bool counts_calls = false;
 
     friend bool operator==(const engine_status&, const engine_status&) = default;
 };
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -538,7 +538,7 @@
         for (const auto& [id, state] : context_.upstreams.all()) {
             const bool has_uses =
                 std::any_of(state.adapters.begin(), state.adapters.end(),
-                            [&](const auto& item) { return item.second.is_requested(now); });
+                            [&](const auto& item) { return item.second.has_news(now); });
             if (has_uses || !state.status || demand_round_ % idle_rounds == 0) {
                 send_demand(id);
             }
@@ -1049,11 +1049,11 @@
     };
     for (const auto& [name, calls] : state->adapters) {
         const auto slash = name.find('/');
-        if (calls.is_requested(now)) {
+        if (calls.has_news(now)) {
             // A requested replica counts as one waiting call.
             const int waiting = calls.waiting + (now < calls.requested_until ? 1 : 0);
-            demand.uses.push_back(
-                {name.substr(0, slash), name.substr(slash + 1), waiting, calls.running});
+            demand.uses.push_back({name.substr(0, slash), name.substr(slash + 1), waiting,
+                                   calls.running, calls.begun});
             if (const auto* announced = context_.versions.find(name)) {
                 demand.versions[name] = announced->version;
             }
@@ -1062,6 +1062,7 @@
     context_.versions.add_recent(demand.versions, context_.random(), now);
     datagrams_.send({state->entry.address.ip, settings_.control_listen.port},
                     control::encode(demand));
+    context_.upstreams.on_uses_stated(upstream);
 }
 
 void gateway_server::send_usage(time_point now)
--- a/src/gateway/upstream_state.h
+++ b/src/gateway/upstream_state.h
@@ -16,6 +16,8 @@
 struct adapter_calls {
     int waiting = 0;
     int running = 0;
+    /// Calls sent since the sidecar was last told; counted only if it asks for that.
+    int begun = 0;
     /// Until then a replica is requested, even if no call waits for it.
     time_point requested_until;
 
@@ -25,6 +27,9 @@
         return waiting > 0 || running > 0 || now < requested_until;
     }
 
+    /// Whether the sidecar should be told of these calls.
+    bool has_news(time_point now) const { return begun > 0 || is_requested(now); }
+
     friend bool operator==(const adapter_calls&, const adapter_calls&) = default;
 };
 
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -312,7 +312,11 @@
     ++found->second.in_flight;
     found->second.prompt_tokens += tokens;
     if (!adapter.empty()) {
-        ++found->second.adapters[std::string(adapter)].running;
+        auto& calls = found->second.adapters[std::string(adapter)];
+        ++calls.running;
+        if (found->second.status && found->second.status->counts_calls) {
+            ++calls.begun;
+        }
     }
 }
 
@@ -408,11 +412,19 @@
     return should_notify;
 }
 
+void upstream_table::on_uses_stated(const upstream_id& id)
+{
+    if (const auto found = states_.find(id); found != states_.end()) {
+        for (auto& [name, calls] : found->second.adapters) {
+            calls.begun = 0;
+        }
+    }
+}
+
 void upstream_table::on_tick(time_point now)
 {
     for (auto& [id, state] : states_) {
-        std::erase_if(state.adapters,
-                      [&](const auto& item) { return !item.second.is_requested(now); });
+        std::erase_if(state.adapters, [&](const auto& item) { return !item.second.has_news(now); });
     }
     std::erase_if(serving_versions_, [&](const auto& item) { return now >= item.second.second; });
     std::erase_if(former_, [&](const auto& item) { return now >= item.second.expires; });
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -111,6 +111,8 @@
     /// An adapter recorded as resident on the upstream was missing there.
     void on_adapter_missing(const upstream_id& id, std::string_view adapter);
     void on_adapter_wait(const upstream_id& id, std::string_view adapter, int change);
+    /// The sidecar of the engine has been told which adapters this gateway uses there.
+    void on_uses_stated(const upstream_id& id);
 
     /// Requests a replica of the adapter on the upstream; returns whether this was not requested
     /// already.
--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t max_cached = 80;
 // Slots kept free, so that a load does not have to wait for an eviction.
 constexpr int spare_slots = 2;
+// The same where adapters are retained by demand, as an empty slot is one more load to come.
+constexpr int spare_slots_by_demand = 1;
 // Callers of a stream wait at most about this long for its first event. No further adapters are
 // accepted when the queue of loads from the store takes longer.
 constexpr double max_backlog_s = 1.2;
@@ -85,8 +87,11 @@
     }
     for (const auto& use : demand.uses) {
         auto& state = state_of(use.model, use.adapter);
-        state.uses[demand.gateway] = {use.waiting, use.running, now};
+        if (use.waiting > 0 || use.running > 0) {
+            state.uses[demand.gateway] = {use.waiting, use.running, now};
+        }
         state.last_used = now;
+        history_.on_calls(name_of(use.model, use.adapter), use.begun, now);
         if (use.waiting > 0 && !state.waiting_since) {
             state.waiting_since = now;
         }
@@ -415,12 +420,30 @@
     return gateways;
 }
 
-// Withdraws the least recently used adapters while too few slots are free.
+int adapter_planner::slots_kept_free() const
+{
+    return retention_ == cli::retention_rule::demand ? spare_slots_by_demand : spare_slots;
+}
+
+bool adapter_planner::goes_before(const adapter_state& left, const adapter_state& right,
+                                  time_point now) const
+{
+    if (retention_ == cli::retention_rule::demand) {
+        const double left_calls = history_.calls(name_of(left.model, left.adapter), now);
+        const double right_calls = history_.calls(name_of(right.model, right.adapter), now);
+        if (left_calls != right_calls) {
+            return left_calls < right_calls;
+        }
+    }
+    return left.last_used < right.last_used;
+}
+
+// Withdraws adapters that are not in use while too few slots are free.
 void adapter_planner::withdraw_victims(time_point now)
 {
     int free = free_slots();
     const int pending = pending_count();
-    const int needed = std::clamp(pending, spare_slots, max_concurrent_loads);
+    const int needed = std::clamp(pending, slots_kept_free(), max_concurrent_loads);
     const bool is_short = pending > free;
     for (const auto& [name, state] : adapters_) {
         if (state.withdrawn_at && is_resident(name) && !is_outdated(name, state)) {
@@ -428,20 +451,20 @@
         }
     }
     while (free < needed) {
-        adapter_state* oldest = nullptr;
+        adapter_state* victim = nullptr;
         for (auto& [name, state] : adapters_) {
             const bool is_recent = !is_short && now - state.last_used < recent_use_window;
             if (!is_resident(name) || state.withdrawn_at || !state.uses.empty() || is_recent) {
                 continue;
             }
-            if (oldest == nullptr || state.last_used < oldest->last_used) {
-                oldest = &state;
+            if (victim == nullptr || goes_before(state, *victim, now)) {
+                victim = &state;
             }
         }
-        if (oldest == nullptr) {
+        if (victim == nullptr) {
             return;
         }
-        oldest->withdrawn_at = now;
+        victim->withdrawn_at = now;
         ++free;
     }
 }
@@ -494,6 +517,7 @@
     status.waiting = report_->waiting;
     status.memory_used = report_->memory_used;
     status.is_short_of_slots = pending_count() > free_slots();
+    status.counts_calls = retention_ == cli::retention_rule::demand;
     status.is_full = store_backlog() * load_time_s_ / store_loads_allowed() > max_backlog_s;
     return status;
 }
--- a/src/sidecar/adapter_planner.h
+++ b/src/sidecar/adapter_planner.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "cli/retention_rule.h"
 #include "control/adapter_demand.h"
+#include "sidecar/adapter_history.h"
 #include "sidecar/engine_order.h"
 #include "sidecar/engine_report.h"
 #include "sidecar/order_result.h"
@@ -21,12 +23,17 @@
 namespace snipespar::sidecar {
 
 /// Decides which adapters are resident on one engine: loads those with waiting calls, evicts the
-/// least recently used ones and replaces outdated versions.
+/// least recently used ones, or those with the least demand, and replaces outdated versions.
 ///
 /// An adapter is withdrawn from the advertised status before it is evicted or replaced, so that
 /// requests already in flight still find it.
 class adapter_planner {
 public:
+    explicit adapter_planner(cli::retention_rule retention = cli::retention_rule::recency)
+        : retention_(retention)
+    {
+    }
+
     void on_demand(const control::adapter_demand& demand, time_point now);
     void on_report(const engine_report& report, time_point now);
     void on_order_result(const engine_order& order, order_result result, time_point now);
@@ -95,6 +102,12 @@
     void withdraw_victims(time_point now);
     engine_order make_order(engine_order::operation op, const adapter_state& state) const;
 
+    /// Whether the first one is to be evicted before the second one.
+    bool goes_before(const adapter_state& left, const adapter_state& right, time_point now) const;
+    int slots_kept_free() const;
+
+    cli::retention_rule retention_;
+    adapter_history history_;
     std::optional<engine_report> report_;
     /// False once something has happened that may have invalidated the report.
     bool is_report_current_ = false;
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -61,8 +61,8 @@
 
 sidecar_server::sidecar_server(asio::io_context& io, const cli::sidecar_settings& settings,
                                telemetry::logger& log)
-    : io_(io), settings_(settings), log_(log), start_(net::start_number()), pace_timer_(io),
-      datagrams_(io.get_executor()),
+    : io_(io), settings_(settings), log_(log), start_(net::start_number()),
+      planner_(settings.retention), pace_timer_(io), datagrams_(io.get_executor()),
       engine_(settings.engine.ip, settings.engine.port, max_report_bytes), poll_timer_(io),
       roster_(stable_hash(settings.engine.str()))
 {
--- a/tests/control_message_test.cpp
+++ b/tests/control_message_test.cpp
@@ -21,8 +21,14 @@
 public:
     void every_message_round_trips()
     {
-        const adapter_demand demand{
-            "g", 7, "i-1", 5, 16, {"base"}, {{"base", "a1", 2, 3}}, {{"base/a1", 4}}};
+        const adapter_demand demand{"g",
+                                    7,
+                                    "i-1",
+                                    5,
+                                    16,
+                                    {"base"},
+                                    {{"base", "a1", 2, 3}, {"base", "a2", 0, 0, 4}},
+                                    {{"base/a1", 4}}};
         const gateway_usage usage{"g",
                                   7,
                                   9,
@@ -51,6 +57,7 @@
         const crash_findings findings{
             {{77, {{{upstream_id("i-1"), 5}, false, true, std::chrono::seconds(3)}}}}};
         report.status.is_paced = true;
+        report.status.counts_calls = true;
         const admission_request request{"g",
                                         7,
                                         admission_request::purpose::cancel,
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(refusals_do_not_affect_health);
     CPPUNIT_TEST(older_status_does_not_replace_a_newer_one);
     CPPUNIT_TEST(end_of_use_is_notified_when_slots_are_short);
+    CPPUNIT_TEST(ended_call_is_kept_until_it_was_stated);
     CPPUNIT_TEST(upstream_is_kept_while_calls_run_there);
     CPPUNIT_TEST(frozen_host_is_unresponsive);
     CPPUNIT_TEST(heartbeat_confirms_the_last_report);
@@ -277,6 +278,26 @@
         CPPUNIT_ASSERT(end_call());
     }
 
+    // A call that ended between two messages to the sidecar was not seen there at all.
+    void ended_call_is_kept_until_it_was_stated()
+    {
+        upstream_table table;
+        const auto id = report_engine(table, 1);
+        table.on_call_sent(id, "base/a1", 100);
+        CPPUNIT_ASSERT_EQUAL(0, table.find(id)->adapters.at("base/a1").begun);
+        engine_status status = *table.find(id)->status;
+        status.sequence = 2;
+        status.counts_calls = true;
+        table.on_engine_status(status, start);
+        table.on_call_sent(id, "base/a2", 100);
+        table.on_call_ended(id, "base/a2", 0, call_result::success, start);
+        table.on_tick(start);
+        CPPUNIT_ASSERT_EQUAL(1, table.find(id)->adapters.at("base/a2").begun);
+        table.on_uses_stated(id);
+        table.on_tick(start);
+        CPPUNIT_ASSERT(!table.find(id)->adapters.contains("base/a2"));
+    }
+
     void upstream_is_kept_while_calls_run_there()
     {
         upstream_table table;
