Prompts may take more of an event's time where streams are short

The pacer kept half of an event's time free on every engine. That half is what streams of 57 events need, which meet many chances of a pause; a stream of 8 events is over within about one. Change: the sidecar estimates how long streams last (run_time_estimate, by Little's law) and the part of an event's time that prompts may always take follows from it, 0.5 for long and 0.8 for short streams. The new test fails without the change: the limit is 0.5 whatever the streams.

--- a/src/sidecar/prompt_pacer.cpp
+++ b/src/sidecar/prompt_pacer.cpp
@@ -33,9 +33,11 @@
 constexpr auto unused_limit_lifetime = std::chrono::seconds(20);
 // Calls of average size that may always be given within one window.
 constexpr double lowest_limit_calls = 2;
-// Part of an event's time that may always be spent on prompts. The rest is for the steps of the
-// event and for prompts given before that are still being read: a stream waits for both.
-constexpr double free_read_share = 0.5;
+// Parts of an event's time that may always be spent on prompts, while streams span many of them and
+// while they span one at most. The rest is for the steps of the event and for prompts given before
+// that are still being read: a stream waits for both.
+constexpr double free_read_share_of_long_streams = 0.5;
+constexpr double free_read_share_of_short_streams = 0.8;
 // How long tokens given and tickets granted are remembered, in windows.
 constexpr int remembered_windows = 3;
 constexpr auto granted_lifetime = std::chrono::seconds(2);
@@ -223,10 +225,20 @@
     return sum;
 }
 
+double prompt_pacer::free_read_share() const
+{
+    if (run_time_ <= duration{} || window_ <= duration{}) {
+        return free_read_share_of_long_streams;
+    }
+    const double windows = std::max(seconds(run_time_) / seconds(window_), 1.0);
+    return free_read_share_of_long_streams +
+           (free_read_share_of_short_streams - free_read_share_of_long_streams) / windows;
+}
+
 double prompt_pacer::lowest_limit() const
 {
     const double read_in_window = tokens_per_ms_ * seconds(window_) * ms_per_s;
-    const double unpaced = free_read_share * read_in_window;
+    const double unpaced = free_read_share() * read_in_window;
     if (given_.empty()) {
         return unpaced;
     }
--- a/src/sidecar/prompt_pacer.h
+++ b/src/sidecar/prompt_pacer.h
@@ -69,6 +69,10 @@
     /// these.
     void on_read_speed(double tokens_per_ms) { tokens_per_ms_ = tokens_per_ms; }
 
+    /// Streams of the engine usually last so long; zero while that is unknown. One that spans many
+    /// events' times meets as many chances of a pause, so that prompts may take less of each.
+    void on_run_time(duration run_time) { run_time_ = run_time; }
+
     /// A call asks to be sent. Asking again is harmless. Returns the answer to give now.
     admission_decision ask(const admission_ticket& ticket, std::uint64_t tokens, int urgency,
                            admission_times times, time_point now);
@@ -124,6 +128,7 @@
     queue::iterator next_waiting(time_point now);
     admission_decision finish(queue::iterator item, control::admission_answer::verdict outcome,
                               time_point now);
+    double free_read_share() const;
     double lowest_limit() const;
     bool has_room(std::uint64_t tokens, time_point now) const;
     duration expected_wait(const queue_place& place, std::uint64_t tokens, time_point now) const;
@@ -133,6 +138,7 @@
     duration window_{};
     /// 0 while unknown.
     double tokens_per_ms_ = 0;
+    duration run_time_{};
     std::optional<double> limit_;
     /// The lowest limit at which streams paused, with some distance.
     double ceiling_ = 0;
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -259,6 +259,7 @@
 {
     if (settings_.states_work && tokens > 0) {
         prompts_.on_given(tokens, steady_now());
+        run_time_.on_given();
     }
 }
 
@@ -268,7 +269,9 @@
         return;
     }
     prompts_.on_report(report.process_start_ms, report.waiting, reported_at_);
+    run_time_.on_report(report.running, reported_at_);
     pacer_.on_read_speed(prompts_.tokens_per_ms());
+    pacer_.on_run_time(run_time_.value());
     metrics_.waiting_prompt_tokens.set(static_cast<std::int64_t>(prompts_.waiting_tokens()));
     metrics_.prompt_tokens_per_s.set(
         static_cast<std::int64_t>(prompts_.tokens_per_ms() * ms_per_s));
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -10,6 +10,7 @@
 #include "sidecar/gateway_roster.h"
 #include "sidecar/prompt_pacer.h"
 #include "sidecar/prompt_queue.h"
+#include "sidecar/run_time_estimate.h"
 #include "sidecar/sidecar_metrics.h"
 #include "telemetry/admin_handlers.h"
 #include "telemetry/logger.h"
@@ -72,6 +73,7 @@
     prompt_pacer pacer_;
     cold_permits cold_permits_;
     prompt_queue prompts_;
+    run_time_estimate run_time_;
     /// Held for the gateways, whichever engine began the streams.
     resume::origin_store origins_;
     boost::asio::steady_timer pace_timer_;
--- a/tests/sidecar_prompt_pacer_test.cpp
+++ b/tests/sidecar_prompt_pacer_test.cpp
@@ -158,6 +158,7 @@
     CPPUNIT_TEST(cancelled_call_leaves_its_place);
     CPPUNIT_TEST(call_larger_than_the_limit_is_given_alone);
     CPPUNIT_TEST(prompts_are_not_held_while_the_engine_could_read_them);
+    CPPUNIT_TEST(short_streams_leave_more_time_for_prompts);
     CPPUNIT_TEST(unused_limit_expires);
     CPPUNIT_TEST(burst_of_prompts_leaves_streams_their_pace);
     CPPUNIT_TEST_SUITE_END();
@@ -329,6 +330,24 @@
         CPPUNIT_ASSERT(static_cast<double>(given) <= 0.5 * readable + 1);
     }
 
+    // Half of what an engine can read was held back although its streams were over within about one
+    // event's time; streams of many events keep that reserve.
+    void short_streams_leave_more_time_for_prompts()
+    {
+        constexpr double speed = 2 * chunked_engine::tokens_per_ms;
+        const auto limit_with = [](duration run_time) {
+            auto pacer = make_pacing(4);
+            pacer.on_read_speed(speed);
+            pacer.on_run_time(run_time);
+            pacer.decide(start + seconds(1));
+            return *pacer.limit() / (speed * static_cast<double>(target.count()));
+        };
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.8, limit_with(target / 2), 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.8, limit_with(target), 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.53, limit_with(10 * target), 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, limit_with({}), 0.01);
+    }
+
     void unused_limit_expires()
     {
         auto pacer = make_pacing(4);
