Loads from an engine's own memory do not make the store look busy

Cause: a sidecar loads four adapters at a time, two while the weight store is busy, which it takes from the shortest load seen. Adapters that the engine still has in its own memory come in a tenth of the time, and those evicted before the sidecar's list began, or beyond it, were counted as loads from the store: 40 of 41 engines had a "store" load under 35 ms within the first seconds, so that all later loads of 257 ms counted as slow and only two ran at a time. Change: load_time_estimate tells the two sources apart by their factor of ten and keeps them apart.

--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -18,8 +18,6 @@
 // Limit of concurrent loads from the weight store while it is busy. All engines share its
 // bandwidth, so more loads would only make each one slower.
 constexpr int max_store_loads_when_busy = 2;
-// The weight store counts as busy when loads take this multiple of the shortest one.
-constexpr double busy_load_factor = 1.4;
 // Evicted adapters that an engine is assumed to cache; reloading them is ten times as fast. Engines
 // keep about a hundred.
 constexpr std::size_t max_cached = 80;
@@ -30,7 +28,6 @@
 // Callers of a stream wait at most about this long for its first event. No further adapters are
 // accepted when the queue of loads from the store takes longer.
 constexpr double max_backlog_s = 1.2;
-constexpr double load_time_smoothing = 0.3;
 // From withdrawing an adapter to evicting it: covers a status datagram and a request in flight,
 // and a busy processor at either end.
 constexpr auto withdrawal_delay = milliseconds(60);
@@ -116,10 +113,7 @@
                   [&](const unresolved_load& load) { return now >= load.expires; });
     std::erase_if(load_ordered_at_, [&](const auto& item) {
         if (is_resident(item.first) && !is_cached(item.first)) {
-            const double took_s = std::chrono::duration<double>(now - item.second).count();
-            const double smoothing = load_time_s_ == 0 ? 1.0 : load_time_smoothing;
-            load_time_s_ += smoothing * (took_s - load_time_s_);
-            min_load_time_s_ = min_load_time_s_ == 0 ? took_s : std::min(min_load_time_s_, took_s);
+            load_time_.on_loaded(now - item.second);
         }
         return is_resident(item.first) ||
                (!is_loading(item.first) && now - item.second > order_report_timeout);
@@ -283,7 +277,7 @@
 int adapter_planner::store_loads_allowed() const
 {
     // Before the first measured load, all engines may be starting concurrently.
-    const bool is_busy = load_time_s_ == 0 || load_time_s_ > busy_load_factor * min_load_time_s_;
+    const bool is_busy = !load_time_.is_known() || load_time_.is_store_busy();
     return is_busy ? max_store_loads_when_busy : max_concurrent_loads;
 }
 
@@ -518,7 +512,7 @@
     status.memory_used = report_->memory_used;
     status.is_short_of_slots = pending_count() > free_slots();
     status.counts_calls = retention_ == cli::retention_rule::demand;
-    status.is_full = store_backlog() * load_time_s_ / store_loads_allowed() > max_backlog_s;
+    status.is_full = store_backlog() * load_time_.usual_s() / store_loads_allowed() > max_backlog_s;
     return status;
 }
 
--- a/src/sidecar/adapter_planner.h
+++ b/src/sidecar/adapter_planner.h
@@ -5,6 +5,7 @@
 #include "sidecar/adapter_history.h"
 #include "sidecar/engine_order.h"
 #include "sidecar/engine_report.h"
+#include "sidecar/load_time_estimate.h"
 #include "sidecar/order_result.h"
 #include "snipespar/time.h"
 
@@ -133,10 +134,7 @@
     std::uint64_t known_upstream_start_ms_ = 0;
     /// When each load in flight was ordered.
     std::map<std::string, time_point> load_ordered_at_;
-    /// Smoothed duration of one load from the weight store, in seconds.
-    double load_time_s_ = 0;
-    /// Shortest observed load from the weight store, in seconds.
-    double min_load_time_s_ = 0;
+    load_time_estimate load_time_;
     /// Evicted adapters that the engine most likely still caches, oldest first.
     std::deque<std::string> cached_;
     std::optional<time_point> model_ordered_at_;
