News of single adapters go to the gateways that they concern

Change: where gateways state their calls (--retention=demand), an eviction is told at once to the gateways that used the adapter within 4 s, and a shortage to those that use any; the others learn both with the next report to all, within 0.45 s. A call sent meanwhile is turned away with 421, not run, and tried elsewhere as before.

--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -38,6 +38,9 @@
 constexpr auto unresolved_order_lifetime = std::chrono::seconds(13);
 // A gateway reports its use every 500 ms while it has some; older reports are stale.
 constexpr auto use_lifetime = milliseconds(1300);
+// A gateway that has used an adapter is told at once of its eviction for so long. It is the one
+// that may send a call in the moment before; others learn it with the next report to all.
+constexpr auto recent_user_lifetime = std::chrono::seconds(4);
 // An accepted load that the engine's report does not show after this time is taken as failed.
 constexpr auto order_report_timeout = milliseconds(400);
 constexpr auto refusal_cooldown = milliseconds(250);
@@ -88,6 +91,9 @@
             state.uses[demand.gateway] = {use.waiting, use.running, now};
         }
         state.last_used = now;
+        if (retention_ == cli::retention_rule::demand) {
+            state.recent_users[demand.gateway] = now;
+        }
         history_.on_calls(name_of(use.model, use.adapter), use.begun, now);
         if (use.waiting > 0 && !state.waiting_since) {
             state.waiting_since = now;
@@ -138,6 +144,8 @@
     for (auto& [name, state] : adapters_) {
         std::erase_if(state.uses,
                       [&](const auto& use) { return now - use.second.reported_at > use_lifetime; });
+        std::erase_if(state.recent_users,
+                      [&](const auto& user) { return now - user.second > recent_user_lifetime; });
         const bool has_waiting_calls =
             std::any_of(state.uses.begin(), state.uses.end(),
                         [](const auto& use) { return use.second.waiting > 0; });
@@ -432,6 +440,30 @@
     return left.last_used < right.last_used;
 }
 
+std::set<std::string> adapter_planner::users_of(const std::vector<std::string>& adapters) const
+{
+    std::set<std::string> gateways;
+    for (const auto& name : adapters) {
+        if (const auto found = adapters_.find(name); found != adapters_.end()) {
+            for (const auto& [gateway, when] : found->second.recent_users) {
+                gateways.insert(gateway);
+            }
+        }
+    }
+    return gateways;
+}
+
+std::set<std::string> adapter_planner::using_gateways() const
+{
+    std::set<std::string> gateways;
+    for (const auto& [name, state] : adapters_) {
+        for (const auto& [gateway, use] : state.uses) {
+            gateways.insert(gateway);
+        }
+    }
+    return gateways;
+}
+
 // Withdraws adapters that are not in use while too few slots are free.
 void adapter_planner::withdraw_victims(time_point now)
 {
--- a/src/sidecar/adapter_planner.h
+++ b/src/sidecar/adapter_planner.h
@@ -49,6 +49,12 @@
     /// Gateways with waiting calls, including calls whose adapter is loading or already resident.
     std::set<std::string> waiting_gateways() const;
 
+    /// Gateways that have lately used one of these adapters, where calls are counted.
+    std::set<std::string> users_of(const std::vector<std::string>& adapters) const;
+
+    /// Gateways that use any adapter at present.
+    std::set<std::string> using_gateways() const;
+
     /// Whether an order, load, eviction or waiting call is outstanding, so that the engine should
     /// be polled soon.
     bool has_outstanding_work() const;
@@ -64,6 +70,8 @@
         std::string adapter;
         /// By gateway.
         std::map<std::string, gateway_use> uses;
+        /// Gateways that lately stated a use, and when; only if calls are counted.
+        std::map<std::string, time_point> recent_users;
         time_point last_used;
         /// Start of the current uninterrupted period with waiting calls.
         std::optional<time_point> waiting_since;
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -403,7 +403,8 @@
     }
 }
 
-// Sends the engine's status to the gateways if it has changed or is due.
+// Sends the engine's status to all gateways if it is due or has changed for all, and to those that
+// a change concerns otherwise.
 void sidecar_server::publish()
 {
     const auto now = steady_now();
@@ -421,12 +422,17 @@
     auto status = is_lost ? gateway::engine_status{} : planner_.status();
     status.is_paced = pacer_.is_pacing();
     status.workload = is_lost ? gateway::engine_workload{} : workload();
-    const bool is_broadcast =
-        withdraws(published_, status) || now - published_at_ >= publish_interval;
-    const bool has_additions =
-        status.adapters != published_.adapters || status.loading != published_.loading;
+    const auto withdrawn = withdrawn_adapters(published_, status);
+    const bool has_shortage_changed = published_.is_short_of_slots != status.is_short_of_slots;
+    // Where gateways state their calls, news of single adapters go to those that they concern.
+    const bool is_news_for_all =
+        !status.counts_calls && (!withdrawn.empty() || has_shortage_changed);
+    const bool is_broadcast = is_news_for_all || concerns_all_gateways(published_, status) ||
+                              now - published_at_ >= publish_interval;
+    const bool has_news = status.adapters != published_.adapters ||
+                          status.loading != published_.loading || has_shortage_changed;
     const bool is_known = is_lost || (is_engine_reached_ && now - reported_at_ < report_lifetime);
-    if (gateways_.empty() || !is_known || (!is_broadcast && !has_additions)) {
+    if (gateways_.empty() || !is_known || (!is_broadcast && !has_news)) {
         return;
     }
     published_ = status;
@@ -461,7 +467,11 @@
     const auto bytes = control::encode(report);
     // Newly loaded adapters are reported immediately to gateways waiting for them, and to the
     // others with the next broadcast.
-    const auto interested = planner_.waiting_gateways();
+    auto interested = planner_.waiting_gateways();
+    interested.merge(planner_.users_of(withdrawn));
+    if (has_shortage_changed) {
+        interested.merge(planner_.using_gateways());
+    }
     for (const auto& [address, gateway] : gateways_) {
         if (is_broadcast || interested.contains(gateway.name)) {
             datagrams_.send(address, bytes);
--- a/src/sidecar/status_change.cpp
+++ b/src/sidecar/status_change.cpp
@@ -2,8 +2,6 @@
 
 #include "gateway/engine_status.h"
 
-#include <algorithm>
-
 namespace snipespar::sidecar {
 
 bool equal_but_for_load(const gateway::engine_status& left, gateway::engine_status right)
@@ -15,17 +13,23 @@
     return left == right;
 }
 
-bool withdraws(const gateway::engine_status& before, const gateway::engine_status& now)
+std::vector<std::string> withdrawn_adapters(const gateway::engine_status& before,
+                                            const gateway::engine_status& now)
+{
+    std::vector<std::string> withdrawn;
+    for (const auto& [name, version] : before.adapters) {
+        const auto found = now.adapters.find(name);
+        if (found == now.adapters.end() || found->second != version) {
+            withdrawn.push_back(name);
+        }
+    }
+    return withdrawn;
+}
+
+bool concerns_all_gateways(const gateway::engine_status& before, const gateway::engine_status& now)
 {
-    const bool has_lost_model = before.models != now.models;
-    const bool has_lost_adapter =
-        std::any_of(before.adapters.begin(), before.adapters.end(), [&](const auto& item) {
-            const auto found = now.adapters.find(item.first);
-            return found == now.adapters.end() || found->second != item.second;
-        });
-    return has_lost_model || has_lost_adapter || before.process_start_ms != now.process_start_ms ||
-           before.is_full != now.is_full || before.is_short_of_slots != now.is_short_of_slots ||
-           before.is_paced != now.is_paced;
+    return before.models != now.models || before.process_start_ms != now.process_start_ms ||
+           before.is_full != now.is_full || before.is_paced != now.is_paced;
 }
 
 } // namespace snipespar::sidecar
