--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -132,10 +132,9 @@
     std::vector<ranked_engine> ranking;
     ranking.reserve(candidates.size());
     for (const auto* state : candidates) {
-        // Ranked by address, which survives a restart of the engine.
-        const auto candidate = stable_hash(state->entry.address.str());
-        ranking.push_back({rendezvous_score(key, candidate, 1.0), load_of(*state, gateways),
-                           forecast.start_ms(*state, query.prompt_tokens), candidate, state});
+        ranking.push_back(
+            {rendezvous_score(key, state->address_hash, 1.0), load_of(*state, gateways),
+             forecast.start_ms(*state, query.prompt_tokens), state->address_hash, state});
     }
     std::sort(ranking.begin(), ranking.end(),
               [](const auto& left, const auto& right) { return left.score > right.score; });
--- a/src/gateway/upstream_state.h
+++ b/src/gateway/upstream_state.h
@@ -47,6 +47,8 @@
     upstream_entry entry;
     /// Its address as sidecars state it.
     std::string address;
+    /// Its hash, by which engines rank for an adapter: the address survives a restart.
+    std::uint64_t address_hash = 0;
     /// Set once its entry was removed: from this moment it gets no new work.
     std::optional<time_point> removal_at;
     /// It has announced, in its entry or in a response, that it is about to stop. Holds for the
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -1,5 +1,6 @@
 #include "gateway/upstream_table.h"
 
+#include "base/stable_hash.h"
 #include "control/sidecar_heartbeat.h"
 
 #include <algorithm>
@@ -82,6 +83,7 @@
     }
     state.entry = entry;
     state.address = entry.address.str();
+    state.address_hash = stable_hash(state.address);
     state.removal_at.reset();
     // Entries without a process start cannot be told apart from those of the next incarnation.
     state.is_leaving = state.is_leaving || (entry.is_draining && entry.process_start_ms != 0);
