Calls that can begin in time are loaded for first

Cause: while demand moves, up to 61 adapters are pending at an engine. The one with most waiting calls, then the one that had waited longest, was loaded first: in a shortage all calls are late that way. Order under shortage asks that what can be in time goes before what is late anyway. Change: with the calls that they have begun, gateways state for how long one of the calls waiting for an adapter can still begin in time (its route's target, less the time to read its prompt); the sidecar loads for such calls first, by the usual time of a load. The prompt pacer already orders its queue so. The test fails with the former order: the adapter that has waited longest is loaded.

--- a/src/control/adapter_demand.h
+++ b/src/control/adapter_demand.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "snipespar/time.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -18,6 +20,9 @@
     /// Calls sent to the engine since the gateway's last message; stated only to sidecars that
     /// count calls.
     int begun = 0;
+    /// A waiting call can begin in time if it is sent within this time; zero if none can. Stated
+    /// only to sidecars that count calls.
+    duration timely_for{};
 
     friend bool operator==(const adapter_use&, const adapter_use&) = default;
 };
--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -48,13 +48,18 @@
     value["born"] = content.upstream_start_ms;
     value["slots"] = to_count(content.adapter_slots);
     value["models"] = content.models;
-    // Counts of waiting, running and, where stated, begun calls, by model/adapter.
+    // Counts of waiting, running and, where stated, begun calls, and milliseconds for which a
+    // waiting one is in time, by model/adapter.
     auto uses = json::object();
     for (const auto& use : content.uses) {
         auto& counts = uses[use.model + "/" + use.adapter];
         counts = {to_count(use.waiting), to_count(use.running)};
-        if (use.begun > 0) {
+        const auto timely_ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(use.timely_for).count();
+        if (use.begun > 0 || timely_ms > 0) {
             counts.push_back(to_count(use.begun));
+            counts.push_back(
+                to_count(static_cast<int>(std::min<std::int64_t>(timely_ms, max_count))));
         }
     }
     value["uses"] = std::move(uses);
@@ -249,14 +254,21 @@
     fields.each_member("uses", [&](const std::string& name, const json& use) {
         const auto slash = name.find('/');
         const bool is_valid = slash != std::string::npos && use.is_array() &&
-                              (use.size() == 2 || use.size() == 3) &&
+                              (use.size() == 2 || use.size() == 4) &&
                               std::all_of(use.begin(), use.end(), is_count);
         if (!is_valid) {
             return fields.fail("message.uses." + name,
-                               "must be two or three counts, keyed by model/adapter");
+                               "must be two or four counts, keyed by model/adapter");
+        }
+        auto& stated = content.uses.emplace_back();
+        stated.model = name.substr(0, slash);
+        stated.adapter = name.substr(slash + 1);
+        stated.waiting = use[0].get<int>();
+        stated.running = use[1].get<int>();
+        if (use.size() == 4) {
+            stated.begun = use[2].get<int>();
+            stated.timely_for = std::chrono::milliseconds(use[3].get<int>());
         }
-        content.uses.push_back({name.substr(0, slash), name.substr(slash + 1), use[0].get<int>(),
-                                use[1].get<int>(), use.size() == 3 ? use[2].get<int>() : 0});
     });
     content.versions = read_versions(fields, "versions");
     return content;
--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -586,14 +586,14 @@
     }
     context_.metrics.adapter_waits.add();
     pending_upstream_ = upstream;
-    context_.upstreams.on_adapter_wait(upstream, adapter_key(), 1);
+    context_.upstreams.on_adapter_wait(upstream, adapter_key(), timely_until());
     context_.send_demand(upstream);
 }
 
 void call_exchange::stop_waiting()
 {
     if (!pending_upstream_.empty()) {
-        context_.upstreams.on_adapter_wait(pending_upstream_, adapter_key(), -1);
+        context_.upstreams.on_adapter_wait_ended(pending_upstream_, adapter_key());
         pending_upstream_ = {};
     }
 }
@@ -649,7 +649,7 @@
     const auto number = ++context_.last_permit;
     permit_.emplace(number, upstream, now, kind);
     context_.permits[number] = weak_from_this();
-    context_.upstreams.on_adapter_wait(upstream, adapter_key(), 1);
+    context_.upstreams.on_adapter_wait(upstream, adapter_key(), timely_until());
     ask_for_permit(now);
 }
 
@@ -759,7 +759,7 @@
 {
     if (permit_) {
         context_.permits.erase(permit_->number());
-        context_.upstreams.on_adapter_wait(permit_->upstream(), adapter_key(), -1);
+        context_.upstreams.on_adapter_wait_ended(permit_->upstream(), adapter_key());
         permit_.reset();
     }
 }
@@ -789,7 +789,7 @@
     const auto max_wait = max_admission_wait(now);
     admission_.emplace(number, upstream, max_wait, now);
     context_.admissions[number] = weak_from_this();
-    context_.upstreams.on_adapter_wait(upstream, adapter_key(), 1);
+    context_.upstreams.on_adapter_wait(upstream, adapter_key(), timely_until());
     ask_for_admission(control::admission_request::purpose::ask, upstream, number, max_wait);
 }
 
@@ -807,11 +807,16 @@
                                                         .max_wait = max_wait});
 }
 
+// Until when a call has to be sent so that its stream begins in time.
+time_point call_exchange::timely_until() const
+{
+    return arrived_at_ + route_->target_latency - route_->target_latency / read_time_divisor;
+}
+
 // Time for which a prompt can wait and its stream still begin in time.
 duration call_exchange::aim_wait() const
 {
-    const auto left = arrived_at_ + route_->target_latency - steady_now();
-    return left - route_->target_latency / read_time_divisor;
+    return timely_until() - steady_now();
 }
 
 // Callers abandon a stream that has not begun after some multiples of the target latency.
@@ -872,7 +877,7 @@
     }
     admission_time_ += steady_now() - admission_->began();
     context_.admissions.erase(admission_->number());
-    context_.upstreams.on_adapter_wait(admission_->upstream(), adapter_key(), -1);
+    context_.upstreams.on_adapter_wait_ended(admission_->upstream(), adapter_key());
     admission_.reset();
 }
 
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -138,6 +138,7 @@
                            std::uint64_t number, duration max_wait);
     void take_step(admission_wait::step step, time_point now);
     void stop_asking();
+    time_point timely_until() const;
     duration aim_wait() const;
     duration max_admission_wait(time_point now) const;
     int urgency() const;
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -1052,8 +1052,10 @@
         if (calls.has_news(now)) {
             // A requested replica counts as one waiting call.
             const int waiting = calls.waiting + (now < calls.requested_until ? 1 : 0);
-            demand.uses.push_back({name.substr(0, slash), name.substr(slash + 1), waiting,
-                                   calls.running, calls.begun});
+            const bool is_counted = state->status && state->status->counts_calls;
+            demand.uses.push_back(
+                {name.substr(0, slash), name.substr(slash + 1), waiting, calls.running, calls.begun,
+                 is_counted ? std::max(calls.timely_until - now, duration{}) : duration{}});
             if (const auto* announced = context_.versions.find(name)) {
                 demand.versions[name] = announced->version;
             }
--- a/src/gateway/upstream_state.h
+++ b/src/gateway/upstream_state.h
@@ -18,6 +18,8 @@
     int running = 0;
     /// Calls sent since the sidecar was last told; counted only if it asks for that.
     int begun = 0;
+    /// Until then at least one of the waiting calls can begin in time.
+    time_point timely_until;
     /// Until then a replica is requested, even if no call waits for it.
     time_point requested_until;
 
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -392,12 +392,26 @@
     }
 }
 
-void upstream_table::on_adapter_wait(const upstream_id& id, std::string_view adapter, int change)
+void upstream_table::on_adapter_wait(const upstream_id& id, std::string_view adapter,
+                                     time_point timely_until)
 {
     const auto found = states_.find(id);
     if (found != states_.end() && !adapter.empty()) {
         auto& calls = found->second.adapters[std::string(adapter)];
-        calls.waiting = std::max(calls.waiting + change, 0);
+        ++calls.waiting;
+        calls.timely_until = std::max(calls.timely_until, timely_until);
+    }
+}
+
+void upstream_table::on_adapter_wait_ended(const upstream_id& id, std::string_view adapter)
+{
+    const auto found = states_.find(id);
+    if (found != states_.end() && !adapter.empty()) {
+        auto& calls = found->second.adapters[std::string(adapter)];
+        calls.waiting = std::max(calls.waiting - 1, 0);
+        if (calls.waiting == 0) {
+            calls.timely_until = {};
+        }
     }
 }
 
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -110,7 +110,9 @@
     bool on_pause(const upstream_id& id, duration interval, time_point now);
     /// An adapter recorded as resident on the upstream was missing there.
     void on_adapter_missing(const upstream_id& id, std::string_view adapter);
-    void on_adapter_wait(const upstream_id& id, std::string_view adapter, int change);
+    /// A call begins to wait for the adapter, and can begin in time until `timely_until`.
+    void on_adapter_wait(const upstream_id& id, std::string_view adapter, time_point timely_until);
+    void on_adapter_wait_ended(const upstream_id& id, std::string_view adapter);
     /// The sidecar of the engine has been told which adapters this gateway uses there.
     void on_uses_stated(const upstream_id& id);
 
--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -88,7 +88,7 @@
     for (const auto& use : demand.uses) {
         auto& state = state_of(use.model, use.adapter);
         if (use.waiting > 0 || use.running > 0) {
-            state.uses[demand.gateway] = {use.waiting, use.running, now};
+            state.uses[demand.gateway] = {use.waiting, use.running, now, now + use.timely_for};
         }
         state.last_used = now;
         if (retention_ == cli::retention_rule::demand) {
@@ -363,7 +363,9 @@
         std::count_if(loads_in_flight.begin(), loads_in_flight.end(),
                       [&](const std::string& name) { return !is_cached(name); });
     const adapter_state* best = nullptr;
-    std::tuple<bool, int, duration> best_rank;
+    std::tuple<bool, bool, int, duration> best_rank;
+    const auto loaded_at = now + std::chrono::duration_cast<duration>(
+                                     std::chrono::duration<double>(load_time_.usual_s()));
     for (const auto& [name, state] : adapters_) {
         const auto& models = report_->models;
         const bool is_possible =
@@ -373,8 +375,11 @@
         if (!is_possible || (!is_fast && store_loads >= store_loads_allowed())) {
             continue;
         }
-        // The load with most waiting calls comes first, so that demand shifts settle soonest.
-        const std::tuple rank(is_fast, state.waiting(), now - *state.waiting_since);
+        // Calls that can still begin in time come before those that are late anyway, as all would
+        // be late otherwise while more is asked for than can be loaded. Then the load with most
+        // waiting calls comes first, so that demand shifts settle soonest.
+        const std::tuple rank(is_fast, state.is_timely_at(loaded_at), state.waiting(),
+                              now - *state.waiting_since);
         if (best == nullptr || rank > best_rank) {
             best = &state;
             best_rank = rank;
@@ -395,6 +400,12 @@
     return sum;
 }
 
+bool adapter_planner::adapter_state::is_timely_at(time_point when) const
+{
+    return std::any_of(uses.begin(), uses.end(),
+                       [&](const auto& use) { return when < use.second.timely_until; });
+}
+
 bool adapter_planner::is_cached(const std::string& name) const
 {
     return std::find(cached_.begin(), cached_.end(), name) != cached_.end();
--- a/src/sidecar/adapter_planner.h
+++ b/src/sidecar/adapter_planner.h
@@ -64,6 +64,8 @@
         int waiting = 0;
         int running = 0;
         time_point reported_at;
+        /// Until then one of the waiting calls can begin in time.
+        time_point timely_until;
     };
     struct adapter_state {
         std::string model;
@@ -82,6 +84,8 @@
 
         /// Waiting calls, summed over all gateways.
         int waiting() const;
+        /// Whether a waiting call can begin in time if it is sent then.
+        bool is_timely_at(time_point when) const;
         std::uint64_t newest_version = 0;
         time_point newest_since;
     };
--- a/tests/control_message_test.cpp
+++ b/tests/control_message_test.cpp
@@ -21,14 +21,15 @@
 public:
     void every_message_round_trips()
     {
-        const adapter_demand demand{"g",
-                                    7,
-                                    "i-1",
-                                    5,
-                                    16,
-                                    {"base"},
-                                    {{"base", "a1", 2, 3}, {"base", "a2", 0, 0, 4}},
-                                    {{"base/a1", 4}}};
+        const adapter_demand demand{
+            "g",
+            7,
+            "i-1",
+            5,
+            16,
+            {"base"},
+            {{"base", "a1", 2, 3}, {"base", "a2", 1, 0, 4, std::chrono::milliseconds(350)}},
+            {{"base/a1", 4}}};
         const gateway_usage usage{"g",
                                   7,
                                   9,
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -99,7 +99,7 @@
     {
         upstream_table table;
         table.update(entry("i-1"), start);
-        table.on_adapter_wait(upstream_id("i-1"), "", 1);
+        table.on_adapter_wait(upstream_id("i-1"), "", start);
         CPPUNIT_ASSERT(table.find(upstream_id("i-1"))->adapters.empty());
     }
 
--- a/tests/sidecar_adapter_retention_test.cpp
+++ b/tests/sidecar_adapter_retention_test.cpp
@@ -38,7 +38,7 @@
     {
         std::vector<control::adapter_use> uses;
         for (const auto& [adapter, calls] : begun_) {
-            uses.push_back({"base", adapter, waiting_.contains(adapter) ? 1 : 0, 0, calls});
+            uses.push_back({"base", adapter, waiting_.contains(adapter) ? 1 : 0, 0, calls, {}});
         }
         planner_.on_demand({"g1", 1, "i-1", 1, slots_, {"base"}, uses, {}}, now_);
         for (int round = 0; round < 5; ++round, now_ += length / 5) {
@@ -121,6 +121,7 @@
     CPPUNIT_TEST_SUITE(sidecar_adapter_retention_test);
     CPPUNIT_TEST(skewed_demand_needs_fewer_loads);
     CPPUNIT_TEST(adapter_in_steady_demand_outlives_single_calls);
+    CPPUNIT_TEST(calls_that_can_begin_in_time_are_loaded_for_first);
     CPPUNIT_TEST(demand_that_has_moved_is_forgotten);
     CPPUNIT_TEST(flood_of_names_does_not_grow_the_history);
     CPPUNIT_TEST(excessive_count_is_bounded);
@@ -152,6 +153,28 @@
         }
     }
 
+    // While more is asked for than can be loaded, loads for the calls that had waited longest let
+    // all calls be late.
+    void calls_that_can_begin_in_time_are_loaded_for_first()
+    {
+        adapter_planner planner(retention_rule::demand);
+        engine_report empty;
+        empty.process_start_ms = 1;
+        empty.models = {"base"};
+        planner.on_report(empty, start);
+        const control::adapter_use late{"base", "late", 3, 0, 0, {}};
+        const control::adapter_use timely{"base", "timely", 1, 0, 0, milliseconds(600)};
+        planner.on_demand({"g1", 1, "i-1", 1, 16, {"base"}, {late}, {}}, start);
+        const auto now = start + milliseconds(900);
+        planner.on_demand({"g1", 1, "i-1", 1, 16, {"base"}, {late, timely}, {}}, now);
+        planner.on_report(empty, now);
+        CPPUNIT_ASSERT_EQUAL(std::string("timely"), planner.next_order(now)->adapter);
+        // By then it is late, too.
+        const auto later = now + milliseconds(700);
+        planner.on_report(empty, later);
+        CPPUNIT_ASSERT_EQUAL(std::string("late"), planner.next_order(later)->adapter);
+    }
+
     void demand_that_has_moved_is_forgotten()
     {
         adapter_history history;
