--- a/src/gateway/plain_chooser.cpp
+++ b/src/gateway/plain_chooser.cpp
@@ -24,14 +24,7 @@
 // An upstream has room while its backlog is below this part of the one at which it sheds calls.
 constexpr double room_share = 0.8;
 
-/// One upstream to which a call may go.
-struct option {
-    const upstream_state* upstream = nullptr;
-    finish_forecast forecast;
-    /// Expected time to finish, with its penalties; `slope_s` more with each further call.
-    double finish_s = 0;
-    double slope_s = 0;
-};
+using option = plain_chooser::option;
 
 option rate(const upstream_state& upstream, const finish_forecast& forecast,
             const failure_domain_id& own_domain)
@@ -43,11 +36,12 @@
         consecutive_failure_weight * upstream.consecutive_failures;
     const double distance = upstream.entry.failure_domain == own_domain ? 0.0 : distance_weight;
     const double calls = forecast.backlog + distance + failing * forecast.slots;
-    return {&upstream, forecast, forecast.run_s + calls * per_call_s, per_call_s};
+    return {&upstream, forecast, forecast.run_s + calls * per_call_s, per_call_s, 0};
 }
 
-// Shares of the calls that make all options finish at the same time after `calls` more calls.
-std::vector<double> shares(std::vector<option>& options, double calls)
+// Sets the shares of the calls that make all options finish at the same time after `calls` more
+// calls.
+void set_shares(std::vector<option>& options, double calls)
 {
     std::sort(options.begin(), options.end(),
               [](const auto& left, const auto& right) { return left.finish_s < right.finish_s; });
@@ -62,12 +56,9 @@
             break;
         }
     }
-    std::vector<double> result;
-    result.reserve(options.size());
-    for (const auto& option : options) {
-        result.push_back(std::max(level - option.finish_s, 0.0) / option.slope_s);
+    for (auto& option : options) {
+        option.share = std::max(level - option.finish_s, 0.0) / option.slope_s;
     }
-    return result;
 }
 
 // No upstream fits: the caller may come back once the first one has worked off what is too much.
@@ -95,9 +86,9 @@
 
 } // namespace
 
-std::optional<plain_chooser::choice>
-plain_chooser::choose(const need& call, const std::vector<const upstream_state*>& candidates,
-                      std::mt19937_64& random, time_point now) const
+std::optional<plain_chooser::weighing>
+plain_chooser::weigh(const need& call, const std::vector<const upstream_state*>& candidates,
+                     time_point now) const
 {
     const bool states_load =
         std::ranges::any_of(candidates, [](const auto* state) { return state->load.has_value(); });
@@ -108,10 +99,8 @@
     const double time_left_s = std::chrono::duration<double>(call.wanted_by - now).count();
     const double margin_s = forecaster_.error_s(service, now);
     const auto full_at = forecaster_.full_at(service, now);
-    std::vector<option> options;
-    std::vector<option> unfit;
+    weighing result;
     double calls_in_progress = 0;
-    double rate_per_s = 0;
     for (const auto* state : candidates) {
         const auto forecast = forecaster_.forecast(*state, call.route, call.gateways, now);
         const bool has_room =
@@ -122,18 +111,36 @@
         const bool is_late = forecast.states_queue && forecast.wait_s > forecast.run_s &&
                              forecast.finish_s() + margin_s > time_left_s;
         calls_in_progress += std::min(forecast.backlog, forecast.slots);
-        rate_per_s += forecast.rate_per_s;
-        auto& group = is_late || (call.needs_room && !has_room) ? unfit : options;
+        result.rate_per_s += forecast.rate_per_s;
+        auto& group = is_late || (call.needs_room && !has_room) ? result.unfit : result.options;
         group.push_back(rate(*state, forecast, own_domain_));
     }
+    set_shares(result.options, concurrent_share * calls_in_progress + 1);
+    return result;
+}
+
+std::optional<plain_chooser::choice>
+plain_chooser::choose(const need& call, const std::vector<const upstream_state*>& candidates,
+                      std::mt19937_64& random, time_point now) const
+{
+    const auto weighed = weigh(call, candidates, now);
+    if (!weighed) {
+        return std::nullopt;
+    }
+    const auto& options = weighed->options;
     if (options.empty()) {
+        const auto full_at = forecaster_.full_at(candidates.front()->entry.service, now);
         const double full = full_at.value_or(std::numeric_limits<double>::max());
-        return refuse(call, unfit, room_share * full, rate_per_s, now);
+        return refuse(call, weighed->unfit, room_share * full, weighed->rate_per_s, now);
+    }
+    std::vector<double> shares;
+    shares.reserve(options.size());
+    for (const auto& option : options) {
+        shares.push_back(option.share);
     }
-    const auto weights = shares(options, concurrent_share * calls_in_progress + 1);
-    std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
+    std::discrete_distribution<std::size_t> draw(shares.begin(), shares.end());
     const auto& chosen = options[draw(random)];
-    return choice{chosen.upstream, chosen.forecast, {}, rate_per_s};
+    return choice{chosen.upstream, chosen.forecast, {}, weighed->rate_per_s};
 }
 
 } // namespace snipespar::gateway
--- a/src/gateway/plain_chooser.h
+++ b/src/gateway/plain_chooser.h
@@ -47,6 +47,27 @@
         double rate_per_s = 0;
     };
 
+    /// One upstream to which a call may go.
+    struct option {
+        const upstream_state* upstream = nullptr;
+        finish_forecast forecast;
+        /// Expected time to finish, with its penalties; `slope_s` more with each further call.
+        double finish_s = 0;
+        double slope_s = 0;
+        /// Share of the calls that goes there, relative to the other options.
+        double share = 0;
+    };
+
+    /// All upstreams as the draw for one call finds them.
+    struct weighing {
+        /// Those among which the call is drawn, the one that finishes first first.
+        std::vector<option> options;
+        /// Those that are forecast to finish too late, or have no room.
+        std::vector<option> unfit;
+        /// Calls that all of them complete each second.
+        double rate_per_s = 0;
+    };
+
     explicit plain_chooser(failure_domain_id own_domain) : own_domain_(std::move(own_domain)) {}
 
     /// `candidates`: one or more upstreams of one service. Nothing if too few of them state their
@@ -55,6 +76,11 @@
                                  const std::vector<const upstream_state*>& candidates,
                                  std::mt19937_64& random, time_point now) const;
 
+    /// What `choose` draws from.
+    std::optional<weighing> weigh(const need& call,
+                                  const std::vector<const upstream_state*>& candidates,
+                                  time_point now) const;
+
     finish_forecaster& forecaster() { return forecaster_; }
     const finish_forecaster& forecaster() const { return forecaster_; }
 
