--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -3,6 +3,7 @@
 #include "base/stable_hash.h"
 #include "base/text_view.h"
 #include "gateway/attempt_header.h"
+#include "gateway/call_deadline.h"
 #include "gateway/caller_connection.h"
 #include "gateway/channel_pool.h"
 #include "gateway/connect_probe.h"
@@ -25,9 +26,6 @@
 
 using std::chrono::milliseconds;
 
-// A response has to reach the caller before its deadline: 1 ms on the network, the rest for a busy
-// processor.
-constexpr auto response_margin = milliseconds(12);
 // With less time left no upstream can complete any work.
 constexpr auto min_useful_time = milliseconds(20);
 constexpr auto connect_timeout = milliseconds(300);
@@ -85,9 +83,6 @@
 constexpr std::size_t max_small_answer_bytes = 64UL * 1024;
 // Bytes that a caller may leave unread before its stream is aborted.
 constexpr std::size_t max_unsent_bytes = 1024UL * 1024;
-// How long the previous version of an adapter may be used after a newer one was announced. The
-// newer one must be used from 5 s after the announcement.
-constexpr auto version_grace = milliseconds(3500);
 // How long a take-up waits for the upstreams' entries: the store usually responds within 4 ms, and
 // within 250 ms when it is slow; another read may have been made just before.
 constexpr auto max_registry_wait = milliseconds(800);
@@ -153,7 +148,7 @@
         return false;
     }
     const auto wait = call_.caller_timeout.value_or(route_->time_limit);
-    deadline_ = arrived_at_ + std::min(wait, route_->time_limit) - response_margin;
+    deadline_ = call_deadline(*route_, wait, arrived_at_);
     if (!is_taken_while_stopping()) {
         refuse({503, "gateway_stopping", retry_delay(), false});
         return false;
@@ -444,11 +439,7 @@
 
 std::uint64_t call_exchange::min_version(time_point now) const
 {
-    const auto* announced = context_.versions.find(adapter_key());
-    if (announced == nullptr) {
-        return 0;
-    }
-    return now - announced->known_since < version_grace ? announced->previous : announced->version;
+    return context_.versions.min_version(adapter_key(), now);
 }
 
 void call_exchange::try_next_upstream()
@@ -494,10 +485,7 @@
 // waiting behind it, and its caller is told when its turn comes.
 time_point call_exchange::wanted_by() const
 {
-    if (sends_ > 0 || route_->target_latency <= duration{}) {
-        return deadline_;
-    }
-    return std::min(arrived_at_ + route_->target_latency, deadline_);
+    return sends_ > 0 ? deadline_ : gateway::wanted_by(*route_, arrived_at_, deadline_);
 }
 
 // Returns where the call can go now, and requests the replicas that its adapter should get.
--- a/src/gateway/version_table.cpp
+++ b/src/gateway/version_table.cpp
@@ -14,6 +14,10 @@
 // Bytes of a version beside the adapter's name.
 constexpr std::size_t version_bytes = 24;
 
+// How long the previous version of an adapter may be used after a newer one was announced. The
+// newer one must be used from 5 s after the announcement.
+constexpr auto version_grace = std::chrono::milliseconds(3500);
+
 } // namespace
 
 bool version_table::announce(const std::string& name, std::uint64_t version, time_point now)
@@ -33,6 +37,15 @@
     return found == versions_.end() ? nullptr : &found->second;
 }
 
+std::uint64_t version_table::min_version(std::string_view name, time_point now) const
+{
+    const auto* announced = find(name);
+    if (announced == nullptr) {
+        return 0;
+    }
+    return now - announced->known_since < version_grace ? announced->previous : announced->version;
+}
+
 void version_table::add_recent(std::map<std::string, std::uint64_t>& versions, std::uint64_t draw,
                                time_point now)
 {
--- a/src/gateway/version_table.h
+++ b/src/gateway/version_table.h
@@ -21,6 +21,10 @@
     /// Returns nullptr if no version of the adapter was announced.
     const announced_version* find(std::string_view name) const;
 
+    /// Lowest version of the adapter that may be used; 0 if none was announced. The previous one
+    /// may be used for a while.
+    std::uint64_t min_version(std::string_view name, time_point now) const;
+
     /// Adds versions that were announced lately to `versions`, as many as have room in a demand.
     /// They are taken in turn from a place that `draw` selects, so that several demands state them
     /// all.
