A gateway explains where a request would go

Change: `GET /explain` on a gateway's admin address. The admin server has one optional handler; other paths and processes are as before.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_server.h"
 
 #include "gateway/call_exchange.h"
+#include "gateway/call_explainer.h"
 #include "gateway/caller_connection.h"
 #include "gateway/connect_probe.h"
 #include "net/bind_status.h"
@@ -242,6 +243,7 @@
         [this] { return context_.metrics.registry.exposition(); },
         [this] { return readiness(); },
         [this] { return this->status(); },
+        [this](std::string_view query) { return explain(query); },
     };
     boost::system::error_code error;
     const auto address = asio::ip::make_address(settings_.admin_listen.ip, error);
@@ -610,6 +612,15 @@
     return value.dump();
 }
 
+telemetry::query_answer gateway_server::explain(std::string_view query) const
+{
+    const call_explainer explainer(settings_.host.str(),
+                                   {context_.config.get(), context_.upstreams, context_.selector,
+                                    context_.popularity, context_.versions, context_.gateways,
+                                    context_.is_draining});
+    return explainer.answer(query, steady_now());
+}
+
 void gateway_server::on_config_listed(const std::vector<platform::watched_object>& objects)
 {
     for (const auto& object : objects) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -26,6 +26,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace snipespar::telemetry {
@@ -82,6 +83,7 @@
     void slow_tick(time_point now);
     telemetry::readiness readiness() const;
     std::string status() const;
+    telemetry::query_answer explain(std::string_view query) const;
 
     void on_config_listed(const std::vector<platform::watched_object>& objects);
     void on_config_changed(const platform::watched_object& object);
--- a/src/telemetry/admin_server.cpp
+++ b/src/telemetry/admin_server.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/cleanup/cleanup.h>
 #include <absl/status/status.h>
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -61,7 +62,8 @@
                : plain_text(http::status::service_unavailable, "not ready: " + state.reason);
 }
 
-response_type handle_path(const admin_handlers& handlers, std::string_view path)
+response_type handle_path(const admin_handlers& handlers, std::string_view path,
+                          std::string_view query)
 {
     if (path == "/livez") {
         return plain_text(http::status::ok, "live");
@@ -76,13 +78,19 @@
     if (path == "/status") {
         return make_response(http::status::ok, "application/json", handlers.status());
     }
+    if (path == "/explain" && handlers.explain) {
+        auto answer = handlers.explain(query);
+        return make_response(http::int_to_status(answer.status), "application/json",
+                             std::move(answer.body));
+    }
     return plain_text(http::status::not_found, "no such path");
 }
 
-response_type answer_path(const admin_handlers& handlers, std::string_view path)
+response_type answer_path(const admin_handlers& handlers, std::string_view path,
+                          std::string_view query)
 {
     try {
-        return handle_path(handlers, path);
+        return handle_path(handlers, path, query);
     }
     catch (const std::exception& error) {
         return plain_text(http::status::internal_server_error, error.what());
@@ -93,9 +101,10 @@
 {
     const std::string target(request.target());
     const auto path = std::string_view(target).substr(0, target.find('?'));
+    const auto query = std::string_view(target).substr(std::min(path.size() + 1, target.size()));
     const bool is_get = request.method() == http::verb::get;
     const bool is_head = request.method() == http::verb::head;
-    auto response = is_get || is_head ? answer_path(handlers, path)
+    auto response = is_get || is_head ? answer_path(handlers, path, query)
                                       : plain_text(http::status::method_not_allowed,
                                                    "only GET and HEAD are allowed");
     response.version(request.version());
--- a/src/telemetry/admin_server.h
+++ b/src/telemetry/admin_server.h
@@ -9,7 +9,8 @@
 
 namespace snipespar::telemetry {
 
-/// Serves `/metrics`, `/livez`, `/readyz` (also `/ready`) and `/status` by HTTP on a separate port.
+/// Serves `/metrics`, `/livez`, `/readyz` (also `/ready`), `/status` and, where it has a handler,
+/// `/explain` by HTTP on a separate port.
 /// `/livez` succeeds as long as the executor runs.
 class admin_server {
 public:
--- a/tests/telemetry_admin_server_test.cpp
+++ b/tests/telemetry_admin_server_test.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -24,6 +25,7 @@
     CPPUNIT_TEST(unready_process_says_why);
     CPPUNIT_TEST(other_methods_and_paths_are_refused);
     CPPUNIT_TEST(malformed_request_is_refused_and_the_server_continues);
+    CPPUNIT_TEST(query_is_answered_where_it_has_a_handler);
     CPPUNIT_TEST(taken_port_is_an_error);
     CPPUNIT_TEST(failing_handler_ends_its_request_only);
     CPPUNIT_TEST(idle_connections_do_not_keep_a_probe_out);
@@ -83,6 +85,15 @@
         CPPUNIT_ASSERT_EQUAL(200U, get("/livez").status);
     }
 
+    void query_is_answered_where_it_has_a_handler()
+    {
+        const auto reply = get("/explain?a=1&b=%20?");
+        CPPUNIT_ASSERT_EQUAL(404U, reply.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("a=1&b=%20?"), reply.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("application/json"), reply.header("content-type"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), get("/explain").body);
+    }
+
     void taken_port_is_an_error()
     {
         boost::asio::io_context context;
@@ -132,10 +143,13 @@
     absl::StatusOr<std::unique_ptr<admin_server>> make()
     {
         const boost::asio::ip::tcp::endpoint any(boost::asio::ip::address_v4::loopback(), 0);
-        return admin_server::make(context_->get_executor(), any,
-                                  {.metrics = [] { return std::string("a_total 1\n"); },
-                                   .ready = [this] { return readiness_; },
-                                   .status = [this] { return status(); }});
+        return admin_server::make(
+            context_->get_executor(), any,
+            {.metrics = [] { return std::string("a_total 1\n"); },
+             .ready = [this] { return readiness_; },
+             .status = [this] { return status(); },
+             .explain =
+                 [](std::string_view query) { return query_answer{404, std::string(query)}; }});
     }
 
     http_reply call(const std::string& method, const std::string& target)
