snipespar explain: where a request would go now, and why

Change: the command asks one gateway at its admin address and prints a table or the JSON. It sends no key and no request. `--request-host` and `--request-path` are not `--host` and `--path`, as SNIPESPAR_HOST names the host of a process already. A gateway that does not answer is exit code 4, a question that it refuses 3, with one line for each fault.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -4,6 +4,7 @@
 #include "cli/setting_tables.h"
 #include "cli/value_parsers.h"
 
+#include <absl/status/status.h>
 #include <algorithm>
 #include <array>
 #include <docopt/docopt.h>
@@ -62,6 +63,10 @@
          {"key issue TEAM", "key withdraw KEY", "key list"},
          "Issues, withdraws and lists callers' keys.",
          operator_table()},
+        {"explain",
+         {"explain"},
+         "Shows where a running gateway would send a request now, and why; sends nothing.",
+         explain_table()},
     };
     return list;
 }
@@ -80,8 +85,8 @@
         text += fmt::format("  {}: {}\n", item.name, item.summary);
     }
     text += "\n`snipespar COMMAND --help` lists the settings of a command.\n"
-            "Exit codes: 0 done, 1 failed, 2 bad usage or settings, 3 document or change refused, "
-            "4 platform unreachable.\n";
+            "Exit codes: 0 done, 1 failed, 2 bad usage or settings, 3 document, change or question "
+            "refused, 4 platform or gateway unreachable.\n";
     return text;
 }
 
@@ -304,6 +309,36 @@
     return result;
 }
 
+absl::StatusOr<explain_command::form> parse_form(std::string_view text)
+{
+    if (text == "table") {
+        return explain_command::form::table;
+    }
+    if (text == "json") {
+        return explain_command::form::json;
+    }
+    return absl::InvalidArgumentError(fmt::format("\"{}\" is not table or json", text));
+}
+
+explain_command read_explain(settings_reader& reader)
+{
+    explain_command result;
+    result.gateway = reader.read_or_empty("gateway", parse_endpoint);
+    result.timeout = reader.read_or_empty("gateway-timeout", parse_duration);
+    result.query.host = reader.read_or_empty("request-host", parse_foreign_name);
+    result.query.path = reader.read_or_empty("request-path", parse_request_path);
+    const auto model = reader.read_or_empty("model", parse_optional_foreign_name);
+    const auto slash = std::min(model.find('/'), model.size());
+    result.query.model = model.substr(0, slash);
+    result.query.adapter = model.substr(std::min(slash + 1, model.size()));
+    result.query.team = reader.read_or_empty("team", parse_optional_foreign_name);
+    result.query.prompt_tokens = reader.read_or_empty("prompt-tokens", parse_number);
+    result.query.shared_tokens = reader.read_or_empty("shared-tokens", parse_number);
+    result.query.session = reader.read_or_empty("session", parse_request_text);
+    result.output = reader.read_or_empty("format", parse_form);
+    return result;
+}
+
 operator_settings read_operator(const command& item, settings_reader& reader,
                                 const docopt_values& values)
 {
@@ -320,6 +355,9 @@
     if (item.name == "status") {
         return status_command{read_access(reader), read_environment(reader)};
     }
+    if (item.name == "explain") {
+        return read_explain(reader);
+    }
     return read_key_command(reader, values);
 }
 
--- a/src/cli/operator_settings.h
+++ b/src/cli/operator_settings.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "cli/endpoint.h"
+#include "gateway/explain_query.h"
 #include "snipespar/ids.h"
 #include "snipespar/time.h"
 
+#include <cstdint>
 #include <string>
 #include <variant>
 
@@ -77,9 +79,23 @@
     friend bool operator==(const key_list_command&, const key_list_command&) = default;
 };
 
+/// `explain`: prints where a gateway would send a request now, and why.
+struct explain_command {
+    /// The form in which the answer is printed.
+    enum class form : std::uint8_t { table, json };
+
+    /// Admin address of the gateway.
+    endpoint gateway;
+    duration timeout{};
+    gateway::explain_query query;
+    form output = form::table;
+
+    friend bool operator==(const explain_command&, const explain_command&) = default;
+};
+
 /// One operator command with its validated settings.
 using operator_settings =
     std::variant<check_command, apply_command, promote_command, status_command, key_issue_command,
-                 key_withdraw_command, key_list_command>;
+                 key_withdraw_command, key_list_command, explain_command>;
 
 } // namespace snipespar::cli
--- a/src/cli/setting_tables.cpp
+++ b/src/cli/setting_tables.cpp
@@ -173,6 +173,26 @@
     platform_timeout_setting,
 };
 
+constexpr std::array explain_settings_list{
+    setting{"gateway", "<ip:port>", presence::required, "",
+            "Admin address of the gateway that is asked."},
+    setting{"request-host", "<name>", presence::required, "", "Host that the request names."},
+    setting{"request-path", "<path>", presence::required, "", "Path of the request."},
+    setting{"model", "<model/adapter>", presence::defaulted, "",
+            "Model that the request names, with its adapter if it needs one."},
+    setting{"team", "<name>", presence::defaulted, "", "Team of the request. No key is needed."},
+    setting{"prompt-tokens", "<number>", presence::defaulted, "0", "Tokens of the prompt."},
+    setting{"shared-tokens", "<number>", presence::defaulted, "0",
+            "Tokens of the prompt that the request shares with its session."},
+    setting{
+        "session", "<parts>", presence::defaulted, "",
+        "Those parts of the prompt, as callers state them. Shared tokens count only with them."},
+    setting{"format", "<form>", presence::defaulted, "table",
+            "How the answer is printed: `table` or `json`."},
+    setting{"gateway-timeout", "<duration>", presence::defaulted, "5s",
+            "How long the command waits for the answer."},
+};
+
 constexpr std::array check_settings_list{environment_setting};
 
 } // namespace
@@ -207,6 +227,11 @@
     return operator_settings_list;
 }
 
+std::span<const setting> explain_table()
+{
+    return explain_settings_list;
+}
+
 std::span<const setting> promote_table()
 {
     return promote_settings_list;
--- a/src/cli/setting_tables.h
+++ b/src/cli/setting_tables.h
@@ -27,4 +27,7 @@
 /// Settings of `snipespar promote`.
 std::span<const setting> promote_table();
 
+/// Settings of `snipespar explain`.
+std::span<const setting> explain_table();
+
 } // namespace snipespar::cli
--- a/src/cli/value_parsers.cpp
+++ b/src/cli/value_parsers.cpp
@@ -22,6 +22,9 @@
 
 constexpr std::size_t max_name_length = 63;
 constexpr std::size_t max_foreign_name_length = 253;
+// All parameters of a question fit into the 8 KiB that an admin server reads, also if each byte is
+// encoded as three.
+constexpr std::size_t max_request_text_length = 700;
 constexpr std::uint32_t max_threads = 1024;
 
 struct unit {
@@ -291,6 +294,23 @@
     return unexpected(text, "recency or demand");
 }
 
+absl::StatusOr<std::string> parse_request_text(std::string_view text)
+{
+    if (text.size() > max_request_text_length || !is_utf8(text) ||
+        !std::ranges::all_of(text, is_visible)) {
+        return unexpected(text, "a text of at most 700 bytes of UTF-8 without spaces");
+    }
+    return std::string(text);
+}
+
+absl::StatusOr<std::string> parse_request_path(std::string_view text)
+{
+    if (!text.starts_with('/')) {
+        return unexpected(text, "a path that begins with /");
+    }
+    return parse_request_text(text);
+}
+
 absl::StatusOr<std::string> parse_path(std::string_view text)
 {
     if (text.empty()) {
--- a/src/cli/value_parsers.h
+++ b/src/cli/value_parsers.h
@@ -61,6 +61,12 @@
 /// `recency` or `demand`.
 absl::StatusOr<retention_rule> parse_retention(std::string_view text);
 
+/// A text of at most 700 bytes of UTF-8 without spaces and control characters; may be empty.
+absl::StatusOr<std::string> parse_request_text(std::string_view text);
+
+/// As `parse_request_text`, beginning with a slash.
+absl::StatusOr<std::string> parse_request_path(std::string_view text);
+
 /// A path of a file; not empty.
 absl::StatusOr<std::string> parse_path(std::string_view text);
 
--- a/src/operator/run_operator.cpp
+++ b/src/operator/run_operator.cpp
@@ -7,6 +7,7 @@
 #include "config/key_change.h"
 #include "config/promotion.h"
 #include "operator/platform_session.h"
+#include "operator/run_explain.h"
 
 #include <algorithm>
 #include <fmt/core.h>
@@ -189,6 +190,8 @@
         return exit_code::ok;
     }
 
+    exit_code operator()(const cli::explain_command& command) const { return run_explain(command); }
+
     static exit_code report_load(const std::string& environment, const absl::Status& status)
     {
         if (absl::IsNotFound(status)) {
--- a/tests/cli_command_line_test.cpp
+++ b/tests/cli_command_line_test.cpp
@@ -279,6 +279,13 @@
                        parse_operator<key_withdraw_command>({"key", "withdraw", "k1", platform}));
         CPPUNIT_ASSERT((key_list_command{access, "trial"}) ==
                        parse_operator<key_list_command>({"key", "list", platform}));
+        const auto asked = parse_operator<explain_command>(
+            {"explain", "--gateway=127.0.0.1:9", "--request-host=a.example", "--request-path=/s/x",
+             "--model=base/a1", "--prompt-tokens=12", "--format=json"});
+        CPPUNIT_ASSERT((explain_command{{"127.0.0.1", 9},
+                                        5s,
+                                        {"a.example", "/s/x", "base", "a1", {}, 12, 0, {}},
+                                        explain_command::form::json}) == asked);
         parse_failure({"promote", platform, "--from=a", "--to=a"}, {});
         parse_failure({"key", "issue", "a b", platform}, {});
     }
@@ -290,6 +297,14 @@
         assert_contains(parse_failure({"entry", "--bogus"}, {}).text, "--bogus");
         assert_contains(parse_failure({"check"}, {}).text, "snipespar check FILE");
         assert_contains(parse_failure({"key"}, {}).text, "snipespar key issue TEAM");
+        const auto question =
+            parse_failure({"explain", "--gateway=x", "--request-host=a", "--request-path=s",
+                           "--prompt-tokens=-1", "--format=xml"},
+                          {});
+        for (const std::string place :
+             {"--gateway: ", "--request-path: ", "--prompt-tokens: ", "--format: "}) {
+            assert_contains(question.text, place);
+        }
         parse_failure({"entry", "stray"}, {});
         parse_failure({"entry", "--host"}, {});
     }
@@ -297,7 +312,7 @@
     void help_and_version_succeed()
     {
         for (const std::string command :
-             {"entry", "agent", "check", "apply", "promote", "status", "key"}) {
+             {"entry", "agent", "check", "apply", "promote", "status", "key", "explain"}) {
             const auto parsed = parse_command_line({command, "--help"}, {});
             CPPUNIT_ASSERT(std::get<printed_text>(parsed).code == exit_code::ok);
         }
--- a/tests/cli_value_parsers_test.cpp
+++ b/tests/cli_value_parsers_test.cpp
@@ -79,6 +79,12 @@
                                        std::string("\xc3\xa9"), std::string(64, 'a')}) {
             CPPUNIT_ASSERT_MESSAGE(bad, !parse_name(bad).ok());
         }
+        CPPUNIT_ASSERT_EQUAL(std::string("/a?b=%20"), parse_request_path("/a?b=%20").value());
+        for (const std::string& bad : {std::string(), std::string("a/b"), std::string("/a b"),
+                                       std::string("/\xff"), "/" + std::string(700, 'a')}) {
+            CPPUNIT_ASSERT_MESSAGE(bad, !parse_request_path(bad).ok());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), parse_request_text("").value());
         CPPUNIT_ASSERT(!parse_number("18446744073709551616").ok());
         CPPUNIT_ASSERT(!parse_number("0x10").ok());
         CPPUNIT_ASSERT(!parse_thread_count("0").ok());
--- a/tests/docs_coverage_test.cpp
+++ b/tests/docs_coverage_test.cpp
@@ -72,9 +72,9 @@
     void every_setting_is_documented()
     {
         const auto docs = operators_docs();
-        for (const auto table :
-             {cli::entry_table(), cli::agent_table(), cli::gateway_table(), cli::sidecar_table(),
-              cli::operator_table(), cli::promote_table(), cli::check_table()}) {
+        for (const auto table : {cli::entry_table(), cli::agent_table(), cli::gateway_table(),
+                                 cli::sidecar_table(), cli::operator_table(), cli::promote_table(),
+                                 cli::check_table(), cli::explain_table()}) {
             for (const auto& item : table) {
                 assert_named(docs, cli::variable_of(item));
             }
