--- a/tests/sidecar_load_time_estimate_test.cpp
+++ b/tests/sidecar_load_time_estimate_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(first_load_from_the_engines_memory_is_recognized_later);
     CPPUNIT_TEST(slower_loads_show_a_busy_store);
     CPPUNIT_TEST(store_is_idle_again_after_fast_loads);
+    CPPUNIT_TEST(stalled_loads_are_forgotten);
+    CPPUNIT_TEST(single_stalled_load_leaves_the_estimate);
     CPPUNIT_TEST(clock_that_stood_still_is_ignored);
     CPPUNIT_TEST_SUITE_END();
 
@@ -68,6 +70,29 @@
         CPPUNIT_ASSERT(!estimate.is_store_busy());
     }
 
+    // Four loads that a frozen host had held up were taken for the store's time, and all later ones
+    // for loads from the engine's memory: the engine counted as full for the rest of its life.
+    void stalled_loads_are_forgotten()
+    {
+        load_time_estimate estimate;
+        load(estimate, milliseconds(257), 3);
+        load(estimate, milliseconds(2000), 4);
+        load(estimate, milliseconds(257), 20);
+        CPPUNIT_ASSERT(!estimate.is_store_busy());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.257, estimate.usual_s(), 0.001);
+    }
+
+    // One load that took eight times as long made a busy store look idle.
+    void single_stalled_load_leaves_the_estimate()
+    {
+        load_time_estimate estimate;
+        load(estimate, milliseconds(257), 3);
+        load(estimate, milliseconds(2000));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.257, estimate.usual_s(), 0.001);
+        load(estimate, milliseconds(900), 3);
+        CPPUNIT_ASSERT(estimate.is_store_busy());
+    }
+
     void clock_that_stood_still_is_ignored()
     {
         load_time_estimate estimate;
