Heartbeats do not confirm a report that some gateways have replaced

Cause: a report to some gateways has a later number than the last one to all. When the status became that of the last report to all again, the next round was a heartbeat, which gateways with the later report take as its confirmation: for up to 1.8 s they went by an eviction or a shortage that had been taken back. Change: last_broadcast keeps the last report to all, and none is confirmed after a report to some. Result: report_to_some_gateways_is_not_confirmed_to_all fails with on_sent_to_some left empty, which is the rule before, and passes with it.

--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -46,8 +46,6 @@
 constexpr auto report_lifetime = milliseconds(1000);
 // A gateway reports at least every two seconds.
 constexpr auto gateway_expiry = milliseconds(5000);
-// A whole report goes to all gateways at least this often, as datagrams may be lost.
-constexpr auto whole_report_interval = milliseconds(1800);
 // A single report may be lost while the engine is healthy.
 constexpr int missed_report_limit = 2;
 // Rounds that fail in a row before the sidecar is not ready.
@@ -393,7 +391,7 @@
     if (is_new) {
         roster_.on_new(from);
         published_at_ = {};
-        broadcast_at_ = {};
+        broadcast_.on_new_gateway();
         gateways_published_at_ = {};
         log_.info("gateway_heard", {{"gateway", demand.gateway}, {"address", from.str()}});
     }
@@ -439,15 +437,15 @@
     if (is_broadcast) {
         published_at_ = now;
     }
-    if (is_broadcast && equal_but_for_load(broadcast_, status) &&
-        now - broadcast_at_ < whole_report_interval) {
+    if (is_broadcast && broadcast_.can_confirm(status, now)) {
         return send_heartbeat(status);
     }
     ++sequence_;
     if (is_broadcast) {
-        broadcast_ = status;
-        broadcast_at_ = now;
-        broadcast_sequence_ = sequence_;
+        broadcast_.on_sent_to_all(status, sequence_, now);
+    }
+    else {
+        broadcast_.on_sent_to_some();
     }
     status.engine = settings_.engine.str();
     status.sidecar_start = start_;
@@ -486,7 +484,7 @@
         .engine = settings_.engine.str(),
         .sidecar_start = start_,
         .sequence = ++sequence_,
-        .report_sequence = broadcast_sequence_,
+        .report_sequence = broadcast_.sequence(),
         .running = status.running,
         .waiting = status.waiting,
         .workload = status.workload,
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -8,6 +8,7 @@
 #include "sidecar/adapter_planner.h"
 #include "sidecar/cold_permits.h"
 #include "sidecar/gateway_roster.h"
+#include "sidecar/last_broadcast.h"
 #include "sidecar/prompt_pacer.h"
 #include "sidecar/prompt_queue.h"
 #include "sidecar/run_time_estimate.h"
@@ -93,10 +94,7 @@
     /// The status last sent to any gateway, and when one was last sent to all.
     gateway::engine_status published_;
     time_point published_at_;
-    /// The last whole report to all gateways.
-    gateway::engine_status broadcast_;
-    time_point broadcast_at_;
-    std::uint64_t broadcast_sequence_ = 0;
+    last_broadcast broadcast_;
     time_point gateways_published_at_;
     time_point reported_at_;
     std::uint64_t sequence_ = 0;
