Retention by demand in mixed builds and after lost messages

Cause: gateways of an earlier build state no calls begun, so that their adapters were evicted first during a roll, however busy; so did one lost message. A sidecar rolled back to a build that reads two counts rejects every message with a third, so it never hears of a gateway that keeps sending calls, which never learns that the count is not read. The load of a replacement was measured until the next report, as the adapter stays resident. Change: a use that is new and without count stands for the running calls; the count is stated only while the sidecar's status is fresh; replacements are not measured. Result: calls_of_gateways_that_state_no_count_are_seen fails before the change and passes with it. silent_sidecar_is_not_told_of_calls_begun tests a function that did not exist before. No test for the measure of replacements.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -1047,13 +1047,14 @@
         .uses = {},
         .versions = {},
     };
+    const bool counts_calls = upstream_table::counts_calls(*state, now);
     for (const auto& [name, calls] : state->adapters) {
         const auto slash = name.find('/');
         if (calls.has_news(now)) {
             // A requested replica counts as one waiting call.
             const int waiting = calls.waiting + (now < calls.requested_until ? 1 : 0);
             demand.uses.push_back({name.substr(0, slash), name.substr(slash + 1), waiting,
-                                   calls.running, calls.begun});
+                                   calls.running, counts_calls ? calls.begun : 0});
             if (const auto* announced = context_.versions.find(name)) {
                 demand.versions[name] = announced->version;
             }
--- a/src/gateway/upstream_conditions.cpp
+++ b/src/gateway/upstream_conditions.cpp
@@ -59,6 +59,12 @@
     return is_lost || is_other_process ? std::string() : state.entry.software;
 }
 
+bool upstream_table::counts_calls(const upstream_state& state, time_point now)
+{
+    return state.status && state.status->counts_calls &&
+           now - state.status_at <= sidecar_status_lifetime;
+}
+
 bool upstream_table::can_load(const upstream_state& state, const std::string& model, time_point now)
 {
     if (!state.status || now - state.status_at > sidecar_status_lifetime) {
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -160,6 +160,10 @@
     /// (`is_registry_read_since`).
     std::optional<std::string> sole_version(const std::string& service, time_point now) const;
 
+    /// Whether its sidecar, as far as is known, reads how many calls have begun. A sidecar that has
+    /// not been heard lately may be of an earlier build by now, which rejects a message with them.
+    static bool counts_calls(const upstream_state& state, time_point now);
+
     /// Whether the upstream can load an adapter of the model soon.
     static bool can_load(const upstream_state& state, const std::string& model, time_point now);
 
--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -82,11 +82,15 @@
     }
     adapter_slots_ = demand.adapter_slots;
     models_ = demand.models;
+    std::set<std::string> used_before;
     for (auto& [name, state] : adapters_) {
-        state.uses.erase(demand.gateway);
+        if (state.uses.erase(demand.gateway) > 0) {
+            used_before.insert(name);
+        }
     }
     for (const auto& use : demand.uses) {
         auto& state = state_of(use.model, use.adapter);
+        const auto name = name_of(use.model, use.adapter);
         if (use.waiting > 0 || use.running > 0) {
             state.uses[demand.gateway] = {use.waiting, use.running, now};
         }
@@ -94,7 +98,9 @@
         if (retention_ == cli::retention_rule::demand) {
             state.recent_users[demand.gateway] = now;
         }
-        history_.on_calls(name_of(use.model, use.adapter), use.begun, now);
+        // An earlier build states no calls begun, and a message that did may have been lost.
+        const bool is_unstated = use.begun == 0 && !used_before.contains(name);
+        history_.on_calls(name, is_unstated ? use.running : use.begun, now);
         if (use.waiting > 0 && !state.waiting_since) {
             state.waiting_since = now;
         }
@@ -173,7 +179,10 @@
         }
         else if (order.op == engine_order::operation::load) {
             ordered_loads_[name] = now;
-            load_ordered_at_[name] = now;
+            // A replaced adapter stays resident, so that no report shows when its load has ended.
+            if (!is_resident(name)) {
+                load_ordered_at_[name] = now;
+            }
         }
         else if (result == order_result::done) {
             report_->adapters.erase(name);
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(older_status_does_not_replace_a_newer_one);
     CPPUNIT_TEST(end_of_use_is_notified_when_slots_are_short);
     CPPUNIT_TEST(ended_call_is_kept_until_it_was_stated);
+    CPPUNIT_TEST(silent_sidecar_is_not_told_of_calls_begun);
     CPPUNIT_TEST(upstream_is_kept_while_calls_run_there);
     CPPUNIT_TEST(frozen_host_is_unresponsive);
     CPPUNIT_TEST(heartbeat_confirms_the_last_report);
@@ -298,6 +299,22 @@
         CPPUNIT_ASSERT(!table.find(id)->adapters.contains("base/a2"));
     }
 
+    // A sidecar rolled back to a build that rejects the count never heard of a busy gateway again,
+    // which therefore never learned that the count is not read any more.
+    void silent_sidecar_is_not_told_of_calls_begun()
+    {
+        upstream_table table;
+        const auto id = report_engine(table, 1);
+        CPPUNIT_ASSERT(!upstream_table::counts_calls(*table.find(id), start));
+        engine_status status = *table.find(id)->status;
+        status.sequence = 2;
+        status.counts_calls = true;
+        table.on_engine_status(status, start);
+        CPPUNIT_ASSERT(upstream_table::counts_calls(*table.find(id), start + milliseconds(450)));
+        table.on_response_started(id, 0, start + milliseconds(1900));
+        CPPUNIT_ASSERT(!upstream_table::counts_calls(*table.find(id), start + milliseconds(2000)));
+    }
+
     void upstream_is_kept_while_calls_run_there()
     {
         upstream_table table;
--- a/tests/sidecar_adapter_retention_test.cpp
+++ b/tests/sidecar_adapter_retention_test.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/adapter_planner.h"
 
+#include "gateway/engine_status.h"
+
 #include <cmath>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -122,6 +124,7 @@
     CPPUNIT_TEST(skewed_demand_needs_fewer_loads);
     CPPUNIT_TEST(adapter_in_steady_demand_outlives_single_calls);
     CPPUNIT_TEST(demand_that_has_moved_is_forgotten);
+    CPPUNIT_TEST(calls_of_gateways_that_state_no_count_are_seen);
     CPPUNIT_TEST(flood_of_names_does_not_grow_the_history);
     CPPUNIT_TEST(excessive_count_is_bounded);
     CPPUNIT_TEST_SUITE_END();
@@ -161,6 +164,33 @@
         CPPUNIT_ASSERT(history.calls("base/old", later) < history.calls("base/new", later));
     }
 
+    // In a roll, or after a lost message, a busy adapter counted as unused and was evicted first.
+    void calls_of_gateways_that_state_no_count_are_seen()
+    {
+        adapter_planner planner(retention_rule::demand);
+        const auto state = [&](const std::string& gateway,
+                               const std::vector<control::adapter_use>& uses, time_point now) {
+            planner.on_demand({gateway, 1, "i-1", 1, 2, {"base"}, uses, {}}, now);
+        };
+        engine_report report;
+        report.process_start_ms = 1;
+        report.models = {"base"};
+        report.adapters = {{"base/busy", 1}, {"base/rare", 1}};
+        auto now = start;
+        for (int i = 0; i < 10; ++i, now += milliseconds(500)) {
+            planner.on_report(report, now);
+            state("earlier build", {{"base", "busy", 0, 3}}, now);
+            state("earlier build", {}, now + milliseconds(250));
+        }
+        state("g1", {{"base", "rare", 0, 0, 1}}, now);
+        now += milliseconds(500);
+        planner.on_report(report, now);
+        planner.next_order(now);
+        const auto status = planner.status();
+        CPPUNIT_ASSERT(status.adapters.contains("base/busy"));
+        CPPUNIT_ASSERT(!status.adapters.contains("base/rare"));
+    }
+
     void flood_of_names_does_not_grow_the_history()
     {
         adapter_history history;
