--- a/tests/sidecar_adapter_retention_test.cpp
+++ b/tests/sidecar_adapter_retention_test.cpp
@@ -39,6 +39,7 @@
     void step(milliseconds length)
     {
         std::vector<control::adapter_use> uses;
+        uses.reserve(begun_.size());
         for (const auto& [adapter, calls] : begun_) {
             uses.push_back({"base", adapter, waiting_.contains(adapter) ? 1 : 0, 0, calls});
         }
