A poll of the store that a short outage swallows is noticed soon

Cause of the failures of watch_lost_by_an_unresponsive_store_is_detected beside load: a store that is unresponsive loses the polls that it accepts, and only the polls of the upstreams, 1.5 s long, show it. After a poll with an answer they pause for 700 ms (--leave-bound=2s), so that an outage which lies in the pause loses a poll of the configuration alone, and that is given up after 26.5 s. The test's outage of 1 s began at the start, 700 ms before the next poll of the upstreams: a gateway held up for 300 ms by load sent it after the outage. The fault is the product's: an outage of 300 ms suffices without load. Change: each poll of another kind that waits for changes is followed by a read of the upstreams at once, in place of their pause or of the poll under way. If the store loses the one, it loses the other, and that loss has all watches read again, as before. The price is a read for each such poll: one per kind every 25 s and one for each change. The tests' failure message is now the gateway's log; the bound is untouched. Remains: an outage that begins and ends between the two sends, which follow each other in one round of events, and a lost answer to one poll alone, are noticed by other gateways or after 26.5 s as before.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -204,6 +204,7 @@
                  context_.upstreams.on_registry_read(asked_at);
              }
          },
+         [this, kind] { on_poll_started(kind); },
          [this, kind](const platform::store_read& read) { on_read_ended(kind, read); }});
 }
 
@@ -852,6 +853,15 @@
     }
 }
 
+// A store that is unresponsive now loses this poll, which waits for too long to show it. The read
+// of the upstreams is lost as well then, and shows it soon.
+void gateway_server::on_poll_started(const std::string& kind)
+{
+    if (kind != platform::wire::upstream_kind) {
+        upstream_watch_.read_again({});
+    }
+}
+
 // Polls of the usual kind and size are only counted, as there are several a second.
 void gateway_server::on_read_ended(const std::string& kind, const platform::store_read& read)
 {
--- a/tests/process/gateway_path_test.cpp
+++ b/tests/process/gateway_path_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(withdrawn_key_and_removed_route_are_refused);
     CPPUNIT_TEST(configuration_survives_a_lost_history);
     CPPUNIT_TEST(watch_lost_by_an_unresponsive_store_is_detected);
+    CPPUNIT_TEST(poll_of_the_configuration_lost_by_a_short_outage_is_detected);
     CPPUNIT_TEST(stream_is_resumed_on_another_engine);
     CPPUNIT_TEST(broken_stream_waits_for_an_engine_that_can_take_it);
     CPPUNIT_TEST(unsafe_call_is_not_repeated);
@@ -159,11 +160,37 @@
         CPPUNIT_ASSERT(fleet.change_config(
             [](nlohmann::json& config) { config["tenants"][0]["api_keys"] = {"key-2"}; }));
         // Bound set by the users: 3 s of normal operation, 5 s of an outage, 2 s for the change.
-        CPPUNIT_ASSERT(wait_until(
+        const bool is_refused = wait_until(
+            [&] {
+                return send(fleet.gateways[0], fleet.make_call("/unsafe/x", "1")).status == 401;
+            },
+            std::chrono::seconds(10));
+        CPPUNIT_ASSERT_MESSAGE(fleet.gateways[0].process->output(), is_refused);
+    }
+
+    // Guards against a lost poll of the configuration that is given up after its whole wait only,
+    // as the outage fell between two polls of the upstreams.
+    void poll_of_the_configuration_lost_by_a_short_outage_is_detected()
+    {
+        // Within the pause between two polls of the upstreams, 700 ms with the default bound.
+        constexpr std::chrono::milliseconds outage{300};
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .has_store_relay = true});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        // Ends the current poll of the upstreams.
+        CPPUNIT_ASSERT(fleet.announce(fleet.services[0], "desk", true));
+        fleet.store_relay->set_towards_target(relay_mode::drop);
+        CPPUNIT_ASSERT(fleet.change_config([](nlohmann::json&) {}));
+        std::this_thread::sleep_for(outage);
+        fleet.store_relay->set_towards_target(relay_mode::pass);
+        CPPUNIT_ASSERT(fleet.change_config(
+            [](nlohmann::json& config) { config["tenants"][0]["api_keys"] = {"key-2"}; }));
+        // The bound of `watch_lost_by_an_unresponsive_store_is_detected`.
+        const bool is_refused = wait_until(
             [&] {
                 return send(fleet.gateways[0], fleet.make_call("/unsafe/x", "1")).status == 401;
             },
-            std::chrono::seconds(10)));
+            std::chrono::seconds(10));
+        CPPUNIT_ASSERT_MESSAGE(fleet.gateways[0].process->output(), is_refused);
     }
 
     void stream_is_resumed_on_another_engine()
