Time that a request waited unread after a standstill is taken off its limit

A gateway that had stood still gave upstreams the time that had passed in the socket's queue, and sent on requests whose time had passed there. Change: queue_clock sees by a late tick (over 100 ms for 20 ms) that the process was behind; for requests read then, and for as long again, the kernel is asked how long the connection has received nothing (TCP_INFO), bounded by the standstill, and the request counts as that much older. The request came no later than the last bytes of its connection, so that the age is never overstated; where the system does not tell, all is as before. The limit on slow requests still counts from the first read. No system call while ticks are in time.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -152,6 +152,8 @@
     while (!input_.empty() && exchange_ == nullptr && !is_closing_ && !is_closed_) {
         if (!request_started_at_) {
             request_started_at_ = steady_now();
+            request_arrived_at_ = context_.arrivals.arrival(
+                *request_started_at_, [this] { return net::time_since_received(socket_); });
             reset_parser();
         }
         boost::system::error_code error;
@@ -197,7 +199,7 @@
 
 void caller_connection::start_request()
 {
-    const auto arrived = *std::exchange(request_started_at_, std::nullopt);
+    request_started_at_.reset();
     context_.metrics.calls.add();
     auto received = parser_->release();
     http::request<http::string_body> message(head_ ? *std::exchange(head_, std::nullopt)
@@ -214,7 +216,7 @@
         return send_refusal({400, std::string(call.status().message()), std::nullopt, closes}, id);
     }
     exchange_ = std::make_shared<call_exchange>(
-        context_, shared_from_this(), *std::move(call), arrived,
+        context_, shared_from_this(), *std::move(call), request_arrived_at_,
         std::exchange(input_share_, memory_share(context_.request_memory)));
     const auto started = exchange_;
     context_.exchanges.insert(started);
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -106,8 +106,10 @@
     time_point write_progress_at_;
     memory_share output_share_;
     std::shared_ptr<call_exchange> exchange_;
-    /// When the first byte of the request being read arrived; unset between requests.
+    /// When the first byte of the request being read was read; unset between requests.
     std::optional<time_point> request_started_at_;
+    /// When that byte arrived, as far as is known.
+    time_point request_arrived_at_{};
     time_point idle_since_;
     bool is_reading_ = false;
     bool is_writing_ = false;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 #include "gateway/fleet_config.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/memory_budget.h"
+#include "gateway/queue_clock.h"
 #include "gateway/resume_queue.h"
 #include "gateway/return_schedule.h"
 #include "gateway/stop_plan.h"
@@ -71,6 +72,8 @@
     std::map<std::string, resume_queue> resumptions;
     std::uint64_t last_resumption = 0;
     version_table versions;
+    /// When requests of callers arrived.
+    queue_clock arrivals;
     channel_pool channels;
     std::mt19937_64 random;
     /// Exchanges in progress.
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -457,6 +457,7 @@
             {{"ms", std::chrono::duration_cast<milliseconds>(now - *last_tick_at_).count()}});
     }
     last_tick_at_ = now;
+    context_.arrivals.on_tick(now);
     perform(origins_.on_tick(now));
     const auto active = context_.exchanges;
     for (const auto& exchange : active) {
--- a/src/net/socket_options.cpp
+++ b/src/net/socket_options.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/detail/socket_option.hpp>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace snipespar::net {
 
@@ -32,4 +33,14 @@
     socket.set_option(tcp_option<TCP_USER_TIMEOUT>(unacknowledged_timeout_ms), ignored);
 }
 
+duration time_since_received(asio::ip::tcp::socket& socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    if (getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return {};
+    }
+    return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 } // namespace snipespar::net
--- a/src/net/socket_options.h
+++ b/src/net/socket_options.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "snipespar/time.h"
+
 #include <boost/asio/ip/tcp.hpp>
 
 namespace snipespar::net {
@@ -9,4 +11,8 @@
 /// about three seconds. An option that cannot be set is ignored: the connection works without it.
 void set_liveness_options(boost::asio::ip::tcp::socket& socket);
 
+/// Time since the connection last received bytes, whether read or not; zero if the system does not
+/// tell.
+duration time_since_received(boost::asio::ip::tcp::socket& socket);
+
 } // namespace snipespar::net
--- a/tests/process/gateway_delivery_test.cpp
+++ b/tests/process/gateway_delivery_test.cpp
@@ -28,6 +28,10 @@
 // The caller reads so much at a time, often enough to count as alive.
 constexpr std::size_t slow_read_bytes = 64UL * 1024;
 constexpr milliseconds slow_read_interval{500};
+// Shorter than the time after which a gateway gives up a silent caller.
+constexpr milliseconds standstill{1200};
+// Resolution of the kernel's clock of a connection.
+constexpr milliseconds kernel_tick{10};
 
 std::string to_text(const http_call& call)
 {
@@ -66,6 +70,8 @@
     CPPUNIT_TEST(answer_not_written_yet_is_not_cut_by_a_stop);
     CPPUNIT_TEST(call_in_the_listen_queue_of_a_stopping_gateway_is_answered);
     CPPUNIT_TEST(request_whose_caller_left_unread_is_not_sent_on);
+    CPPUNIT_TEST(time_that_passed_unread_is_taken_off_the_time_limit);
+    CPPUNIT_TEST(request_whose_time_passed_unread_is_not_sent_on);
     CPPUNIT_TEST(open_requests_are_answered_before_the_end_of_the_grace);
     CPPUNIT_TEST(call_that_comes_late_in_the_grace_is_refused_at_once);
     CPPUNIT_TEST(idle_callers_do_not_use_up_the_descriptors);
@@ -150,6 +156,29 @@
         CPPUNIT_ASSERT_EQUAL(std::string::npos, runs.find("g1"));
     }
 
+    // Guards against an upstream that is given time which has passed while the gateway stood still.
+    void time_that_passed_unread_is_taken_off_the_time_limit()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        const auto answer = call_during_standstill(fleet, milliseconds(3000));
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200"));
+        const auto runs = fleet.runs(fleet.services[0])["runs"];
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runs.size());
+        const auto given = std::stoi(runs[0]["headers"]["Deadline-Ms"].get<std::string>());
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} ms", given),
+                               milliseconds(given) <=
+                                   milliseconds(3000) - standstill + kernel_tick);
+    }
+
+    // Guards against work for a caller whose time limit passed while the gateway stood still.
+    void request_whose_time_passed_unread_is_not_sent_on()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        const auto answer = call_during_standstill(fleet, standstill / 2);
+        CPPUNIT_ASSERT_MESSAGE(answer, !answer.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT(fleet.runs(fleet.services[0])["runs"].empty());
+    }
+
     // Guards against requests that are cut off without an answer at the end of a planned stop.
     void open_requests_are_answered_before_the_end_of_the_grace()
     {
@@ -335,6 +364,22 @@
     }
 
 private:
+    // Sends a request with this time limit to a gateway that stands still; returns its answer.
+    static std::string call_during_standstill(gateway_fleet& fleet, milliseconds limit)
+    {
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        auto call = fleet.make_call("/unsafe/x", "q1");
+        call.headers["Deadline-Ms"] = fmt::format("{}", limit.count());
+        call.headers["Connection"] = "close";
+        raw_caller caller(gateway.address);
+        gateway.process->signal(SIGSTOP);
+        CPPUNIT_ASSERT(caller.send(to_text(call)));
+        std::this_thread::sleep_for(standstill);
+        gateway.process->signal(SIGCONT);
+        return caller.read_to_end();
+    }
+
     // Reads a part of the answer over the time that a stopping gateway needs to exit.
     static std::string read_slowly(raw_caller& caller)
     {
