No coroutine ends by an exception without a line of the log

Cause: 13 coroutines were spawned with asio::detached, which drops the exception that ends them: a sidecar's reads of its engine, the accept loops, the admin port or an entry's watch could end for good without a trace. Change: telemetry::spawn_task names each of them and logs task_failed with the task and the reason. The admin server gets its process's log; entries, agents and operator tools log to standard error as they do elsewhere. What the task did is not begun anew. An operator's call to the store that ends so is now an error; its reply stayed a success without objects. Existing tests: telemetry_admin_server_test passes a log to make().

--- a/src/agent/adapter_orders.cpp
+++ b/src/agent/adapter_orders.cpp
@@ -1,8 +1,8 @@
 #include "agent/adapter_orders.h"
 
+#include "telemetry/spawn_task.h"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
@@ -88,13 +88,12 @@
 void adapter_orders::order(const char* path, std::string body, std::uint64_t fencing_number,
                            order_done done) const
 {
-    asio::co_spawn(
-        executor_,
-        [engine = engine_, message = order_message{path, std::move(body), fencing_number},
-         done = std::move(done)]() -> asio::awaitable<void> {
-            done(co_await send_order(engine, message));
-        },
-        asio::detached);
+    telemetry::spawn_task(executor_, telemetry::logger(), "adapter_order",
+                          [engine = engine_,
+                           message = order_message{path, std::move(body), fencing_number},
+                           done = std::move(done)]() -> asio::awaitable<void> {
+                              done(co_await send_order(engine, message));
+                          });
 }
 
 } // namespace snipespar::agent
--- a/src/agent/upstream_call.cpp
+++ b/src/agent/upstream_call.cpp
@@ -2,11 +2,10 @@
 
 #include "base/json_reader.h"
 #include "net/event_stream_parser.h"
+#include "telemetry/spawn_task.h"
 
 #include <array>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -125,13 +124,12 @@
 
 void upstream_call::start(finished_function finished)
 {
-    asio::co_spawn(
-        stream_.get_executor(),
+    telemetry::spawn_task(
+        stream_.get_executor(), telemetry::logger(), "upstream_call",
         [self = shared_from_this(), finished = std::move(finished)]() -> asio::awaitable<void> {
             co_await self->run();
             finished();
-        },
-        asio::detached);
+        });
 }
 
 void upstream_call::add_window(std::uint64_t bytes)
--- a/src/agent/upstream_probe.cpp
+++ b/src/agent/upstream_probe.cpp
@@ -2,9 +2,8 @@
 
 #include "base/json_reader.h"
 #include "net/steady_time.h"
+#include "telemetry/spawn_task.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -116,12 +115,10 @@
 
 void upstream_probe::read(done_function done) const
 {
-    asio::co_spawn(
-        executor_,
-        [client = client_, done = std::move(done)]() -> asio::awaitable<void> {
-            done(co_await probe(*client));
-        },
-        asio::detached);
+    telemetry::spawn_task(executor_, telemetry::logger(), "upstream_probe",
+                          [client = client_, done = std::move(done)]() -> asio::awaitable<void> {
+                              done(co_await probe(*client));
+                          });
 }
 
 } // namespace snipespar::agent
--- a/src/entry/config_service.cpp
+++ b/src/entry/config_service.cpp
@@ -5,10 +5,9 @@
 #include "config/root.h"
 #include "net/start_number.h"
 #include "net/steady_time.h"
+#include "telemetry/spawn_task.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <utility>
 
@@ -82,10 +81,10 @@
         }
     };
     services.watch = [this](const config::watch_root& action) {
-        asio::co_spawn(control_, watch(action), asio::detached);
+        telemetry::spawn_task(control_, telemetry::logger(), "config_watch", watch(action));
     };
     services.read_part = [this](const std::string& sha256) {
-        asio::co_spawn(control_, read_part(sha256), asio::detached);
+        telemetry::spawn_task(control_, telemetry::logger(), "config_part", read_part(sha256));
     };
     services.adopt = std::move(adopt);
     return services;
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -14,9 +14,8 @@
 #include "telemetry/admin_server.h"
 #include "telemetry/gauge.h"
 #include "telemetry/span_exporter.h"
+#include "telemetry/spawn_task.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -73,7 +72,7 @@
             telemetry::trace_resource{"snipespar-entry", settings.host.str(),
                                       settings.failure_domain.str()},
             metrics_.registry());
-        boost::asio::co_spawn(control, spans_->run(), boost::asio::detached);
+        telemetry::spawn_task(control, log_, "span_exporter", spans_->run());
     }
     peers_.on_presence([this](const incarnation& peer, bool present) {
         metrics_.peer_links.add(present ? 1 : -1);
@@ -170,8 +169,8 @@
     handlers.metrics = [this] { return metrics_.registry().exposition(); };
     handlers.ready = [this] { return readiness(); };
     handlers.status = [this] { return status_document(); };
-    auto admin = telemetry::admin_server::make(control_.get_executor(),
-                                               to_tcp_endpoint(admin_listen_), std::move(handlers));
+    auto admin = telemetry::admin_server::make(
+        control_.get_executor(), to_tcp_endpoint(admin_listen_), std::move(handlers), log_);
     if (admin.ok()) {
         admin_ = std::move(*admin);
     }
--- a/src/entry/platform_records.cpp
+++ b/src/entry/platform_records.cpp
@@ -3,10 +3,9 @@
 #include "base/json_reader.h"
 #include "cli/entry_settings.h"
 #include "limits/limits_codec.h"
+#include "telemetry/spawn_task.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -127,16 +126,14 @@
 
 void platform_records::perform(store::request call, reply_handler reply)
 {
-    asio::co_spawn(
-        control_,
-        [this, call = std::move(call),
-         reply = std::move(reply)]() mutable -> asio::awaitable<void> {
-            auto response = co_await store_.perform(std::move(call));
-            if (!stopped_) {
-                reply(std::move(response));
-            }
-        },
-        asio::detached);
+    telemetry::spawn_task(control_, telemetry::logger(), "store_call",
+                          [this, call = std::move(call),
+                           reply = std::move(reply)]() mutable -> asio::awaitable<void> {
+                              auto response = co_await store_.perform(std::move(call));
+                              if (!stopped_) {
+                                  reply(std::move(response));
+                              }
+                          });
 }
 
 void platform_records::list_hosts()
--- a/src/entry/traffic_thread.cpp
+++ b/src/entry/traffic_thread.cpp
@@ -1,8 +1,8 @@
 #include "entry/traffic_thread.h"
 
+#include "telemetry/spawn_task.h"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -52,7 +52,7 @@
         return absl::UnavailableError("cannot listen on " + ip + ":" + std::to_string(port) + ": " +
                                       error.message());
     }
-    asio::co_spawn(context_, accept(std::move(threads)), asio::detached);
+    telemetry::spawn_task(context_, telemetry::logger(), "accept", accept(std::move(threads)));
     return absl::OkStatus();
 }
 
@@ -111,13 +111,11 @@
     asio::post(context_, [this, socket = std::move(socket)]() mutable {
         auto connection = std::make_shared<caller_connection>(std::move(socket), services_);
         connections_.insert(connection);
-        asio::co_spawn(
-            context_,
-            [this, connection]() -> asio::awaitable<void> {
-                co_await connection->serve();
-                connections_.erase(connection);
-            },
-            asio::detached);
+        telemetry::spawn_task(context_, telemetry::logger(), "connection",
+                              [this, connection]() -> asio::awaitable<void> {
+                                  co_await connection->serve();
+                                  connections_.erase(connection);
+                              });
     });
 }
 
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -248,7 +248,7 @@
     const auto address = asio::ip::make_address(settings_.admin_listen.ip, error);
     auto admin = telemetry::admin_server::make(io_.get_executor(),
                                                tcp::endpoint(address, settings_.admin_listen.port),
-                                               std::move(handlers));
+                                               std::move(handlers), context_.log);
     if (!admin.ok()) {
         return admin.status();
     }
--- a/src/operator/platform_session.cpp
+++ b/src/operator/platform_session.cpp
@@ -5,10 +5,9 @@
 #include "config/root.h"
 #include "store/http_object_store.h"
 #include "store/retrying_store.h"
+#include "telemetry/spawn_task.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -78,7 +77,9 @@
     settings.seed = std::random_device{}();
     store_stack store(http, &sleep, settings);
     store::object_reply reply;
-    asio::co_spawn(context, perform_one(store, call, reply), asio::detached);
+    reply.status = absl::InternalError("the call ended without a result");
+    telemetry::spawn_task(context, telemetry::logger(), "store_call",
+                          perform_one(store, call, reply));
     context.run();
     return reply;
 }
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -8,12 +8,11 @@
 #include "sidecar/status_change.h"
 #include "telemetry/admin_handlers.h"
 #include "telemetry/admin_server.h"
+#include "telemetry/spawn_task.h"
 #include "telemetry/work_boundary.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <exception>
@@ -78,7 +77,7 @@
     if (auto status = open_datagrams(); !status.ok()) {
         return status;
     }
-    asio::co_spawn(io_, run(), asio::detached);
+    telemetry::spawn_task(io_, log_, "engine_reports", run());
     log_.info("started", {{"role", "sidecar"},
                           {"host", settings_.host.str()},
                           {"engine", settings_.engine.str()},
@@ -105,7 +104,7 @@
     const auto address = asio::ip::make_address(settings_.admin_listen.ip, error);
     auto admin = telemetry::admin_server::make(
         io_.get_executor(), asio::ip::tcp::endpoint(address, settings_.admin_listen.port),
-        std::move(handlers));
+        std::move(handlers), log_);
     if (!admin.ok()) {
         return admin.status();
     }
--- a/src/telemetry/admin_server.cpp
+++ b/src/telemetry/admin_server.cpp
@@ -2,12 +2,11 @@
 
 #include "cli/endpoint.h"
 #include "net/bind_status.h"
+#include "telemetry/spawn_task.h"
 
 #include <absl/cleanup/cleanup.h>
 #include <absl/status/status.h>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -112,8 +111,8 @@
 // Shared by the server and its coroutines, which may outlive the server while they unwind.
 class admin_server::state : public std::enable_shared_from_this<state> {
 public:
-    state(const asio::any_io_executor& executor, admin_handlers handlers)
-        : acceptor_(executor), retry_timer_(executor), handlers_(std::move(handlers))
+    state(const asio::any_io_executor& executor, admin_handlers handlers, const logger& log)
+        : acceptor_(executor), retry_timer_(executor), handlers_(std::move(handlers)), log_(log)
     {
     }
 
@@ -134,9 +133,8 @@
 
     void start()
     {
-        asio::co_spawn(
-            acceptor_.get_executor(), [self = shared_from_this()] { return self->accept(); },
-            asio::detached);
+        spawn_task(acceptor_.get_executor(), log_, "admin_accept",
+                   [self = shared_from_this()] { return self->accept(); });
     }
 
     void stop()
@@ -167,13 +165,11 @@
                 // Idle connections must not keep a probe out.
                 streams_.front()->close();
             }
-            asio::co_spawn(
-                acceptor_.get_executor(),
-                [self = shared_from_this(),
-                 stream = beast::tcp_stream(std::move(socket))]() mutable {
-                    return serve(std::move(self), std::move(stream));
-                },
-                asio::detached);
+            spawn_task(acceptor_.get_executor(), log_, "admin_connection",
+                       [self = shared_from_this(),
+                        stream = beast::tcp_stream(std::move(socket))]() mutable {
+                           return serve(std::move(self), std::move(stream));
+                       });
         }
     }
 
@@ -215,15 +211,16 @@
     tcp::acceptor acceptor_;
     asio::steady_timer retry_timer_;
     admin_handlers handlers_;
+    logger log_;
     /// The longest idle one first.
     std::list<beast::tcp_stream*> streams_;
 };
 
 absl::StatusOr<std::unique_ptr<admin_server>>
 admin_server::make(const asio::any_io_executor& executor, const tcp::endpoint& listen,
-                   admin_handlers handlers)
+                   admin_handlers handlers, const logger& log)
 {
-    auto shared = std::make_shared<state>(executor, std::move(handlers));
+    auto shared = std::make_shared<state>(executor, std::move(handlers), log);
     if (const auto error = shared->open(listen); error) {
         return net::bind_status(cli::endpoint{listen.address().to_string(), listen.port()}.str(),
                                 error);
--- a/src/telemetry/admin_server.h
+++ b/src/telemetry/admin_server.h
@@ -9,6 +9,8 @@
 
 namespace snipespar::telemetry {
 
+class logger;
+
 /// Serves `/metrics`, `/livez`, `/readyz` (also `/ready`) and `/status` by HTTP on a separate port.
 /// `/livez` succeeds as long as the executor runs.
 class admin_server {
@@ -17,7 +19,7 @@
     /// result destroyed, on the executor or while it does not run.
     static absl::StatusOr<std::unique_ptr<admin_server>>
     make(const boost::asio::any_io_executor& executor, const boost::asio::ip::tcp::endpoint& listen,
-         admin_handlers handlers);
+         admin_handlers handlers, const logger& log);
 
     admin_server(const admin_server&) = delete;
     admin_server& operator=(const admin_server&) = delete;
--- a/tests/telemetry_admin_server_test.cpp
+++ b/tests/telemetry_admin_server_test.cpp
@@ -1,6 +1,7 @@
 #include "telemetry/admin_server.h"
 
 #include "support/http_probe.h"
+#include "telemetry/logger.h"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -87,7 +88,7 @@
     {
         boost::asio::io_context context;
         const auto second =
-            admin_server::make(context.get_executor(), server_->local_endpoint(), {});
+            admin_server::make(context.get_executor(), server_->local_endpoint(), {}, {});
         CPPUNIT_ASSERT(!second.ok());
     }
 
@@ -135,7 +136,8 @@
         return admin_server::make(context_->get_executor(), any,
                                   {.metrics = [] { return std::string("a_total 1\n"); },
                                    .ready = [this] { return readiness_; },
-                                   .status = [this] { return status(); }});
+                                   .status = [this] { return status(); }},
+                                  {});
     }
 
     http_reply call(const std::string& method, const std::string& target)
