--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -205,6 +205,7 @@
                  context_.upstreams.on_registry_read(asked_at);
              }
          },
+         [this, kind] { on_poll_started(kind); },
          [this, kind](const platform::store_read& read) { on_read_ended(kind, read); }});
 }
 
@@ -249,7 +250,7 @@
     const auto address = asio::ip::make_address(settings_.admin_listen.ip, error);
     auto admin = telemetry::admin_server::make(io_.get_executor(),
                                                tcp::endpoint(address, settings_.admin_listen.port),
-                                               std::move(handlers));
+                                               std::move(handlers), context_.log);
     if (!admin.ok()) {
         return admin.status();
     }
@@ -458,6 +459,7 @@
             {{"ms", std::chrono::duration_cast<milliseconds>(now - *last_tick_at_).count()}});
     }
     last_tick_at_ = now;
+    context_.arrivals.on_tick(now);
     perform(origins_.on_tick(now));
     const auto active = context_.exchanges;
     for (const auto& exchange : active) {
@@ -863,6 +865,15 @@
     }
 }
 
+// A store that is unresponsive now loses this poll, which waits for too long to show it. The read
+// of the upstreams is lost as well then, and shows it soon.
+void gateway_server::on_poll_started(const std::string& kind)
+{
+    if (kind != platform::wire::upstream_kind) {
+        upstream_watch_.read_again({});
+    }
+}
+
 // Polls of the usual kind and size are only counted, as there are several a second.
 void gateway_server::on_read_ended(const std::string& kind, const platform::store_read& read)
 {
--- a/tests/telemetry_admin_server_test.cpp
+++ b/tests/telemetry_admin_server_test.cpp
@@ -1,6 +1,7 @@
 #include "telemetry/admin_server.h"
 
 #include "support/http_probe.h"
+#include "telemetry/logger.h"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -98,7 +99,7 @@
     {
         boost::asio::io_context context;
         const auto second =
-            admin_server::make(context.get_executor(), server_->local_endpoint(), {});
+            admin_server::make(context.get_executor(), server_->local_endpoint(), {}, {});
         CPPUNIT_ASSERT(!second.ok());
     }
 
@@ -145,11 +146,13 @@
         const boost::asio::ip::tcp::endpoint any(boost::asio::ip::address_v4::loopback(), 0);
         return admin_server::make(
             context_->get_executor(), any,
-            {.metrics = [] { return std::string("a_total 1\n"); },
+            {.metrics = [] { return std::string("a_total 1
+"); },
              .ready = [this] { return readiness_; },
              .status = [this] { return status(); },
              .explain =
-                 [](std::string_view query) { return query_answer{404, std::string(query)}; }});
+                 [](std::string_view query) { return query_answer{404, std::string(query)}; }},
+            {});
     }
 
     http_reply call(const std::string& method, const std::string& target)
