The pacer's limit falls with its floor; the explain command drops no exception

The explain command's question was spawned detached. Change: a limit that only the floor has held up falls with it; an exception of the question is its result. limit_falls_when_streams_become_longer states the failure; by the review's trial the limit stayed at 0.8 before.

--- a/src/operator/run_explain.cpp
+++ b/src/operator/run_explain.cpp
@@ -6,8 +6,8 @@
 
 #include <absl/status/status.h>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <exception>
 #include <fmt/core.h>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -41,7 +41,11 @@
     net::http_client client(command.gateway.ip, command.gateway.port, max_answer_bytes);
     reply result = absl::UnknownError("no answer");
     asio::co_spawn(context, ask(client, command.query.target(), command.timeout, result),
-                   asio::detached);
+                   [&result](const std::exception_ptr& error) {
+                       if (error != nullptr) {
+                           result = absl::InternalError("the question ended by an exception");
+                       }
+                   });
     context.run();
     return result;
 }
--- a/src/sidecar/prompt_pacer.cpp
+++ b/src/sidecar/prompt_pacer.cpp
@@ -280,8 +280,14 @@
         return;
     }
     if (tokens_per_ms_ > 0) {
-        // The speed may have been measured after the limit was set.
-        limit_ = std::max(*limit_, lowest_limit());
+        // The speed may have been measured after the limit was set. A limit that only the floor has
+        // held up falls with it, as when streams have become longer.
+        const double lowest = lowest_limit();
+        if (*limit_ <= floor_) {
+            limit_ = lowest;
+        }
+        limit_ = std::max(*limit_, lowest);
+        floor_ = lowest;
     }
     if (!waiting_.empty()) {
         bound_at_ = now;
--- a/src/sidecar/prompt_pacer.h
+++ b/src/sidecar/prompt_pacer.h
@@ -139,6 +139,8 @@
     /// 0 while unknown.
     double tokens_per_ms_ = 0;
     duration run_time_{};
+    /// The limit did not fall below this when it was last adjusted.
+    double floor_ = 0;
     std::optional<double> limit_;
     /// The lowest limit at which streams paused, with some distance.
     double ceiling_ = 0;
--- a/tests/sidecar_prompt_pacer_test.cpp
+++ b/tests/sidecar_prompt_pacer_test.cpp
@@ -159,6 +159,7 @@
     CPPUNIT_TEST(call_larger_than_the_limit_is_given_alone);
     CPPUNIT_TEST(prompts_are_not_held_while_the_engine_could_read_them);
     CPPUNIT_TEST(short_streams_leave_more_time_for_prompts);
+    CPPUNIT_TEST(limit_falls_when_streams_become_longer);
     CPPUNIT_TEST(unused_limit_expires);
     CPPUNIT_TEST(burst_of_prompts_leaves_streams_their_pace);
     CPPUNIT_TEST_SUITE_END();
@@ -348,6 +349,20 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, limit_with({}), 0.01);
     }
 
+    // A moment of short streams let prompts take the larger part for good.
+    void limit_falls_when_streams_become_longer()
+    {
+        constexpr double speed = 2 * chunked_engine::tokens_per_ms;
+        auto pacer = make_pacing(4);
+        pacer.on_read_speed(speed);
+        pacer.on_run_time(target);
+        pacer.decide(start + seconds(1));
+        pacer.on_run_time(10 * target);
+        pacer.decide(start + milliseconds(1100));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(
+            0.53, *pacer.limit() / (speed * static_cast<double>(target.count())), 0.01);
+    }
+
     void unused_limit_expires()
     {
         auto pacer = make_pacing(4);
--- a/tests/telemetry_admin_server_test.cpp
+++ b/tests/telemetry_admin_server_test.cpp
@@ -146,8 +146,7 @@
         const boost::asio::ip::tcp::endpoint any(boost::asio::ip::address_v4::loopback(), 0);
         return admin_server::make(
             context_->get_executor(), any,
-            {.metrics = [] { return std::string("a_total 1
-"); },
+            {.metrics = [] { return std::string("a_total 1\n"); },
              .ready = [this] { return readiness_; },
              .status = [this] { return status(); },
              .explain =
