Gateways that one sidecar invents change no share

Cause: every gateway that a sidecar's report named counted as running. One report with thousands of invented names divided the retry budget, the permits of a rate and the intervals of reports by thousands, and drew as many datagrams.

Change: a gateway counts once it was heard, or once two sidecars named it. One that a single sidecar named is only sent messages: so a new gateway is still found by reports, learns of this one and is heard. One that counts is renewed by any report, as before.

Existing test changed: sidecar_gateway_roster_fleet_test names gateways by `on_named` with the sidecar's address in place of `on_seen`, which now means a message of the gateway itself. Its checks and figures are the same.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -85,6 +85,8 @@
 // A gateway that was silent for so long, and for several reports, is told again.
 constexpr auto min_informed_lifetime = std::chrono::seconds(2);
 constexpr int informed_report_intervals = 3;
+// Sidecars report twice a second.
+constexpr auto refused_names_interval = std::chrono::seconds(5);
 
 // Upstream entries change several times a second, and the platform charges each response to a watch
 // as a call: the pause between polls is as long as the bound allows.
@@ -902,7 +904,7 @@
 void gateway_server::on_message(const control::message& content, const cli::endpoint& from)
 {
     if (const auto* report = std::get_if<control::sidecar_report>(&content)) {
-        on_report(*report);
+        on_report(*report, from);
     }
     else if (const auto* heartbeat = std::get_if<control::sidecar_heartbeat>(&content)) {
         context_.upstreams.on_heartbeat(*heartbeat, steady_now());
@@ -958,15 +960,24 @@
     }
 }
 
-void gateway_server::on_report(const control::sidecar_report& report)
+void gateway_server::on_report(const control::sidecar_report& report, const cli::endpoint& from)
 {
     const auto now = steady_now();
+    std::size_t refused = 0;
     for (const auto& gateway : report.gateways) {
         const auto colon = gateway.rfind(':');
-        if (colon != std::string::npos) {
-            peers_.on_seen({gateway.substr(0, colon), settings_.control_listen.port}, now);
+        if (colon != std::string::npos &&
+            !peers_.on_named({gateway.substr(0, colon), settings_.control_listen.port}, from.ip,
+                             now)) {
+            ++refused;
         }
     }
+    if (refused != 0 && now - refused_names_logged_at_ >= refused_names_interval) {
+        refused_names_logged_at_ = now;
+        context_.log.warning(
+            "gateways_refused",
+            {{"sidecar", from.str()}, {"named", report.gateways.size()}, {"refused", refused}});
+    }
     const auto affected = context_.upstreams.on_engine_status(report.status, now);
     if (report.status.models.empty()) {
         // The engine does not respond, or has just started.
@@ -1188,7 +1199,7 @@
 void gateway_server::send_to_peers(const control::message& content)
 {
     const auto bytes = control::encode(content);
-    for (const auto& peer : peers_.all()) {
+    for (const auto& peer : peers_.contacts()) {
         datagrams_.send(peer, bytes);
     }
 }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -104,7 +104,7 @@
     void on_restored(const std::string& kind, std::uint64_t era);
 
     void on_message(const control::message& content, const cli::endpoint& from);
-    void on_report(const control::sidecar_report& report);
+    void on_report(const control::sidecar_report& report, const cli::endpoint& from);
     void on_usage(const control::gateway_usage& usage, const cli::endpoint& from);
     void queue_demand(const upstream_id& upstream);
     void send_demand(const upstream_id& upstream);
@@ -159,6 +159,7 @@
     bool has_upstreams_ = false;
     /// Latest era in which the store was found restored.
     std::uint64_t store_era_ = 0;
+    time_point refused_names_logged_at_;
     bool is_registry_unreachable_ = false;
     std::set<upstream_id> queued_demands_;
     new_peers new_peers_;
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -15,26 +15,85 @@
 
 void peer_directory::on_seen(const cli::endpoint& peer, time_point now)
 {
+    on_heard(peer);
     if (peer != self_ && peers_.insert_or_assign(peer, now).second) {
-        first_.clear();
-        ++membership_;
+        on_membership_changed();
     }
 }
 
+bool peer_directory::on_named(const cli::endpoint& peer, const std::string& sidecar_ip,
+                              time_point now)
+{
+    if (peer == self_) {
+        return true;
+    }
+    const auto unheard = unheard_.find(peer);
+    if (unheard != unheard_.end()) {
+        unheard->second.named_at = now;
+    }
+    if (const auto counted = peers_.find(peer); counted != peers_.end()) {
+        counted->second = now;
+        return true;
+    }
+    if (unheard != unheard_.end()) {
+        if (unheard->second.first_sidecar != sidecar_ip) {
+            peers_[peer] = now;
+            on_membership_changed();
+        }
+        return true;
+    }
+    const auto by_sidecar = unheard_by_sidecar_.find(sidecar_ip);
+    const auto known = by_sidecar == unheard_by_sidecar_.end() ? 0 : by_sidecar->second;
+    if (known >= max_unheard_by_sidecar || unheard_.size() >= max_unheard) {
+        return false;
+    }
+    unheard_[peer] = {sidecar_ip, now};
+    ++unheard_by_sidecar_[sidecar_ip];
+    return true;
+}
+
 void peer_directory::on_stopping(const cli::endpoint& peer)
 {
+    on_heard(peer);
     if (peers_.erase(peer) != 0) {
-        first_.clear();
-        ++membership_;
+        on_membership_changed();
     }
 }
 
 void peer_directory::on_tick(time_point now)
 {
-    const auto is_expired = [&](const auto& item) { return now - item.second > peer_expiry; };
-    if (std::erase_if(peers_, is_expired) != 0) {
-        first_.clear();
-        ++membership_;
+    if (std::erase_if(peers_, [&](const auto& item) { return now - item.second > peer_expiry; }) !=
+        0) {
+        on_membership_changed();
+    }
+    std::erase_if(unheard_, [&](const auto& item) {
+        const bool is_expired = now - item.second.named_at > peer_expiry;
+        if (is_expired) {
+            release(item.second);
+        }
+        return is_expired;
+    });
+}
+
+void peer_directory::on_membership_changed()
+{
+    first_.clear();
+    ++membership_;
+}
+
+void peer_directory::on_heard(const cli::endpoint& peer)
+{
+    if (const auto unheard = unheard_.find(peer); unheard != unheard_.end()) {
+        release(unheard->second);
+        unheard_.erase(unheard);
+    }
+}
+
+void peer_directory::release(const unheard_peer& peer)
+{
+    const auto named = unheard_by_sidecar_.find(peer.first_sidecar);
+    if (named != unheard_by_sidecar_.end() && --named->second == 0) {
+        unheard_by_sidecar_.erase(named);
     }
 }
 
@@ -48,6 +107,17 @@
     return list;
 }
 
+std::vector<cli::endpoint> peer_directory::contacts() const
+{
+    auto list = all();
+    for (const auto& [peer, unheard] : unheard_) {
+        if (!peers_.contains(peer)) {
+            list.push_back(peer);
+        }
+    }
+    return list;
+}
+
 const cli::endpoint& peer_directory::first_for(std::uint64_t key) const
 {
     const auto [known, is_new] = first_.try_emplace(key, self_);
--- a/tests/sidecar_gateway_roster_fleet_test.cpp
+++ b/tests/sidecar_gateway_roster_fleet_test.cpp
@@ -46,7 +46,7 @@
             received += named.size();
             if (random() % 10 != 0) {
                 for (const auto& gateway : named) {
-                    directory.on_seen(gateway, now);
+                    CPPUNIT_ASSERT(directory.on_named(gateway, fmt::format("10.2.0.{}", i), now));
                 }
             }
         }
