Statuses of engines without an entry are bounded in number and age

Cause: the last status of every engine address that a report ever stated was kept for good, so that invented names grew a gateway's memory, and a status of long ago counted as new when its engine was listed (again).

Change: a status is kept for 6 s, three intervals of whole reports with a margin, and at most 1,024 are. Beyond, the oldest of an engine without an entry goes first, so that the engines in the list keep theirs.

--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -101,8 +101,9 @@
         return;
     }
     const auto last_status = last_statuses_.find(state.address);
-    if (last_status != last_statuses_.end()) {
-        state.status = last_status->second;
+    if (last_status != last_statuses_.end() &&
+        now - last_status->second.received_at <= kept_status_lifetime) {
+        state.status = last_status->second.status;
         state.status_at = now;
         state.sidecar_heard_at = now;
     }
@@ -241,7 +242,6 @@
 std::vector<upstream_id> upstream_table::on_engine_status(const engine_status& status,
                                                           time_point now)
 {
-    last_statuses_[status.engine] = status;
     std::vector<upstream_id> affected;
     for (auto& [id, state] : states_) {
         if (state.address != status.engine) {
@@ -267,9 +267,21 @@
             state.prompt_tokens_at_status = state.prompt_tokens;
         }
     }
+    keep_status(status, !affected.empty(), now);
     return affected;
 }
 
+void upstream_table::keep_status(const engine_status& status, bool is_listed, time_point now)
+{
+    last_statuses_[status.engine] = {status, now, is_listed};
+    if (last_statuses_.size() > max_kept_statuses) {
+        // Engines that are listed come last, as those of invented names may be many.
+        last_statuses_.erase(std::ranges::min_element(last_statuses_, {}, [](const auto& item) {
+            return std::pair(item.second.is_listed, item.second.received_at);
+        }));
+    }
+}
+
 void upstream_table::on_heartbeat(const control::sidecar_heartbeat& heartbeat, time_point now)
 {
     for (auto& [id, state] : states_) {
@@ -427,6 +439,9 @@
         std::erase_if(state.adapters, [&](const auto& item) { return !item.second.has_news(now); });
     }
     std::erase_if(serving_versions_, [&](const auto& item) { return now >= item.second.second; });
+    std::erase_if(last_statuses_, [&](const auto& item) {
+        return now - item.second.received_at > kept_status_lifetime;
+    });
     std::erase_if(former_, [&](const auto& item) { return now >= item.second.expires; });
     const auto dropped = std::erase_if(states_, [&](const auto& item) {
         const auto& state = item.second;
--- a/src/gateway/upstream_table.h
+++ b/src/gateway/upstream_table.h
@@ -5,6 +5,8 @@
 #include "snipespar/ids.h"
 #include "snipespar/time.h"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -34,6 +36,13 @@
 /// All upstreams known to this gateway, their health and their load.
 class upstream_table {
 public:
+    /// Statuses kept by engine address. Several times the engines of the largest fleet that is
+    /// tested.
+    static constexpr std::size_t max_kept_statuses = 1024;
+    /// How long a status is kept without a later one: three of the intervals at which sidecars send
+    /// whole reports, with a margin.
+    static constexpr duration kept_status_lifetime = std::chrono::seconds(6);
+
     /// Adds an upstream or takes over its changed entry.
     void update(const upstream_entry& entry, time_point now);
 
@@ -127,6 +136,9 @@
     const upstream_state* find(const upstream_id& id) const;
     const std::map<upstream_id, upstream_state>& all() const { return states_; }
 
+    /// Number of statuses kept by engine address.
+    std::size_t kept_statuses() const { return last_statuses_.size(); }
+
     /// Whether the upstream accepts new calls.
     static bool is_open(const upstream_state& state, time_point now);
 
@@ -175,6 +187,15 @@
         time_point expires;
     };
 
+    struct kept_status {
+        engine_status status;
+        time_point received_at;
+        /// The engine had an entry at that time.
+        bool is_listed = false;
+    };
+
+    void keep_status(const engine_status& status, bool is_listed, time_point now);
+
     std::map<upstream_id, upstream_state> states_;
     std::uint64_t membership_ = 0;
     /// Whether a version of a service serves, and until when that result is kept.
@@ -185,7 +206,7 @@
     /// Until then an entry that reappears does not prove that its upstream runs.
     time_point restored_until_;
     /// Last status by engine address, kept for engines whose entry is not known yet.
-    std::map<std::string, engine_status> last_statuses_;
+    std::map<std::string, kept_status> last_statuses_;
     std::optional<time_point> registry_recovered_at_;
 };
 
--- a/tests/gateway_upstream_table_test.cpp
+++ b/tests/gateway_upstream_table_test.cpp
@@ -67,6 +67,8 @@
     CPPUNIT_TEST(upstream_is_kept_while_calls_run_there);
     CPPUNIT_TEST(frozen_host_is_unresponsive);
     CPPUNIT_TEST(heartbeat_confirms_the_last_report);
+    CPPUNIT_TEST(statuses_of_invented_engines_are_bounded);
+    CPPUNIT_TEST(status_without_an_entry_expires);
     CPPUNIT_TEST(heartbeat_after_a_lost_report_shows_only_that_the_sidecar_lives);
     CPPUNIT_TEST(upstream_that_announced_its_stop_stays_closed);
     CPPUNIT_TEST(stop_announced_to_another_gateway_closes_the_upstream);
@@ -94,6 +96,42 @@
         CPPUNIT_ASSERT(!is_open(table, "i-1", start));
     }
 
+    // Guards against memory that grows with every engine name that a report ever stated.
+    void statuses_of_invented_engines_are_bounded()
+    {
+        upstream_table table;
+        const auto id = report_engine(table, 1);
+        for (std::size_t i = 0; i < 2 * upstream_table::max_kept_statuses; ++i) {
+            engine_status status;
+            status.engine = "invented-" + std::to_string(i);
+            table.on_engine_status(status, start + milliseconds(i / 2));
+        }
+        CPPUNIT_ASSERT_EQUAL(upstream_table::max_kept_statuses, table.kept_statuses());
+        // That of a listed engine is kept, so that its entry may expire and come back.
+        table.remove(id, start + milliseconds(1200));
+        table.on_tick(start + milliseconds(2000));
+        CPPUNIT_ASSERT(table.find(id) == nullptr);
+        table.update(entry("i-1"), start + milliseconds(2000));
+        CPPUNIT_ASSERT(table.find(id)->status.has_value());
+    }
+
+    // Guards against a status of long ago that counts as new when the engine is listed.
+    void status_without_an_entry_expires()
+    {
+        const auto lifetime = upstream_table::kept_status_lifetime;
+        for (const bool is_late : {false, true}) {
+            upstream_table table;
+            engine_status status;
+            status.engine = entry("i-1").address.str();
+            table.on_engine_status(status, start);
+            const auto now = start + lifetime + milliseconds(is_late ? 1 : 0);
+            table.update(entry("i-1"), now);
+            CPPUNIT_ASSERT_EQUAL(!is_late, table.find(upstream_id("i-1"))->status.has_value());
+            table.on_tick(now);
+            CPPUNIT_ASSERT_EQUAL(is_late ? std::size_t{0} : std::size_t{1}, table.kept_statuses());
+        }
+    }
+
     // Guards against sidecars that are asked for an adapter without a name.
     void waiting_call_without_an_adapter_requests_none()
     {
