A damaged era does not make later answers of the store outdated

Cause: a watch took over any higher era. After one answer with the largest number every later answer counted as sent before a restoration and was thrown away, for as long as the process lived; the same if the very first answer was the damaged one.

Change: the platform raises the era by one at each restoration. An era more than 1,000 away from the known one, in either direction, is doubtful: the answer is used as one that states no era, and `store_era_doubtful` is logged at the first of a run. The gateway's own record of the era, by which the watches tell each other, follows the same rule.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -8,6 +8,7 @@
 #include "net/steady_time.h"
 #include "platform/adapter_version_codec.h"
 #include "platform/upstream_entry_codec.h"
+#include "platform/watch_position.h"
 #include "platform/wire_names.h"
 #include "telemetry/admin_server.h"
 #include "telemetry/work_boundary.h"
@@ -195,6 +196,9 @@
         {[this, listed](const auto& objects) { (this->*listed)(objects); },
          [this, changed](const auto& object) { (this->*changed)(object); },
          [this, kind](std::uint64_t era) { on_restored(kind, era); },
+         [this, kind](std::uint64_t era) {
+             context_.log.warning("store_era_doubtful", {{"kind", kind}, {"era", era}});
+         },
          [this, kind](const std::string& name, const std::string& reason) {
              on_unreadable(kind, name, reason);
          },
@@ -888,7 +892,7 @@
 // wait for revisions that are assigned again.
 void gateway_server::on_restored(const std::string& kind, std::uint64_t era)
 {
-    if (era <= store_era_) {
+    if (era <= store_era_ && !platform::watch_position::is_doubtful(store_era_, era)) {
         return;
     }
     store_era_ = era;
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -228,9 +228,17 @@
         std::uint64_t number = 0;
         const bool is_stated =
             absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &number);
-        switch (plan_.on_era(is_stated ? std::optional(number) : std::nullopt)) {
+        const auto change = plan_.on_era(is_stated ? std::optional(number) : std::nullopt);
+        const bool was_doubtful =
+            std::exchange(is_era_doubtful_, change == watch_position::era_change::doubtful);
+        switch (change) {
         case watch_position::era_change::none:
             return absl::OkStatus();
+        case watch_position::era_change::doubtful:
+            if (!was_doubtful) {
+                handler_.era_doubtful(number);
+            }
+            return absl::OkStatus();
         case watch_position::era_change::restored:
             handler_.restored(number);
             return absl::AbortedError("the store was restored from a copy");
@@ -323,6 +331,8 @@
     watch_plan plan_;
     bool is_stopped_ = false;
     std::optional<bool> is_reachable_;
+    /// The last response stated a doubtful era.
+    bool is_era_doubtful_ = false;
 };
 
 object_watch::object_watch(asio::any_io_executor executor, const cli::endpoint& store,
--- a/src/platform/object_watch.h
+++ b/src/platform/object_watch.h
@@ -24,6 +24,9 @@
     /// The store was restored from a copy some seconds old; its era is now this one. All objects
     /// are listed next.
     std::function<void(std::uint64_t era)> restored;
+    /// A response stated an era out of all proportion to the known one, after others that did not.
+    /// The era is ignored, and the response used.
+    std::function<void(std::uint64_t era)> era_doubtful;
     /// An object could not be read and is left out, or has no content if `name` is not empty.
     /// Called once for each list and event that holds it.
     std::function<void(const std::string& name, const std::string& reason)> unreadable;
