A failing wait does not end the sidecar's loop

Cause: only the round was contained. An exception of the wait after it, or of the log line about a failed round, left a detached coroutine: the sidecar lived on without rounds, and answered nothing but what its datagrams bring.

Change: `run_rounds` contains the round, the pause and the report of a failure each by itself.

--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -5,6 +5,7 @@
 #include "net/start_number.h"
 #include "net/steady_time.h"
 #include "platform/engine_codec.h"
+#include "sidecar/round_loop.h"
 #include "sidecar/status_change.h"
 #include "telemetry/admin_handlers.h"
 #include "telemetry/admin_server.h"
@@ -78,7 +79,11 @@
     if (auto status = open_datagrams(); !status.ok()) {
         return status;
     }
-    asio::co_spawn(io_, run(), asio::detached);
+    asio::co_spawn(io_,
+                   run_rounds([this] { return run_round(); }, [this] { return wait_for_round(); },
+                              [] { return true; },
+                              [this](const std::exception& error) { on_round_failed(error); }),
+                   asio::detached);
     log_.info("started", {{"role", "sidecar"},
                           {"host", settings_.host.str()},
                           {"engine", settings_.engine.str()},
@@ -134,32 +139,33 @@
     return {true, {}};
 }
 
-asio::awaitable<void> sidecar_server::run()
+asio::awaitable<void> sidecar_server::run_round()
 {
-    while (true) {
-        is_urgent_ = false;
-        try {
-            co_await read_report();
-            if (published_.process_start_ms != planner_.status().process_start_ms) {
-                // Gateways have to know of another process before it can serve.
-                publish();
-            }
-            co_await give_orders();
-            publish();
-            rounds_failed_ = 0;
-        }
-        catch (const std::exception& error) {
-            ++rounds_failed_;
-            is_urgent_ = false;
-            log_.error("round_failed", {{"reason", error.what()}, {"in_a_row", rounds_failed_}});
-        }
-        if (!is_urgent_) {
-            poll_timer_.expires_after(rounds_failed_ == 0 && planner_.has_outstanding_work()
-                                          ? busy_interval
-                                          : idle_interval);
-            co_await poll_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
-        }
+    is_urgent_ = false;
+    co_await read_report();
+    if (published_.process_start_ms != planner_.status().process_start_ms) {
+        // Gateways have to know of another process before it can serve.
+        publish();
     }
+    co_await give_orders();
+    publish();
+    rounds_failed_ = 0;
+}
+
+asio::awaitable<void> sidecar_server::wait_for_round()
+{
+    if (!is_urgent_) {
+        poll_timer_.expires_after(
+            rounds_failed_ == 0 && planner_.has_outstanding_work() ? busy_interval : idle_interval);
+        co_await poll_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+void sidecar_server::on_round_failed(const std::exception& error)
+{
+    ++rounds_failed_;
+    is_urgent_ = false;
+    log_.error("round_failed", {{"reason", error.what()}, {"in_a_row", rounds_failed_}});
 }
 
 asio::awaitable<void> sidecar_server::read_report()
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -19,6 +19,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <exception>
 #include <map>
 #include <memory>
 #include <optional>
@@ -47,7 +48,10 @@
 private:
     absl::Status listen_for_admins();
     absl::Status open_datagrams();
-    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> run_round();
+    /// Waits until the next round is due, or something urgent has come up.
+    boost::asio::awaitable<void> wait_for_round();
+    void on_round_failed(const std::exception& error);
     telemetry::readiness readiness() const;
     std::optional<std::string> encode(const engine_order& order) const;
     boost::asio::awaitable<void> read_report();
