Process test: a gateway follows its store after one damaged era

The unit tests hold the rule; this one holds its wiring, the gateway's own record of the era and the log line. The stand-in of the store gets `POST /damage`: the next read of the configuration states the largest era.

No existing test changed.

--- a/tests/process/gateway_path_test.cpp
+++ b/tests/process/gateway_path_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(upstream_that_announces_its_stop_in_an_answer_gets_no_work);
     CPPUNIT_TEST(overloaded_upstream_is_left_alone_as_long_as_it_asked);
     CPPUNIT_TEST(restored_store_is_followed_in_its_new_era);
+    CPPUNIT_TEST(store_is_followed_after_one_damaged_era);
     CPPUNIT_TEST(request_that_crashes_engines_is_contained);
     CPPUNIT_TEST(prompt_part_that_crashes_engines_is_contained);
     CPPUNIT_TEST(late_second_copy_of_an_answer_reaches_no_other_caller);
@@ -347,6 +348,23 @@
             [&] { return send(gateway, fleet.make_call("/unsafe/x", "e3")).status == 200; }));
     }
 
+    // Guards against a gateway that takes all later answers of the store for outdated.
+    void store_is_followed_after_one_damaged_era()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        const auto& gateway = fleet.gateways.front();
+        CPPUNIT_ASSERT(send_call(fleet.store.address, {"POST", "/damage", {}, {}}).ok());
+        for (const auto* key : {"key-2", "key-1", "key-2"}) {
+            CPPUNIT_ASSERT(fleet.change_config(
+                [key](nlohmann::json& config) { config["tenants"][0]["api_keys"] = {key}; }));
+            CPPUNIT_ASSERT(wait_until([&] {
+                return gateway_fleet::config_version_of(gateway) == fleet.config_version();
+            }));
+        }
+        CPPUNIT_ASSERT(gateway.process->wait_for_output("store_era_doubtful"));
+    }
+
     // Its caller sends it again and again, through both gateways.
     void request_that_crashes_engines_is_contained()
     {
--- a/tools/users_platform_stand_in/store.cpp
+++ b/tools/users_platform_stand_in/store.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
+#include <limits>
 #include <utility>
 
 namespace users_platform_stand_in {
@@ -73,6 +74,10 @@
         restore();
         co_return co_await answer(socket, message, json_answer(200, "{}"));
     }
+    if (parts.path.front() == "damage") {
+        is_era_damaged_ = true;
+        co_return co_await answer(socket, message, json_answer(200, "{}"));
+    }
     if (parts.path.front() == "raw" && parts.path.size() == 3) {
         co_return co_await answer(socket, message,
                                   write_raw(message, parts.path[1], parts.path[2]));
@@ -101,9 +106,13 @@
 }
 
 asio::awaitable<bool> store::answer(asio::ip::tcp::socket& socket, const request& message,
-                                    response content) const
+                                    response content)
 {
-    content.set("Store-Era", std::to_string(era_));
+    const bool is_damaged = message.method() == http::verb::get &&
+                            message.target().starts_with("/objects/config") &&
+                            std::exchange(is_era_damaged_, false);
+    content.set("Store-Era",
+                std::to_string(is_damaged ? std::numeric_limits<std::uint64_t>::max() : era_));
     co_return co_await send(socket, message, std::move(content));
 }
 
--- a/tools/users_platform_stand_in/store.h
+++ b/tools/users_platform_stand_in/store.h
@@ -18,7 +18,8 @@
 /// `POST /copy` takes a copy, and `POST /restore` brings it back in a new era, which all answers
 /// state: revisions are assigned again from that of the copy. `PUT /raw/KIND/NAME` stores any bytes
 /// as an object, as another writer may, and returns them unchanged in lists and events; an empty
-/// body removes them.
+/// body removes them. `POST /damage` makes the next read of the configuration state the largest
+/// era.
 class store {
 public:
     explicit store(boost::asio::io_context& context) : context_(context) {}
@@ -35,7 +36,7 @@
     };
 
     boost::asio::awaitable<bool> answer(boost::asio::ip::tcp::socket& socket,
-                                        const request& message, response content) const;
+                                        const request& message, response content);
     void restore();
     void wake_watches();
     response list(const std::string& kind, const std::string& after) const;
@@ -52,6 +53,8 @@
     std::uint64_t revision_ = 1;
     std::uint64_t history_begins_ = 1;
     std::uint64_t era_ = 1;
+    /// The next answer to a read of the configuration states the largest era.
+    bool is_era_damaged_ = false;
     std::map<std::string, std::map<std::string, nlohmann::json>> copied_objects_;
     std::uint64_t copied_revision_ = 1;
     boost::asio::io_context& context_;
