--- a/src/sidecar/adapter_planner.h
+++ b/src/sidecar/adapter_planner.h
@@ -55,6 +55,11 @@
     /// Gateways that use any adapter at present.
     std::set<std::string> using_gateways() const;
 
+    const load_time_estimate& load_time() const { return load_time_; }
+
+    /// Adapters that calls wait for and that are neither resident nor being loaded.
+    int pending_count() const;
+
     /// Whether an order, load, eviction or waiting call is outstanding, so that the engine should
     /// be polled soon.
     bool has_outstanding_work() const;
@@ -99,7 +104,6 @@
     int store_backlog() const;
     /// Whether it has waiting calls and is neither resident nor loading.
     bool is_pending(const std::string& name, const adapter_state& state) const;
-    int pending_count() const;
     int free_slots() const;
     /// Limit of concurrent loads from the weight store.
     int store_loads_allowed() const;
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -36,6 +36,19 @@
     telemetry::gauge& prompt_tokens_per_s =
         registry.make_gauge("snipespar_sidecar_prompt_tokens_per_s",
                             "Prompt tokens that the engine reads in a second while some wait.");
+    telemetry::gauge& run_ms =
+        registry.make_gauge("snipespar_sidecar_run_ms",
+                            "How long the engine's streams usually last from their first event.");
+    telemetry::gauge& paced_prompt_tokens = registry.make_gauge(
+        "snipespar_sidecar_paced_prompt_tokens", "Most prompt tokens that the engine is given "
+                                                 "within the time of one event; 0 if unlimited.");
+    telemetry::gauge& adapter_load_ms = registry.make_gauge(
+        "snipespar_sidecar_adapter_load_ms", "Usual time of a load from the weight store.");
+    telemetry::gauge& store_busy = registry.make_gauge(
+        "snipespar_sidecar_store_busy", "1 while loads take longer than on an idle weight store.");
+    telemetry::gauge& pending_adapters =
+        registry.make_gauge("snipespar_sidecar_pending_adapters",
+                            "Adapters that calls wait for and that are not being loaded yet.");
     telemetry::counter& origins = registry.make_counter(
         "snipespar_sidecar_origins_total", "Origins of streams recorded here by gateways.");
     telemetry::counter& demands = registry.make_counter("snipespar_sidecar_demands_total",
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cmath>
 #include <exception>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -181,6 +182,7 @@
             reported_at_ = steady_now();
             planner_.on_report(*report, reported_at_);
             follow_prompts(*report);
+            show_planner();
         }
     }
     if (!status.ok()) {
@@ -275,11 +277,22 @@
     run_time_.on_report(report.running, reported_at_);
     pacer_.on_read_speed(prompts_.tokens_per_ms());
     pacer_.on_run_time(run_time_.value());
+    metrics_.run_ms.set(
+        std::chrono::duration_cast<std::chrono::milliseconds>(run_time_.value()).count());
+    metrics_.paced_prompt_tokens.set(std::lround(pacer_.limit().value_or(0)));
     metrics_.waiting_prompt_tokens.set(static_cast<std::int64_t>(prompts_.waiting_tokens()));
     metrics_.prompt_tokens_per_s.set(
         static_cast<std::int64_t>(prompts_.tokens_per_ms() * ms_per_s));
 }
 
+void sidecar_server::show_planner()
+{
+    const auto& load_time = planner_.load_time();
+    metrics_.adapter_load_ms.set(std::lround(load_time.usual_s() * ms_per_s));
+    metrics_.store_busy.set(load_time.is_store_busy() ? 1 : 0);
+    metrics_.pending_adapters.set(planner_.pending_count());
+}
+
 // What the engine still has to do, if calls are placed by that.
 gateway::engine_workload sidecar_server::workload() const
 {
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -61,6 +61,7 @@
     void on_demand(const control::adapter_demand& demand, const cli::endpoint& from);
     void on_permit_request(const control::permit_request& request, const cli::endpoint& from);
     void on_admission(const control::admission_request& request, const cli::endpoint& from);
+    void show_planner();
     void give_prompt(std::uint64_t tokens);
     void follow_prompts(const engine_report& report);
     gateway::engine_workload workload() const;
--- a/tests/process/support/gateway_fleet.cpp
+++ b/tests/process/support/gateway_fleet.cpp
@@ -86,6 +86,9 @@
                               "--admin-listen=" + sidecar.admin.str(),
                               "--engine=" + member.address.str(), "--host=" + sidecar.id},
                              {}};
+            sidecar.start.arguments.insert(sidecar.start.arguments.end(),
+                                           options.sidecar_arguments.begin(),
+                                           options.sidecar_arguments.end());
             sidecar.restart();
             sidecars.push_back(std::move(sidecar));
         }
--- a/tests/process/support/gateway_fleet.h
+++ b/tests/process/support/gateway_fleet.h
@@ -30,6 +30,8 @@
     std::vector<std::string> software = {};
     /// Added to the command line of each gateway.
     std::vector<std::string> gateway_arguments = {};
+    /// Added to the command line of each sidecar.
+    std::vector<std::string> sidecar_arguments = {};
 };
 
 /// A program of the fleet that can be restarted with its arguments.
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -265,7 +265,9 @@
     gateway_fleet fleet({.gateways = options.gateways,
                          .engines = options.engines,
                          .services = options.services,
-                         .has_store_relay = true});
+                         .has_store_relay = true,
+                         // As deploy/system.toml starts them.
+                         .sidecar_arguments = {"--placement=work", "--retention=demand"}});
     soak_result result;
     if (!fleet.wait_until_ready()) {
         result.violations.push_back("the fleet did not become ready");
