Calls are counted for retention only where it goes by demand

Cause: the last read found that sidecars that retain by recency filled the history of calls, too, and a name that does not say what comes first. Change: the history is kept by demand only; is_evicted_before. No behaviour changes where adapters are retained by demand.

--- a/src/sidecar/adapter_history.cpp
+++ b/src/sidecar/adapter_history.cpp
@@ -44,7 +44,7 @@
     return found == counts_.end() ? 0 : found->second.value_at(now);
 }
 
-// Drops the less used half.
+// Drops the less used half, with all that are used as little as its busiest one.
 void adapter_history::forget(time_point now)
 {
     std::vector<double> values;
--- a/src/sidecar/adapter_planner.cpp
+++ b/src/sidecar/adapter_planner.cpp
@@ -97,10 +97,10 @@
         state.last_used = now;
         if (retention_ == cli::retention_rule::demand) {
             state.recent_users[demand.gateway] = now;
+            // An earlier build states no calls begun, and a message that did may have been lost.
+            const bool is_unstated = use.begun == 0 && !used_before.contains(name);
+            history_.on_calls(name, is_unstated ? use.running : use.begun, now);
         }
-        // An earlier build states no calls begun, and a message that did may have been lost.
-        const bool is_unstated = use.begun == 0 && !used_before.contains(name);
-        history_.on_calls(name, is_unstated ? use.running : use.begun, now);
         if (use.waiting > 0 && !state.waiting_since) {
             state.waiting_since = now;
         }
@@ -447,8 +447,8 @@
     return retention_ == cli::retention_rule::demand ? spare_slots_by_demand : spare_slots;
 }
 
-bool adapter_planner::goes_before(const adapter_state& left, const adapter_state& right,
-                                  time_point now) const
+bool adapter_planner::is_evicted_before(const adapter_state& left, const adapter_state& right,
+                                        time_point now) const
 {
     if (retention_ == cli::retention_rule::demand) {
         const double left_calls = history_.calls(name_of(left.model, left.adapter), now);
@@ -503,7 +503,7 @@
             if (!is_resident(name) || state.withdrawn_at || !state.uses.empty() || is_recent) {
                 continue;
             }
-            if (victim == nullptr || goes_before(state, *victim, now)) {
+            if (victim == nullptr || is_evicted_before(state, *victim, now)) {
                 victim = &state;
             }
         }
--- a/src/sidecar/adapter_planner.h
+++ b/src/sidecar/adapter_planner.h
@@ -120,7 +120,8 @@
     engine_order make_order(engine_order::operation op, const adapter_state& state) const;
 
     /// Whether the first one is to be evicted before the second one.
-    bool goes_before(const adapter_state& left, const adapter_state& right, time_point now) const;
+    bool is_evicted_before(const adapter_state& left, const adapter_state& right,
+                           time_point now) const;
     int slots_kept_free() const;
 
     cli::retention_rule retention_;
