--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -875,8 +875,8 @@
 // of the upstreams is lost as well then, and shows it soon.
 void gateway_server::on_poll_started(const std::string& kind)
 {
-    // New adapter versions end their poll up to five times a second, so that a read after each would
-    // undo the pause between the polls of the upstreams.
+    // New adapter versions end their poll up to five times a second, so that a read after each
+    // would undo the pause between the polls of the upstreams.
     if (kind != platform::wire::upstream_kind && kind != platform::wire::version_kind) {
         upstream_watch_.read_again({});
     }
