Lists go on behind objects whose names are not fit for use

Callers saw: while one entry of another writer stood in a list of several pages, under a name with a blank or a control character, longer than 253 bytes or not UTF-8, gateways that had been restarted served nothing. They asked for the same page again and again and never used the list. Cause: a list goes on behind the last name of a page, and that was taken from the objects that can be used. The name that the store states and the name that is fit for use were one value. Change: a page keeps all names byte for byte as stated, and the list goes on behind the last one. Objects that are too large keep their name, too. The reason that is logged tells names that are not fit for use from names that cannot be read. The watch uses the percent-encoder of base/. Evidence: gateway_odd_entries_test::list_continues_behind_odd_names puts 23 such names before, between and behind sound objects of all four kinds, in pages of 1, 2 and 7 objects, and restarts the gateway. Why it works: the store orders its list by the names that it states, so that every name leads on.

--- a/src/base/json_text.cpp
+++ b/src/base/json_text.cpp
@@ -5,10 +5,13 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
+#include <system_error>
 
 namespace snipespar {
 
@@ -197,6 +200,77 @@
     return source.at_end() ? absl::OkStatus() : absl::InvalidArgumentError(malformed);
 }
 
+// Reads the four digits of an escape that follow `\\u`; nothing if they are malformed.
+std::optional<std::uint32_t> read_code_unit(std::string_view text, std::size_t position)
+{
+    constexpr std::size_t digits = 4;
+    constexpr int hexadecimal = 16;
+    if (text.size() < position + digits) {
+        return std::nullopt;
+    }
+    std::uint32_t unit = 0;
+    const char* const begin = text.data() + position;
+    const auto [stop, error] = std::from_chars(begin, begin + digits, unit, hexadecimal);
+    return error == std::errc{} && stop == begin + digits ? std::optional(unit) : std::nullopt;
+}
+
+void append_utf8(std::string& text, std::uint32_t code)
+{
+    constexpr std::uint32_t end_of_one_byte = 0x80;
+    constexpr std::uint32_t end_of_two_bytes = 0x800;
+    constexpr std::uint32_t end_of_three_bytes = 0x10000;
+    const auto append = [&](std::uint32_t byte) { text += static_cast<char>(byte); };
+    const auto append_following = [&](unsigned shift) {
+        append(0x80U | ((code >> shift) & 0x3fU));
+    };
+    if (code < end_of_one_byte) {
+        append(code);
+        return;
+    }
+    if (code < end_of_two_bytes) {
+        append(0xc0U | (code >> 6U));
+    }
+    else if (code < end_of_three_bytes) {
+        append(0xe0U | (code >> 12U));
+        append_following(6);
+    }
+    else {
+        append(0xf0U | (code >> 18U));
+        append_following(12);
+        append_following(6);
+    }
+    append_following(0);
+}
+
+// Appends the character of the escape behind the backslash at `position` and moves `position` to
+// its last character; false if JSON has no such escape. A surrogate without its other half is kept.
+bool append_escaped(std::string& bytes, std::string_view text, std::size_t& position)
+{
+    constexpr std::string_view escapes = "\"\\/bfnrt";
+    constexpr std::string_view meanings = "\"\\/\b\f\n\r\t";
+    constexpr std::size_t code_unit_digits = 4;
+    const char kind = ++position < text.size() ? text[position] : '\0';
+    if (const auto found = escapes.find(kind); found != std::string_view::npos) {
+        bytes += meanings[found];
+        return true;
+    }
+    const auto unit = kind == 'u' ? read_code_unit(text, position + 1) : std::nullopt;
+    if (!unit) {
+        return false;
+    }
+    position += code_unit_digits;
+    std::uint32_t code = *unit;
+    if ((code & 0xfc00U) == 0xd800U && text.substr(position + 1).starts_with("\\u")) {
+        const auto low = read_code_unit(text, position + 3);
+        if (low && (*low & 0xfc00U) == 0xdc00U) {
+            code = 0x10000U + ((code & 0x3ffU) << 10U) + (*low & 0x3ffU);
+            position += 2 + code_unit_digits;
+        }
+    }
+    append_utf8(bytes, code);
+    return true;
+}
+
 } // namespace
 
 absl::StatusOr<nlohmann::json> parse_json(std::string_view text)
@@ -243,6 +317,25 @@
     return elements;
 }
 
+absl::StatusOr<std::string> json_string_bytes(std::string_view text)
+{
+    std::string_view content;
+    if (scanner source(text); !source.take_string(content) || !source.at_end()) {
+        return absl::InvalidArgumentError("not a JSON string");
+    }
+    std::string bytes;
+    bytes.reserve(content.size());
+    for (std::size_t i = 0; i < content.size(); ++i) {
+        if (content[i] != '\\') {
+            bytes += content[i];
+        }
+        else if (!append_escaped(bytes, content, i)) {
+            return absl::InvalidArgumentError("an unknown escape");
+        }
+    }
+    return bytes;
+}
+
 absl::StatusOr<std::optional<std::string_view>> json_array_cursor::next()
 {
     constexpr const char* malformed = "not a well-formed JSON array";
--- a/src/base/json_text.h
+++ b/src/base/json_text.h
@@ -2,6 +2,7 @@
 
 #include <absl/status/statusor.h>
 #include <nlohmann/json_fwd.hpp>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -25,6 +26,10 @@
 /// The raw text of each element of an array, as above.
 absl::StatusOr<std::vector<std::string_view>> split_json_array(std::string_view text);
 
+/// The bytes that the text of a JSON string stands for, which need not be UTF-8. Invalid argument:
+/// it is not a string, or has an escape that JSON does not know.
+absl::StatusOr<std::string> json_string_bytes(std::string_view text);
+
 /// Whether all texts and names of the value are UTF-8, and it nests no deeper than `depth`.
 bool is_shallow_utf8(const nlohmann::json& value, int depth);
 
--- a/src/platform/object_codec.cpp
+++ b/src/platform/object_codec.cpp
@@ -2,10 +2,10 @@
 
 #include "base/json_text.h"
 #include "base/text_view.h"
+#include "base/utf8.h"
 
 #include <algorithm>
 #include <cstddef>
-#include <optional>
 #include <utility>
 
 namespace snipespar::platform {
@@ -28,25 +28,37 @@
     return found == object.end() ? std::string_view() : found->second;
 }
 
-std::optional<std::string> read_name(const members& object)
+// The name as the store states it, which need not be fit for use.
+absl::StatusOr<std::string> read_name(const members& object)
 {
     const auto metadata = split_json_object(member(object, "metadata"));
     if (!metadata.ok()) {
-        return std::nullopt;
+        return metadata.status();
     }
-    const auto name = parse_json(member(*metadata, "name"));
-    if (!name.ok() || !name->is_string()) {
-        return std::nullopt;
-    }
-    auto text = name->get<std::string>();
-    const bool is_printable = std::ranges::none_of(text, [](char character) {
+    return json_string_bytes(member(*metadata, "name"));
+}
+
+// Whether an object of any kind may have this name, which goes into messages and logs.
+bool is_fit(std::string_view name)
+{
+    const bool is_printable = std::ranges::none_of(name, [](char character) {
         const auto code = static_cast<unsigned char>(character);
         return code <= ' ' || code == 0x7f;
     });
-    if (text.empty() || text.size() > max_name_bytes || !is_printable) {
-        return std::nullopt;
+    return !name.empty() && name.size() <= max_name_bytes && is_printable && is_utf8(name);
+}
+
+// The beginning of a name as it can be logged; empty if it is not UTF-8.
+std::string shown(std::string_view name)
+{
+    if (!is_utf8(name)) {
+        return {};
+    }
+    name = name.substr(0, max_name_bytes);
+    while (!is_utf8(name)) {
+        name.remove_suffix(1);
     }
-    return text;
+    return std::string(name);
 }
 
 void add_unreadable(object_page& page, std::string name, std::string_view reason)
@@ -59,20 +71,25 @@
 // Adds the object to the page, to its unreadable ones or, if only its name is readable, to both.
 void read_object(std::string_view text, bool is_removed, content_form form, object_page& page)
 {
-    if (text.size() > max_object_bytes) {
-        add_unreadable(page, {}, "too large");
-        return;
-    }
     const auto object = split_json_object(text);
     if (!object.ok()) {
         add_unreadable(page, {}, to_std(object.status().message()));
         return;
     }
     const auto name = read_name(*object);
-    if (!name) {
+    if (!name.ok()) {
         add_unreadable(page, {}, "no readable name");
         return;
     }
+    page.names.push_back(*name);
+    if (!is_fit(*name)) {
+        add_unreadable(page, shown(*name), "the name is not fit for use");
+        return;
+    }
+    if (text.size() > max_object_bytes) {
+        add_unreadable(page, *name, "too large");
+        return;
+    }
     watched_object result;
     result.name = *name;
     result.is_removed = is_removed;
--- a/src/platform/object_codec.h
+++ b/src/platform/object_codec.h
@@ -22,6 +22,9 @@
     std::uint64_t revision = 0;
     /// The list continues behind the last name.
     bool has_more = false;
+    /// Names of all objects that have one, in the order of the store and byte for byte as it states
+    /// them, whether or not an object may have such a name.
+    std::vector<std::string> names;
     /// Readable objects. One whose name alone is readable has no content.
     std::vector<watched_object> objects;
     /// The first ones.
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -1,5 +1,6 @@
 #include "platform/object_watch.h"
 
+#include "base/percent_coding.h"
 #include "net/http_client.h"
 #include "net/steady_time.h"
 #include "platform/object_codec.h"
@@ -15,7 +16,6 @@
 #include <fmt/core.h>
 #include <iterator>
 #include <optional>
-#include <string_view>
 #include <utility>
 
 namespace snipespar::platform {
@@ -31,24 +31,6 @@
 // A list is at most about one megabyte.
 constexpr std::size_t max_response_bytes = 8UL * 1024 * 1024;
 
-constexpr std::string_view unreserved_characters =
-    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~";
-
-// Percent-encodes a value of a query.
-std::string escaped(std::string_view text)
-{
-    std::string result;
-    for (const char character : text) {
-        if (unreserved_characters.find(character) != std::string_view::npos) {
-            result += character;
-        }
-        else {
-            result += fmt::format("%{:02X}", static_cast<unsigned char>(character));
-        }
-    }
-    return result;
-}
-
 } // namespace
 
 class object_watch::follower : public std::enable_shared_from_this<follower> {
@@ -260,9 +242,9 @@
         bool has_more = true;
         const auto asked_at = steady_now();
         while (has_more) {
-            const auto target = after.empty()
-                                    ? fmt::format("/objects/{}", kind_)
-                                    : fmt::format("/objects/{}?after={}", kind_, escaped(after));
+            const auto target =
+                after.empty() ? fmt::format("/objects/{}", kind_)
+                              : fmt::format("/objects/{}?after={}", kind_, percent_encode(after));
             auto page = co_await get(target, response_timeout, due, read);
             if (!page.ok()) {
                 co_return page.status();
@@ -270,7 +252,7 @@
             // A watch from the first page's revision reports changes made between two pages.
             revision = revision.value_or(page->revision);
             has_more = page->has_more;
-            const auto last = page->objects.empty() ? after : page->objects.back().name;
+            const auto last = page->names.empty() ? after : page->names.back();
             std::ranges::move(page->objects, std::back_inserter(objects));
             std::ranges::move(page->unreadable, std::back_inserter(unreadable));
             if (has_more && last == after) {
--- a/tests/base_json_text_test.cpp
+++ b/tests/base_json_text_test.cpp
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace snipespar {
 
@@ -13,9 +15,37 @@
     CPPUNIT_TEST(text_without_a_value_is_an_error);
     CPPUNIT_TEST(containers_are_split_without_reading_their_values);
     CPPUNIT_TEST(malformed_containers_are_errors);
+    CPPUNIT_TEST(bytes_of_a_string_are_kept);
+    CPPUNIT_TEST(malformed_strings_are_errors);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void bytes_of_a_string_are_kept()
+    {
+        using std::string_literals::operator""s;
+        const std::vector<std::pair<std::string, std::string>> cases{
+            {R"("")", ""},
+            {R"("a b")", "a b"},
+            {R"("\"\\\/\b\f\n\r\t")", "\"\\/\b\f\n\r\t"},
+            {R"("\u0000\u0041\u00e9\u20AC\ud83d\ude00")",
+             "\0A\xc3\xa9\xe2\x82\xac\xf0\x9f\x98\x80"s},
+            {"\"\xff\xfe\"", "\xff\xfe"},
+            {R"("\ud800x")", "\xed\xa0\x80x"}};
+        for (const auto& [text, bytes] : cases) {
+            const auto read = json_string_bytes(text);
+            CPPUNIT_ASSERT_MESSAGE(text, read.ok());
+            CPPUNIT_ASSERT_MESSAGE(text, *read == bytes);
+        }
+    }
+
+    void malformed_strings_are_errors()
+    {
+        for (const std::string text : {"", "7", "null", "\"", "\"a", "a\"", "\"a\"b", R"("\x")",
+                                       R"("\u12")", R"("\u12g4")", R"("\")"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !json_string_bytes(text).ok());
+        }
+    }
+
     // Guards against values whose copy or destruction exhausts the stack.
     void text_is_parsed_up_to_a_depth()
     {
--- a/tests/platform_object_codec_test.cpp
+++ b/tests/platform_object_codec_test.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <cstddef>
 #include <string>
+#include <vector>
 
 namespace snipespar::platform {
 
@@ -11,6 +12,7 @@
     CPPUNIT_TEST_SUITE(platform_object_codec_test);
     CPPUNIT_TEST(sound_objects_are_read_beside_unreadable_ones);
     CPPUNIT_TEST(name_with_control_characters_is_unreadable);
+    CPPUNIT_TEST(names_are_kept_as_the_store_states_them);
     CPPUNIT_TEST(few_of_many_unreadable_objects_are_kept);
     CPPUNIT_TEST_SUITE_END();
 
@@ -42,6 +44,23 @@
         }
     }
 
+    // Guards against a list that cannot go on behind an object whose name is not fit for use.
+    void names_are_kept_as_the_store_states_them()
+    {
+        const std::string large(3UL * 1024 * 1024, 'x');
+        const auto page = decode_object_page(
+            R"({"items":[{"metadata":{"name":"a\u0000 b"},"spec":{}},{"metadata":{"name":")"
+            "\xff"
+            R"("},"spec":{}},{"metadata":{"name":""},"spec":{}},{"metadata":{"name":7}},7,)"
+            R"({"metadata":{"name":"large"},"spec":")" +
+            large + R"("}],"has_more":true,"current_rev":9})");
+        CPPUNIT_ASSERT(page.ok());
+        CPPUNIT_ASSERT(page->objects.empty());
+        const std::vector<std::string> names{std::string("a\0 b", 4), "\xff", "", "large"};
+        CPPUNIT_ASSERT(page->names == names);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, page->unreadable.size());
+    }
+
     // Guards against a page of small unreadable items that fills the memory.
     void few_of_many_unreadable_objects_are_kept()
     {
--- a/tests/process/gateway_odd_entries_test.cpp
+++ b/tests/process/gateway_odd_entries_test.cpp
@@ -1,3 +1,4 @@
+#include "base/percent_coding.h"
 #include "process/support/gateway_fleet.h"
 #include "process/support/wait_until.h"
 
@@ -50,6 +51,61 @@
     return result;
 }
 
+// A JSON text with these bytes, which need not be UTF-8.
+std::string quoted(const std::string& bytes)
+{
+    std::string text = "\"";
+    for (const char byte : bytes) {
+        const auto code = static_cast<unsigned char>(byte);
+        if (byte == '"' || byte == '\\') {
+            text += '\\';
+            text += byte;
+        }
+        else if (code < ' ') {
+            text += fmt::format("\\u{:04x}", code);
+        }
+        else {
+            text += byte;
+        }
+    }
+    return text + '"';
+}
+
+// Names that only another writer gives. None is that of an upstream.
+std::vector<std::string> odd_names()
+{
+    using std::string_literals::operator""s;
+    return {" ",
+            "\t",
+            "a b",
+            "a\tb",
+            "a\nb",
+            "a\0b"s,
+            std::string("a\x7f") + "b",
+            "a&b",
+            "a+b",
+            "a#b",
+            "a%b",
+            "a%41b",
+            "a/b?c=d",
+            "a\"b",
+            "a'b",
+            "a\\b",
+            "a,b",
+            "a;b=c",
+            "a:b",
+            "a@b",
+            "\xc3\xa9",
+            "\xff\xfe",
+            std::string(300, 'n')};
+}
+
+bool set_paging(const gateway_fleet& fleet, const std::string& paging)
+{
+    const auto reply = send_call(fleet.store.address, {"POST", "/paging", {}, paging});
+    return reply.ok() && reply->status == 200;
+}
+
 // Objects that another writer may leave. None names an upstream to use.
 std::vector<std::pair<std::string, std::string>> odd_objects()
 {
@@ -90,8 +146,8 @@
 bool put_raw(const gateway_fleet& fleet, const std::string& kind, const std::string& name,
              const std::string& text)
 {
-    const auto reply =
-        send_call(fleet.store.address, {"PUT", fmt::format("/raw/{}/{}", kind, name), {}, text});
+    const auto target = fmt::format("/raw/{}/{}", kind, percent_encode(name));
+    const auto reply = send_call(fleet.store.address, {"PUT", target, {}, text});
     return reply.ok() && reply->status == 200;
 }
 
@@ -124,6 +180,7 @@
     CPPUNIT_TEST(configuration_is_followed_beside_an_odd_one);
     CPPUNIT_TEST(configuration_is_followed_beside_one_that_is_not_the_operators);
     CPPUNIT_TEST(adapter_versions_are_followed_beside_an_odd_one);
+    CPPUNIT_TEST(list_continues_behind_odd_names);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -233,6 +290,53 @@
                     follow_limit));
         }
     }
+
+    // Guards against gateways that ask for the same page again and again, and know no object of a
+    // kind, because the last object of a page has a name that is not fit for use.
+    void list_continues_behind_odd_names()
+    {
+        for (const std::size_t page_size : {1U, 2U, 7U}) {
+            gateway_fleet fleet({.gateways = 1,
+                                 .engines = 0,
+                                 .services = 3,
+                                 .gateway_arguments = {"--evacuation-bound=3000ms"}});
+            CPPUNIT_ASSERT(fleet.wait_until_ready());
+            for (const auto& name : odd_names()) {
+                // Before, between and behind the sound ones.
+                for (const std::string prefix : {"", "i-0", "i-1", "j"}) {
+                    const auto text = object(quoted(prefix + name), "{}");
+                    CPPUNIT_ASSERT(put_raw(fleet, "servers", prefix + name, text));
+                }
+                for (const std::string kind : {"config", "versions", "evacuations"}) {
+                    CPPUNIT_ASSERT(put_raw(fleet, kind, name, object(quoted(name), "{}")));
+                }
+            }
+            CPPUNIT_ASSERT(
+                put_raw(fleet, "versions", "zbase.a1",
+                        object("\"zbase.a1\"", R"({"model":"zbase","adapter":"a1","version":7})")));
+            CPPUNIT_ASSERT(put_raw(fleet, "evacuations", "zone", object("\"zone\"", "{}")));
+            CPPUNIT_ASSERT(set_paging(fleet, fmt::format(R"({{"size":{}}})", page_size)));
+            auto& gateway = fleet.gateways.front();
+            gateway.process->kill();
+            gateway.restart();
+            const auto told = [&] {
+                return fmt::format("pages of {}\n{}", page_size, gateway.process->output());
+            };
+            CPPUNIT_ASSERT_MESSAGE(
+                told(), wait_until([&] { return knows(gateway, 3, fleet.services[2].id, false); },
+                                   follow_limit));
+            CPPUNIT_ASSERT_MESSAGE(told(), fleet.wait_until_ready());
+            CPPUNIT_ASSERT_EQUAL(
+                200U, send_call(gateway.address, fleet.make_call("/safe/x", "r1"))->status);
+            CPPUNIT_ASSERT_MESSAGE(
+                told(),
+                gateway.process->wait_for_output(
+                    "event=version_announced model=zbase adapter=a1 version=7\n", follow_limit));
+            CPPUNIT_ASSERT_MESSAGE(
+                told(), gateway.process->wait_for_output(
+                            "event=domain_evacuated failure_domain=zone\n", follow_limit));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_odd_entries_test);
--- a/tools/users_platform_stand_in/store.cpp
+++ b/tools/users_platform_stand_in/store.cpp
@@ -1,5 +1,7 @@
 #include "store.h"
 
+#include "base/percent_coding.h"
+
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -17,7 +19,11 @@
 
 namespace {
 
-constexpr std::size_t page_size = 50;
+// A text that is not percent-encoded stands for itself.
+std::string decoded(const std::string& text)
+{
+    return snipespar::percent_decode(text).value_or(text);
+}
 
 // Path segments and query parameters of a target.
 struct target_parts {
@@ -32,7 +38,7 @@
     std::string rest = target.substr(1, query_start - 1);
     for (std::size_t slash = 0; slash != std::string::npos;) {
         slash = rest.find('/');
-        parts.path.push_back(rest.substr(0, slash));
+        parts.path.push_back(decoded(rest.substr(0, slash)));
         rest = slash == std::string::npos ? std::string() : rest.substr(slash + 1);
     }
     std::string query =
@@ -41,7 +47,8 @@
         const auto end = std::min(query.find('&'), query.size());
         const auto pair = query.substr(0, end);
         const auto equals = std::min(pair.find('='), pair.size());
-        parts.query[pair.substr(0, equals)] = pair.substr(std::min(equals + 1, pair.size()));
+        parts.query[pair.substr(0, equals)] =
+            decoded(pair.substr(std::min(equals + 1, pair.size())));
         query = end == query.size() ? std::string() : query.substr(end + 1);
     }
     return parts;
@@ -78,6 +85,9 @@
         is_era_damaged_ = true;
         co_return co_await answer(socket, message, json_answer(200, "{}"));
     }
+    if (parts.path.front() == "paging") {
+        co_return co_await answer(socket, message, set_paging(message));
+    }
     if (parts.path.front() == "raw" && parts.path.size() == 3) {
         co_return co_await answer(socket, message,
                                   write_raw(message, parts.path[1], parts.path[2]));
@@ -133,8 +143,28 @@
     }
 }
 
-response store::list(const std::string& kind, const std::string& after) const
+response store::set_paging(const request& message)
+{
+    const auto body = json::parse(message.body(), nullptr, false);
+    if (body.is_object()) {
+        page_size_ = body.value("size", page_size_);
+        begins_anew_ = body.value("begins_anew", begins_anew_);
+    }
+    return json_answer(200, json{{"pages", pages_}}.dump());
+}
+
+bool store::is_known(const std::string& kind, const std::string& name) const
+{
+    const auto sound = objects_.find(kind);
+    const auto raw = raw_objects_.find(kind);
+    return (sound != objects_.end() && sound->second.contains(name)) ||
+           (raw != raw_objects_.end() && raw->second.contains(name));
+}
+
+response store::list(const std::string& kind, const std::string& last_name)
 {
+    ++pages_[kind];
+    const auto after = begins_anew_ && !is_known(kind, last_name) ? std::string() : last_name;
     std::map<std::string, std::string> following;
     if (const auto found = objects_.find(kind); found != objects_.end()) {
         for (auto item = found->second.upper_bound(after); item != found->second.end(); ++item) {
@@ -146,13 +176,13 @@
     }
     std::vector<std::string> items;
     for (const auto& [name, text] : following) {
-        if (items.size() < page_size) {
+        if (items.size() < page_size_) {
             items.push_back(text);
         }
     }
-    return json_answer(200,
-                       fmt::format(R"({{"items":[{}],"has_more":{},"current_rev":{}}})",
-                                   fmt::join(items, ","), following.size() > page_size, revision_));
+    return json_answer(200, fmt::format(R"({{"items":[{}],"has_more":{},"current_rev":{}}})",
+                                        fmt::join(items, ","), following.size() > page_size_,
+                                        revision_));
 }
 
 asio::awaitable<response> store::watch(std::string kind, std::uint64_t from, std::uint64_t wait_ms)
--- a/tools/users_platform_stand_in/store.h
+++ b/tools/users_platform_stand_in/store.h
@@ -18,7 +18,10 @@
 /// `POST /copy` takes a copy, and `POST /restore` brings it back in a new era, which all answers
 /// state: revisions are assigned again from that of the copy. `PUT /raw/KIND/NAME` stores any bytes
 /// as an object, as another writer may, and returns them unchanged in lists and events; an empty
-/// body removes them. `POST /damage` makes the next read of the configuration state the largest
+/// body removes them. Names in targets are percent-encoded. `POST /paging` with `{"size": NUMBER,
+/// "begins_anew": BOOL}` sets the objects of a page, and makes a list that is to go on behind a
+/// name that the store does not have begin from the start; it returns the pages listed by kind.
+/// `POST /damage` makes the next read of the configuration state the largest
 /// era.
 class store {
 public:
@@ -39,7 +42,9 @@
                                         const request& message, response content);
     void restore();
     void wake_watches();
-    response list(const std::string& kind, const std::string& after) const;
+    response set_paging(const request& message);
+    bool is_known(const std::string& kind, const std::string& name) const;
+    response list(const std::string& kind, const std::string& last_name);
     boost::asio::awaitable<response> watch(std::string kind, std::uint64_t from,
                                            std::uint64_t wait_ms);
     response write(const request& message, const std::string& kind, const std::string& name);
@@ -49,6 +54,10 @@
 
     std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
     std::map<std::string, std::map<std::string, std::string>> raw_objects_;
+    std::size_t page_size_ = 50;
+    bool begins_anew_ = false;
+    /// Pages that were listed, by kind.
+    std::map<std::string, int> pages_;
     std::vector<change> history_;
     std::uint64_t revision_ = 1;
     std::uint64_t history_begins_ = 1;
