Entries under names that no upstream may have are not used

Callers saw: an entry of another writer under a name such as a&b, with sound fields and the address of another process, was taken for an upstream, and calls went to that process. Cause: the name of an entry was checked for blanks and control characters only. Change: gateway/upstream_name decides which names are an upstream's: letters, digits and -._~, 253 bytes at most, the characters that need no encoding in any place where the name is put. The decoder of entries asks it for lists and events alike and names the reason (upstream_rejected); sidecars ask it for the name that demands state, which orders carry in their header. Why it works: there is one decision, and nothing else makes an upstream of an entry.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -4,6 +4,7 @@
 #include "gateway/call_explainer.h"
 #include "gateway/caller_connection.h"
 #include "gateway/connect_probe.h"
+#include "gateway/upstream_name.h"
 #include "net/bind_status.h"
 #include "net/start_number.h"
 #include "net/steady_time.h"
@@ -730,6 +731,9 @@
     const auto now = steady_now();
     const upstream_id id(object.name);
     if (object.is_removed) {
+        if (!check_upstream_name(object.name).ok()) {
+            return;
+        }
         if (context_.crashes.on_upstream_unreachable(id, now)) {
             on_crash(id, now);
         }
--- a/src/platform/upstream_entry_codec.cpp
+++ b/src/platform/upstream_entry_codec.cpp
@@ -3,6 +3,7 @@
 #include "base/json_reader.h"
 #include "base/text_view.h"
 #include "cli/value_parsers.h"
+#include "gateway/upstream_name.h"
 
 #include <absl/strings/ascii.h>
 #include <algorithm>
@@ -64,6 +65,9 @@
 {
     absl::Status status;
     const json_reader fields(content, "servers/" + id, status);
+    if (const auto name = gateway::check_upstream_name(id); !name.ok()) {
+        fields.fail(fields.path(), to_std(name.message()));
+    }
     gateway::upstream_entry entry;
     entry.id = upstream_id(id);
     // The platform calls a service an "upstream".
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -2,6 +2,7 @@
 
 #include "base/stable_hash.h"
 #include "control/message.h"
+#include "gateway/upstream_name.h"
 #include "net/start_number.h"
 #include "net/steady_time.h"
 #include "platform/engine_codec.h"
@@ -399,13 +400,31 @@
     });
 }
 
+// The demand without the name of the engine if no upstream may have that name. Orders carry it.
+control::adapter_demand sidecar_server::with_sound_upstream(control::adapter_demand demand)
+{
+    if (demand.upstream.empty()) {
+        return demand;
+    }
+    if (const auto name = gateway::check_upstream_name(demand.upstream); !name.ok()) {
+        if (std::exchange(rejected_upstream_, demand.upstream) != demand.upstream) {
+            log_.warning("upstream_rejected", {{"cause", std::string(name.message())},
+                                               {"upstream", demand.upstream},
+                                               {"gateway", demand.gateway}});
+        }
+        demand.upstream.clear();
+        demand.upstream_start_ms = 0;
+    }
+    return demand;
+}
+
 void sidecar_server::on_demand(const control::adapter_demand& demand, const cli::endpoint& from)
 {
     const auto now = steady_now();
     metrics_.demands.add();
     const bool is_new = gateways_.find(from) == gateways_.end();
     gateways_[from] = {demand.gateway, now};
-    planner_.on_demand(demand, now);
+    planner_.on_demand(with_sound_upstream(demand), now);
     if (is_new) {
         roster_.on_new(from);
         published_at_ = {};
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -59,6 +59,7 @@
     boost::asio::awaitable<void> give_orders();
     void on_message(const control::message& content, const cli::endpoint& from);
     void on_demand(const control::adapter_demand& demand, const cli::endpoint& from);
+    control::adapter_demand with_sound_upstream(control::adapter_demand demand);
     void on_permit_request(const control::permit_request& request, const cli::endpoint& from);
     void on_admission(const control::admission_request& request, const cli::endpoint& from);
     void show_planner();
@@ -95,6 +96,8 @@
     };
 
     std::map<cli::endpoint, known_gateway> gateways_;
+    /// Last name of the engine in a demand that no upstream may have.
+    std::string rejected_upstream_;
     gateway_roster roster_;
     /// The status last sent to any gateway, and when one was last sent to all.
     gateway::engine_status published_;
--- a/tests/platform_upstream_entry_codec_test.cpp
+++ b/tests/platform_upstream_entry_codec_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
+#include <string>
 
 namespace snipespar::platform {
 
@@ -22,6 +23,7 @@
     CPPUNIT_TEST_SUITE(platform_upstream_entry_codec_test);
     CPPUNIT_TEST(entry_is_decoded);
     CPPUNIT_TEST(malformed_entry_is_refused);
+    CPPUNIT_TEST(name_that_no_upstream_may_have_is_refused);
     CPPUNIT_TEST(unstated_software_equals_no_other);
     CPPUNIT_TEST_SUITE_END();
 
@@ -51,6 +53,22 @@
         CPPUNIT_ASSERT(!decode_upstream_entry("i-1", content).ok());
     }
 
+    // Guards against calls that are sent to a process that no upstream has announced.
+    void name_that_no_upstream_may_have_is_refused()
+    {
+        for (const std::string name :
+             {"", "a b", "a\tb", "a&b", "a+b", "a#b", "a%41b", "a/b", "a?b", "a:b", "a@b", "a,b",
+              "a;b", "a=b", "a\"b", "a\\b", "\xc3\xa9", "\xff"}) {
+            const auto entry = decode_upstream_entry(name, sample());
+            CPPUNIT_ASSERT_MESSAGE(name, !entry.ok());
+            CPPUNIT_ASSERT_MESSAGE(name, entry.status().message().find("the name is") !=
+                                             std::string::npos);
+        }
+        CPPUNIT_ASSERT(decode_upstream_entry(std::string(253, 'a'), sample()).ok());
+        CPPUNIT_ASSERT(!decode_upstream_entry(std::string(254, 'a'), sample()).ok());
+        CPPUNIT_ASSERT(decode_upstream_entry("i-7F3.a_~", sample()).ok());
+    }
+
     // Anyone may write entries, so only complete ones with known values are used.
     void malformed_entry_is_refused()
     {
--- a/tests/process/gateway_odd_entries_test.cpp
+++ b/tests/process/gateway_odd_entries_test.cpp
@@ -100,6 +100,16 @@
             std::string(300, 'n')};
 }
 
+// A sound entry under this name.
+std::string sound_entry(const std::string& name, const std::string& service,
+                        const cli::endpoint& address)
+{
+    return object(quoted(name),
+                  fmt::format(R"({{"upstream":"{}","address":"{}","zone":"a","version":"v1",)"
+                              R"("slots":4,"state":"ready"}})",
+                              service, address.str()));
+}
+
 bool set_paging(const gateway_fleet& fleet, const std::string& paging)
 {
     const auto reply = send_call(fleet.store.address, {"POST", "/paging", {}, paging});
@@ -170,6 +180,16 @@
     return is_found && status["upstreams"].size() == upstreams;
 }
 
+bool is_draining(const fleet_member& gateway, const std::string& id)
+{
+    const auto status = status_of(gateway);
+    bool draining = false;
+    for (const auto& item : status["upstreams"]) {
+        draining = draining || (item["id"] == id && item["draining"] == true);
+    }
+    return draining;
+}
+
 } // namespace
 
 /// Objects of the store that no one can read, beside sound ones.
@@ -181,6 +201,7 @@
     CPPUNIT_TEST(configuration_is_followed_beside_one_that_is_not_the_operators);
     CPPUNIT_TEST(adapter_versions_are_followed_beside_an_odd_one);
     CPPUNIT_TEST(list_continues_behind_odd_names);
+    CPPUNIT_TEST(entry_under_an_odd_name_is_no_upstream);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -291,6 +312,67 @@
         }
     }
 
+    // Guards against calls that are sent to a process that no upstream has announced.
+    void entry_under_an_odd_name_is_no_upstream()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 2});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        auto& gateway = fleet.gateways.front();
+        // Runs what is sent to it under the name that is announced last.
+        auto& other = fleet.services[1];
+        CPPUNIT_ASSERT(fleet.withdraw(other));
+        other.process->kill();
+        other.start.arguments.back() = "a&b";
+        other.restart();
+        CPPUNIT_ASSERT(other.process->wait_for_output("listening"));
+        auto names = odd_names();
+        names.emplace_back("a&b");
+        for (const auto& name : names) {
+            CPPUNIT_ASSERT(
+                put_raw(fleet, "servers", name, sound_entry(name, "desk", other.address)));
+        }
+        const auto check = [&](const std::string& source) {
+            for (int i = 0; i < 30; ++i) {
+                const auto id = fmt::format("{}-{}", source, i);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    gateway.process->output(), 200U,
+                    send_call(gateway.address, fleet.make_call("/safe/x", id))->status);
+            }
+            const auto runs = fleet.runs(other)["runs"].size();
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("{}: {} of 30 went there", source, runs), runs == 0);
+            CPPUNIT_ASSERT_MESSAGE(
+                source + "\n" + status_of(gateway).dump(),
+                wait_until([&] { return knows(gateway, 1, fleet.services[0].id, false); },
+                           follow_limit));
+        };
+        // A change that comes after them shows that they were read.
+        const auto follows = [&] {
+            CPPUNIT_ASSERT(fleet.announce(fleet.services[0], "desk", true));
+            CPPUNIT_ASSERT_MESSAGE(
+                gateway.process->output(),
+                wait_until([&] { return is_draining(gateway, fleet.services[0].id); },
+                           follow_limit));
+            CPPUNIT_ASSERT(fleet.announce(fleet.services[0], "desk", false));
+            CPPUNIT_ASSERT_MESSAGE(
+                gateway.process->output(),
+                wait_until([&] { return !is_draining(gateway, fleet.services[0].id); },
+                           follow_limit));
+        };
+        follows();
+        check("watch");
+        CPPUNIT_ASSERT_MESSAGE(
+            gateway.process->output(),
+            gateway.process->wait_for_output("cause=\"servers/a&b: the name is", follow_limit));
+        gateway.process->kill();
+        gateway.restart();
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        follows();
+        check("list");
+        CPPUNIT_ASSERT_MESSAGE(
+            gateway.process->output(),
+            gateway.process->wait_for_output("cause=\"servers/a&b: the name is", follow_limit));
+    }
+
     // Guards against gateways that ask for the same page again and again, and know no object of a
     // kind, because the last object of a page has a name that is not fit for use.
     void list_continues_behind_odd_names()
--- a/tests/process/sidecar_rounds_test.cpp
+++ b/tests/process/sidecar_rounds_test.cpp
@@ -23,11 +23,11 @@
 
 // What a gateway sends to a sidecar while a call waits for the adapter, or for the model if it has
 // no name.
-std::string demand_for(const std::string& adapter)
+std::string demand_for(const std::string& adapter, const std::string& upstream = "i-0")
 {
     return control::encode(control::adapter_demand{.gateway = "front-0",
                                                    .gateway_start = 1,
-                                                   .upstream = "i-0",
+                                                   .upstream = upstream,
                                                    .upstream_start_ms = 0,
                                                    .adapter_slots = 4,
                                                    .models = {"base"},
@@ -35,11 +35,12 @@
                                                    .versions = {}});
 }
 
-void send_demand(const fleet_member& sidecar, const std::string& adapter)
+void send_demand(const fleet_member& sidecar, const std::string& adapter,
+                 const std::string& upstream = "i-0")
 {
     asio::io_context context;
     asio::ip::udp::socket socket(context, asio::ip::udp::v4());
-    socket.send_to(asio::buffer(demand_for(adapter)),
+    socket.send_to(asio::buffer(demand_for(adapter, upstream)),
                    {asio::ip::make_address(sidecar.address.ip), sidecar.address.port});
 }
 
@@ -97,6 +98,7 @@
 class sidecar_rounds_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(sidecar_rounds_test);
     CPPUNIT_TEST(rounds_go_on_after_a_name_that_no_order_can_carry);
+    CPPUNIT_TEST(orders_bear_no_name_that_no_upstream_may_have);
     CPPUNIT_TEST(new_process_is_told_before_it_can_serve);
     CPPUNIT_TEST_SUITE_END();
 
@@ -124,6 +126,30 @@
             std::chrono::seconds(5)));
     }
 
+    // Guards against orders whose header holds a field that a gateway has smuggled in.
+    void orders_bear_no_name_that_no_upstream_may_have()
+    {
+        const gateway_fleet fleet({.gateways = 0, .engines = 1, .services = 0});
+        const auto& sidecar = fleet.sidecars.front();
+        int number = 0;
+        for (const std::string name : {"i 0", "i&0", "i-0\r\nExpect-Instance: i-1"}) {
+            const auto adapter = fmt::format("a{}", ++number);
+            CPPUNIT_ASSERT_MESSAGE(name, wait_until(
+                                             [&] {
+                                                 send_demand(sidecar, adapter, name);
+                                                 return holds(fleet.engines.front(), adapter);
+                                             },
+                                             std::chrono::seconds(5)));
+        }
+        std::size_t told = 0;
+        const auto output = sidecar.process->output();
+        for (auto at = output.find("event=upstream_rejected"); at != std::string::npos;
+             at = output.find("event=upstream_rejected", at + 1)) {
+            ++told;
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(output, std::size_t{3}, told);
+    }
+
     // Guards against gateways that take an engine for its predecessor, and join streams of two
     // software versions: its sidecar told of the process only with the model that it had loaded.
     void new_process_is_told_before_it_can_serve()
