A list that cannot be read to its end is used as far as it was read

Callers saw: with a page of nothing but objects without a name, a restarted gateway served nothing. With a store that begins its list anew for a name it does not have, the gateway asked for pages without a pause and kept all their objects. Cause: a list counted only once it had ended, and nothing bounded it. Change: platform/list_pages decides where a list goes on. What a cut list has brought is used, drops nothing that is known (list_extent), and is no proof that the registry was read. Its changes are polled for, and it is repeated after 2 s, later every 30 s at most (watch_plan). The gateway logs list_cut. Why it works: each page has to bring a new name, and every list ends.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -190,12 +190,16 @@
 
 platform::object_watch gateway_server::make_watch(
     const std::string& kind, platform::object_watch_options options,
-    void (gateway_server::*listed)(const std::vector<platform::watched_object>&),
+    void (gateway_server::*listed)(const std::vector<platform::watched_object>&,
+                                   platform::list_extent),
     void (gateway_server::*changed)(const platform::watched_object&))
 {
     return platform::object_watch(
         io_.get_executor(), settings_.platform, kind, options, context_.random(),
-        {[this, listed](const auto& objects) { (this->*listed)(objects); },
+        {[this, listed](const auto& objects, auto extent) { (this->*listed)(objects, extent); },
+         [this, kind](const std::string& reason) {
+             context_.log.warning("list_cut", {{"kind", kind}, {"reason", reason}});
+         },
          [this, changed](const auto& object) { (this->*changed)(object); },
          [this, kind](std::uint64_t era) { on_restored(kind, era); },
          [this, kind](std::uint64_t era) {
@@ -630,7 +634,8 @@
     return explainer.answer(query, steady_now());
 }
 
-void gateway_server::on_config_listed(const std::vector<platform::watched_object>& objects)
+void gateway_server::on_config_listed(const std::vector<platform::watched_object>& objects,
+                                      platform::list_extent /*extent*/)
 {
     for (const auto& object : objects) {
         on_config_changed(object);
@@ -706,7 +711,8 @@
     slow_tick_at_ = {};
 }
 
-void gateway_server::on_upstreams_listed(const std::vector<platform::watched_object>& objects)
+void gateway_server::on_upstreams_listed(const std::vector<platform::watched_object>& objects,
+                                         platform::list_extent extent)
 {
     std::vector<upstream_entry> entries;
     for (const auto& object : objects) {
@@ -719,7 +725,14 @@
                                  {{"cause", std::string(entry.status().message())}});
         }
     }
-    context_.upstreams.replace(entries, steady_now());
+    if (extent == platform::list_extent::whole) {
+        context_.upstreams.replace(entries, steady_now());
+    }
+    else {
+        for (const auto& entry : entries) {
+            context_.upstreams.update(entry, steady_now());
+        }
+    }
     if (!std::exchange(has_upstreams_, true)) {
         greet_sidecars();
     }
@@ -762,9 +775,11 @@
     context_.upstreams.update(*entry, now);
 }
 
-void gateway_server::on_evacuations_listed(const std::vector<platform::watched_object>& objects)
+void gateway_server::on_evacuations_listed(const std::vector<platform::watched_object>& objects,
+                                           platform::list_extent extent)
 {
-    std::set<failure_domain_id> domains;
+    auto domains = extent == platform::list_extent::whole ? std::set<failure_domain_id>()
+                                                          : context_.upstreams.evacuated();
     for (const auto& object : objects) {
         domains.insert(failure_domain_id(object.name));
     }
@@ -823,7 +838,8 @@
     context_.log.warning("object_unreadable", {{"kind", kind}, {"name", name}, {"reason", reason}});
 }
 
-void gateway_server::on_versions_listed(const std::vector<platform::watched_object>& objects)
+void gateway_server::on_versions_listed(const std::vector<platform::watched_object>& objects,
+                                        platform::list_extent /*extent*/)
 {
     for (const auto& object : objects) {
         on_version_changed(object);
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -65,7 +65,8 @@
 private:
     platform::object_watch
     make_watch(const std::string& kind, platform::object_watch_options options,
-               void (gateway_server::*listed)(const std::vector<platform::watched_object>&),
+               void (gateway_server::*listed)(const std::vector<platform::watched_object>&,
+                                              platform::list_extent),
                void (gateway_server::*changed)(const platform::watched_object&));
     absl::Status listen_for_admins();
     absl::Status open_datagrams();
@@ -85,16 +86,20 @@
     std::string status() const;
     telemetry::query_answer explain(std::string_view query) const;
 
-    void on_config_listed(const std::vector<platform::watched_object>& objects);
+    void on_config_listed(const std::vector<platform::watched_object>& objects,
+                          platform::list_extent extent);
     void on_config_changed(const platform::watched_object& object);
     void read_config();
     void greet_sidecars();
     void use_config(std::shared_ptr<const fleet_config> config);
-    void on_upstreams_listed(const std::vector<platform::watched_object>& objects);
+    void on_upstreams_listed(const std::vector<platform::watched_object>& objects,
+                             platform::list_extent extent);
     void on_upstream_changed(const platform::watched_object& object);
-    void on_versions_listed(const std::vector<platform::watched_object>& objects);
+    void on_versions_listed(const std::vector<platform::watched_object>& objects,
+                            platform::list_extent extent);
     void on_version_changed(const platform::watched_object& object);
-    void on_evacuations_listed(const std::vector<platform::watched_object>& objects);
+    void on_evacuations_listed(const std::vector<platform::watched_object>& objects,
+                               platform::list_extent extent);
     void on_evacuation_changed(const platform::watched_object& object);
     void evacuate(std::set<failure_domain_id> domains);
     /// The watches that run.
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -3,6 +3,7 @@
 #include "base/percent_coding.h"
 #include "net/http_client.h"
 #include "net/steady_time.h"
+#include "platform/list_pages.h"
 #include "platform/object_codec.h"
 #include "platform/watch_plan.h"
 #include "platform/wire_names.h"
@@ -14,7 +15,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <exception>
 #include <fmt/core.h>
-#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -235,43 +235,41 @@
 
     asio::awaitable<absl::Status> list(planned_read due, store_read& read)
     {
-        std::vector<watched_object> objects;
-        std::vector<unreadable_object> unreadable;
-        std::optional<std::uint64_t> revision;
-        std::string after;
-        bool has_more = true;
+        list_pages pages;
+        auto state = list_pages::state::open;
         const auto asked_at = steady_now();
-        while (has_more) {
-            const auto target =
-                after.empty() ? fmt::format("/objects/{}", kind_)
-                              : fmt::format("/objects/{}?after={}", kind_, percent_encode(after));
+        while (state == list_pages::state::open) {
+            const auto target = pages.after().empty() ? fmt::format("/objects/{}", kind_)
+                                                      : fmt::format("/objects/{}?after={}", kind_,
+                                                                    percent_encode(pages.after()));
+            const auto bytes_before = read.bytes;
             auto page = co_await get(target, response_timeout, due, read);
             if (!page.ok()) {
                 co_return page.status();
             }
-            // A watch from the first page's revision reports changes made between two pages.
-            revision = revision.value_or(page->revision);
-            has_more = page->has_more;
-            const auto last = page->names.empty() ? after : page->names.back();
-            std::ranges::move(page->objects, std::back_inserter(objects));
-            std::ranges::move(page->unreadable, std::back_inserter(unreadable));
-            if (has_more && last == after) {
-                co_return absl::DataLossError("a page without a readable name");
-            }
-            after = last;
+            state = pages.add(*std::move(page), read.bytes - bytes_before);
         }
         const auto used_at = steady_now();
-        report(unreadable);
-        handler_.listed(objects);
-        handler_.read(asked_at);
-        plan_.on_used(due.number, *revision, steady_now());
+        report(pages.unreadable());
+        is_listed_whole_ = state == list_pages::state::whole;
+        if (is_listed_whole_) {
+            handler_.listed(pages.objects(), list_extent::whole);
+            handler_.read(asked_at);
+            plan_.on_used(due.number, pages.revision(), steady_now());
+        }
+        else {
+            handler_.list_cut(pages.reason());
+            handler_.listed(pages.objects(), list_extent::part);
+            plan_.on_used_in_part(due.number, pages.revision(), steady_now());
+        }
         read.processing += steady_now() - used_at;
         co_return absl::OkStatus();
     }
 
     asio::awaitable<absl::Status> poll(planned_read due, store_read& read)
     {
-        const auto poll_wait = due.kind == read_kind::catch_up ? duration{} : poll_wait_;
+        const auto usual_wait = due.kind == read_kind::catch_up ? duration{} : poll_wait_;
+        const auto poll_wait = std::min(due.max_wait.value_or(usual_wait), usual_wait);
         const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(poll_wait);
         const auto asked_at = steady_now();
         const auto response = co_await get(
@@ -285,7 +283,9 @@
         for (const auto& object : response->objects) {
             handler_.changed(object);
         }
-        handler_.read(asked_at);
+        if (is_listed_whole_) {
+            handler_.read(asked_at);
+        }
         plan_.on_used(due.number, response->revision, steady_now());
         read.processing += steady_now() - used_at;
         co_return absl::OkStatus();
@@ -316,6 +316,8 @@
     watch_plan plan_;
     bool is_stopped_ = false;
     std::optional<bool> is_reachable_;
+    /// The last list shows all objects.
+    bool is_listed_whole_ = false;
     /// The last response stated a doubtful era.
     bool is_era_doubtful_ = false;
 };
--- a/src/platform/object_watch.h
+++ b/src/platform/object_watch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cli/endpoint.h"
+#include "platform/list_extent.h"
 #include "platform/object_codec.h"
 #include "platform/store_read.h"
 #include "platform/watched_object.h"
@@ -18,8 +19,11 @@
 
 /// Events of an object watch. All are called on the watch's executor.
 struct object_watch_handler {
-    /// All objects of the kind, as listed; replaces everything reported before.
-    std::function<void(const std::vector<watched_object>&)> listed;
+    /// The objects of the kind, as listed. All of them replace everything reported before; a part
+    /// replaces what was reported of its own objects.
+    std::function<void(const std::vector<watched_object>&, list_extent)> listed;
+    /// A list could not be read to its end. It is repeated after a pause that grows.
+    std::function<void(const std::string& reason)> list_cut;
     std::function<void(const watched_object&)> changed;
     /// The store was restored from a copy some seconds old; its era is now this one. All objects
     /// are listed next.
--- a/src/platform/store_read.cpp
+++ b/src/platform/store_read.cpp
@@ -30,6 +30,8 @@
         return "restored";
     case read_cause::retry:
         return "retry";
+    case read_cause::incomplete:
+        return "incomplete";
     }
     return "unknown";
 }
--- a/src/platform/store_read.h
+++ b/src/platform/store_read.h
@@ -32,6 +32,8 @@
     restored,
     /// The read before it has failed.
     retry,
+    /// The last list could not be read to its end.
+    incomplete,
 };
 
 /// What became of a read.
--- a/src/platform/watch_plan.cpp
+++ b/src/platform/watch_plan.cpp
@@ -12,10 +12,16 @@
 constexpr auto initial_retry_delay = std::chrono::milliseconds(100);
 constexpr auto max_retry_delay = std::chrono::milliseconds(800);
 
+// A list that cannot be read to its end is read again rarely, as it ends the same way while the
+// objects that cut it stand.
+constexpr auto initial_list_delay = std::chrono::seconds(2);
+constexpr auto max_list_delay = std::chrono::seconds(30);
+
 } // namespace
 
 watch_plan::watch_plan(duration poll_delay, std::uint64_t seed)
-    : poll_delay_(poll_delay), retry_backoff_(initial_retry_delay, max_retry_delay, seed)
+    : poll_delay_(poll_delay), retry_backoff_(initial_retry_delay, max_retry_delay, seed),
+      list_backoff_(initial_list_delay, max_list_delay, seed)
 {
 }
 
@@ -34,12 +40,17 @@
     replaced_at_.reset();
     is_hurried_ = false;
     auto kind = read_kind::list;
-    if (position_.is_listed()) {
+    std::optional<duration> max_wait;
+    if (position_.is_listed() && list_due_at_ && now >= *list_due_at_) {
+        cause_ = cause_ == read_cause::next ? read_cause::incomplete : cause_;
+    }
+    else if (position_.is_listed()) {
         kind = std::exchange(is_catch_up_wanted_, false) ? read_kind::catch_up : read_kind::poll;
+        max_wait = list_due_at_ ? std::optional(*list_due_at_ - now) : std::nullopt;
     }
     current_ = current_read{++last_number_, kind, false};
     return planned_read{last_number_, kind, std::exchange(cause_, read_cause::next),
-                        position_.revision()};
+                        position_.revision(), max_wait};
 }
 
 std::optional<time_point> watch_plan::next_at() const
@@ -77,10 +88,27 @@
     }
     if (current_->kind == read_kind::list) {
         position_.on_listed(revision);
+        list_due_at_.reset();
+        list_backoff_.reset();
     }
     else {
         position_.on_polled(revision);
     }
+    end_used(now);
+}
+
+void watch_plan::on_used_in_part(std::uint64_t number, std::uint64_t revision, time_point now)
+{
+    if (!is_current(number)) {
+        return;
+    }
+    position_.on_listed(revision);
+    list_due_at_ = now + list_backoff_.next();
+    end_used(now);
+}
+
+void watch_plan::end_used(time_point now)
+{
     current_.reset();
     replaced_at_.reset();
     is_retrying_ = false;
--- a/src/platform/watch_plan.h
+++ b/src/platform/watch_plan.h
@@ -18,6 +18,8 @@
     read_cause cause = read_cause::start;
     /// Changes after this revision are asked for; unused for a list.
     std::uint64_t revision = 0;
+    /// Longest wait of a poll; nothing for the usual one.
+    std::optional<duration> max_wait = std::nullopt;
 
     friend bool operator==(const planned_read&, const planned_read&) = default;
 };
@@ -59,6 +61,11 @@
     /// The result was used: everything up to `revision`.
     void on_used(std::uint64_t number, std::uint64_t revision, time_point now);
 
+    /// A list could not be read to its end; what it has brought was used: some objects, as of
+    /// `revision`. Changes are polled for from there, and all objects listed again after a pause
+    /// that grows.
+    void on_used_in_part(std::uint64_t number, std::uint64_t revision, time_point now);
+
     void on_failed(std::uint64_t number, read_failure failure, time_point now);
 
     /// Something newer may exist than what the watch has reported. A poll that gets no byte within
@@ -70,6 +77,8 @@
     void list_again(std::uint64_t era, time_point now);
 
 private:
+    void end_used(time_point now);
+
     struct current_read {
         std::uint64_t number = 0;
         read_kind kind = read_kind::list;
@@ -78,6 +87,8 @@
 
     duration poll_delay_;
     backoff retry_backoff_;
+    /// Pauses between lists that cannot be read to their end.
+    backoff list_backoff_;
     watch_position position_;
     std::optional<current_read> current_;
     std::uint64_t last_number_ = 0;
@@ -87,6 +98,8 @@
     time_point next_start_at_;
     /// When the poll under way is replaced unless bytes of its response arrive.
     std::optional<time_point> replaced_at_;
+    /// When all objects have to be listed again, as the last list is incomplete.
+    std::optional<time_point> list_due_at_;
     /// The next read must not wait for changes.
     bool is_catch_up_wanted_ = false;
     /// The next read must not be delayed.
--- a/tests/platform_watch_plan_test.cpp
+++ b/tests/platform_watch_plan_test.cpp
@@ -147,6 +147,7 @@
     CPPUNIT_TEST(poll_is_replaced_at_once_without_patience);
     CPPUNIT_TEST(pause_after_a_failure_is_kept);
     CPPUNIT_TEST(restored_store_is_listed_once);
+    CPPUNIT_TEST(incomplete_list_is_followed_by_polls_and_lists);
     CPPUNIT_TEST(latest_version_is_used_within_two_transfers_of_the_news);
     CPPUNIT_TEST_SUITE_END();
 
@@ -240,6 +241,47 @@
         CPPUNIT_ASSERT(plan.next(at(50))->kind == read_kind::poll);
     }
 
+    // Guards against a watch that asks for a list without a pause, or follows nothing, because the
+    // list cannot be read to its end.
+    void incomplete_list_is_followed_by_polls_and_lists()
+    {
+        watch_plan plan({}, 1);
+        auto now = at(0);
+        int lists = 0;
+        int polls = 0;
+        std::uint64_t revision = 7;
+        while (now < at(120'000)) {
+            const auto due = plan.next(now);
+            CPPUNIT_ASSERT(due);
+            if (due->kind == read_kind::list) {
+                ++lists;
+                CPPUNIT_ASSERT(lists == 1 || due->cause == read_cause::incomplete);
+                plan.on_used_in_part(due->number, ++revision, now);
+            }
+            else {
+                ++polls;
+                CPPUNIT_ASSERT(due->kind == read_kind::poll);
+                CPPUNIT_ASSERT_EQUAL(revision, due->revision);
+                CPPUNIT_ASSERT(due->max_wait && *due->max_wait > duration{});
+                now += *due->max_wait;
+                plan.on_used(due->number, revision, now);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(lists, polls);
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} lists", lists), lists >= 5 && lists <= 20);
+        // A failure does not end the series, a whole list does.
+        const auto failed = plan.next(now);
+        CPPUNIT_ASSERT(failed->kind == read_kind::list);
+        plan.on_failed(failed->number, read_failure::unavailable, now);
+        now += std::chrono::seconds(1);
+        const auto again = plan.next(now);
+        CPPUNIT_ASSERT(again->kind == read_kind::list);
+        plan.on_used(again->number, 9, now);
+        const auto poll = plan.next(now);
+        CPPUNIT_ASSERT(poll->kind == read_kind::poll);
+        CPPUNIT_ASSERT(!poll->max_wait);
+    }
+
     // Guards against a version that is never used, over slow links, lost polls, failures, dropped
     // histories, versions in quick succession and news at any time.
     void latest_version_is_used_within_two_transfers_of_the_news()
--- a/tests/process/gateway_odd_entries_test.cpp
+++ b/tests/process/gateway_odd_entries_test.cpp
@@ -8,6 +8,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 namespace snipespar::testing {
@@ -202,6 +204,8 @@
     CPPUNIT_TEST(adapter_versions_are_followed_beside_an_odd_one);
     CPPUNIT_TEST(list_continues_behind_odd_names);
     CPPUNIT_TEST(entry_under_an_odd_name_is_no_upstream);
+    CPPUNIT_TEST(list_that_does_not_lead_on_is_used_as_far_as_it_was_read);
+    CPPUNIT_TEST(list_that_leads_back_is_not_read_without_end);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -312,6 +316,74 @@
         }
     }
 
+    // Guards against gateways that know no upstream, or forget those that they know, because of an
+    // object without any name.
+    void list_that_does_not_lead_on_is_used_as_far_as_it_was_read()
+    {
+        gateway_fleet fleet({.gateways = 2, .engines = 0, .services = 3});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(put_raw(fleet, "servers", "i-0x", "7"));
+        CPPUNIT_ASSERT(set_paging(fleet, R"({"size":1})"));
+        const auto& running = fleet.gateways[0];
+        auto& restarted = fleet.gateways[1];
+        restarted.process->kill();
+        restarted.restart();
+        const auto reply = send_call(fleet.store.address, {"DELETE", "/history", {}, {}});
+        CPPUNIT_ASSERT(reply.ok() && reply->status == 200);
+        for (const auto* gateway : {&running, static_cast<const fleet_member*>(&restarted)}) {
+            CPPUNIT_ASSERT_MESSAGE(
+                gateway->process->output(),
+                gateway->process->wait_for_output("event=list_cut kind=servers", follow_limit));
+        }
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(knows(restarted, 1, fleet.services[0].id, false));
+        CPPUNIT_ASSERT(knows(running, 3, fleet.services[2].id, false));
+        for (int i = 0; i < 10; ++i) {
+            CPPUNIT_ASSERT_EQUAL(200U, send_call(restarted.address,
+                                                 fleet.make_call("/safe/x", fmt::format("r{}", i)))
+                                           ->status);
+        }
+        // Changes are followed meanwhile, and the rest is listed soon after the object is gone.
+        CPPUNIT_ASSERT(fleet.announce(fleet.services[1], "desk", true));
+        for (const auto& [gateway, known] :
+             {std::pair(&running, 3U),
+              std::pair(static_cast<const fleet_member*>(&restarted), 2U)}) {
+            CPPUNIT_ASSERT(wait_until(
+                [&] { return knows(*gateway, known, fleet.services[1].id, true); }, follow_limit));
+        }
+        CPPUNIT_ASSERT(put_raw(fleet, "servers", "i-0x", ""));
+        CPPUNIT_ASSERT_MESSAGE(
+            restarted.process->output(),
+            wait_until([&] { return knows(restarted, 3, fleet.services[2].id, false); },
+                       std::chrono::seconds(15)));
+    }
+
+    // Guards against a store that is asked for the same pages without a pause, and their objects
+    // that are kept.
+    void list_that_leads_back_is_not_read_without_end()
+    {
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 3});
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        // The store states a name that it does not have.
+        CPPUNIT_ASSERT(put_raw(fleet, "servers", "i-0x", object("\"i-0 x\"", "{}")));
+        CPPUNIT_ASSERT(set_paging(fleet, R"({"size":1,"begins_anew":true})"));
+        auto& gateway = fleet.gateways.front();
+        gateway.process->kill();
+        gateway.restart();
+        const auto pages = [&] {
+            const auto reply = send_call(fleet.store.address, {"POST", "/paging", {}, "{}"});
+            CPPUNIT_ASSERT(reply.ok() && reply->status == 200);
+            return nlohmann::json::parse(reply->body)["pages"]["servers"].get<int>();
+        };
+        const int before = pages();
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        std::this_thread::sleep_for(std::chrono::seconds(3));
+        CPPUNIT_ASSERT_EQUAL(200U,
+                             send_call(gateway.address, fleet.make_call("/safe/x", "r1"))->status);
+        const int asked_for = pages() - before;
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} pages", asked_for), asked_for <= 30);
+    }
+
     // Guards against calls that are sent to a process that no upstream has announced.
     void entry_under_an_odd_name_is_no_upstream()
     {
