The end of a connection that broke is not the end of an answer

Callers saw: an upstream answered a long upload at once with a success without a length, sent a part of its body and reset the connection while the upload was still being written. They got the part as a complete answer; so they did if it ended its sending first. Cause: a socket reports its error once. The write of the request took that of the reset, the failed write only kept the connection from being used again, and the read after it saw a plain end. A reset behind the end of sending is not reported to a read at all. Change: an answer that ends with its connection is whole only if its request was completely written and no error is left at the socket (net/connection_end). Otherwise the attempt may have run, as after any other broken answer. Answers with a stated end are delivered as before. Why it works: each of the two places where the system tells of a broken connection is asked before its end is believed.

--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -1,5 +1,6 @@
 #include "gateway/upstream_channel.h"
 
+#include "net/connection_end.h"
 #include "net/resource_error.h"
 #include "net/socket_options.h"
 #include "platform/call_codec.h"
@@ -166,6 +167,10 @@
             self->can_reuse_ = false;
             self->parser_->put_eof(parse_error);
             if (!parse_error && self->parser_->is_done()) {
+                if (!self->ended_in_order()) {
+                    return self->fail(
+                        absl::UnknownError("the connection broke before the answer was complete"));
+                }
                 self->was_closed_by_upstream_ = true;
                 self->forward_body();
                 return self->finish();
@@ -175,6 +180,14 @@
     });
 }
 
+// Whether nothing failed in either direction: without a stated length, the end of the connection is
+// the end of the response only then. The error of a reset may have gone to the write of the
+// request, so that the read sees a plain end.
+bool upstream_channel::ended_in_order()
+{
+    return is_written_ && net::ended_in_order(socket_);
+}
+
 void upstream_channel::on_bytes(std::size_t count)
 {
     const auto self = shared_from_this();
--- a/src/gateway/upstream_channel.h
+++ b/src/gateway/upstream_channel.h
@@ -81,6 +81,7 @@
     void connect(duration timeout);
     void write();
     void read();
+    bool ended_in_order();
     void on_bytes(std::size_t count);
     bool parse(boost::system::error_code& error);
     bool handle_header();
@@ -108,6 +109,7 @@
     bool is_connected_ = false;
     bool is_busy_ = false;
     bool is_head_request_ = false;
+    /// The whole request was written without an error.
     bool is_written_ = false;
     bool is_reading_ = false;
     bool has_response_ = false;
--- a/tests/process/gateway_faulty_answers_test.cpp
+++ b/tests/process/gateway_faulty_answers_test.cpp
@@ -1,6 +1,7 @@
 #include "process/support/gateway_fleet.h"
 #include "process/support/process_memory.h"
 #include "process/support/raw_caller.h"
+#include "process/support/raw_upstream.h"
 #include "process/support/wait_until.h"
 
 #include <cppunit/TestFixture.h>
@@ -35,6 +36,15 @@
     return reply.ok() ? *std::move(reply) : http_reply{};
 }
 
+// Announces an upstream of the service `desk`.
+bool announce(gateway_fleet& fleet, const std::string& id, const raw_upstream& upstream)
+{
+    fleet_member member;
+    member.id = id;
+    member.address = upstream.address();
+    return fleet.announce(member, "desk", false);
+}
+
 std::string expected_stream(const std::string& id)
 {
     std::string text;
@@ -51,6 +61,7 @@
     CPPUNIT_TEST_SUITE(gateway_faulty_answers_test);
     CPPUNIT_TEST(answers_without_a_length_are_delivered_whole);
     CPPUNIT_TEST(answer_without_a_length_that_is_reset_is_not_complete);
+    CPPUNIT_TEST(answer_without_a_length_that_is_reset_during_an_upload_is_not_complete);
     CPPUNIT_TEST(stream_that_ends_inside_an_event_goes_on_elsewhere);
     CPPUNIT_TEST(answer_without_a_length_is_given_none);
     CPPUNIT_TEST(stream_is_not_ended_by_a_resumption_without_events);
@@ -93,6 +104,40 @@
                              send(fleet.gateways[0], fleet.make_call("/unsafe/x", "u1")).status);
     }
 
+    // Guards against a part of an answer that callers get as the whole.
+    void answer_without_a_length_that_is_reset_during_an_upload_is_not_complete()
+    {
+        constexpr std::size_t upload_bytes = 3UL * 1024 * 1024;
+        constexpr int callers = 6;
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 0});
+        raw_upstream upstream({});
+        CPPUNIT_ASSERT(announce(fleet, "raw", upstream));
+        CPPUNIT_ASSERT(fleet.change_config(
+            [&](auto& config) { config["limits"]["max_body_bytes"] = 2 * upload_bytes; }));
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(wait_until(
+            [&] { return fleet.config_version_of(fleet.gateways[0]) == fleet.config_version(); }));
+        for (const auto end : {raw_answer::end::reset, raw_answer::end::in_order_then_reset}) {
+            upstream.set_answer({{"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n\r\n"
+                                  "a part of the body"},
+                                 end});
+            for (const std::string path : {"/unsafe/x", "/safe/x"}) {
+                for (int i = 0; i < callers; ++i) {
+                    auto call =
+                        fleet.make_call(path, fmt::format("{}{}", static_cast<int>(end), i));
+                    call.body.resize(upload_bytes, 'u');
+                    const auto reply = send(fleet.gateways[0], call);
+                    const auto told = fmt::format("{} {}: {} with {} bytes", path, i, reply.status,
+                                                  reply.body.size());
+                    // 503 if the upstream is left alone for its failures: nothing was sent.
+                    CPPUNIT_ASSERT_MESSAGE(told, reply.status == 502 || reply.status == 503);
+                    CPPUNIT_ASSERT_MESSAGE(told, reply.header("response-seal").empty());
+                }
+            }
+        }
+        CPPUNIT_ASSERT(upstream.requests() > 0);
+    }
+
     void stream_that_ends_inside_an_event_goes_on_elsewhere()
     {
         gateway_fleet fleet({.gateways = 1});
--- a/tests/process/gateway_upstream_channel_test.cpp
+++ b/tests/process/gateway_upstream_channel_test.cpp
@@ -6,10 +6,13 @@
 #include <boost/asio/write.hpp>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace snipespar::gateway {
@@ -20,6 +23,8 @@
 using std::chrono::milliseconds;
 
 constexpr auto step_time = milliseconds(100);
+// More than the buffers of both sockets hold.
+constexpr std::size_t upload_bytes = 32UL * 1024 * 1024;
 
 std::string head(const std::string& status_line, const std::string& id,
                  const std::string& more = {})
@@ -69,6 +74,10 @@
     CPPUNIT_TEST(length_that_cannot_be_allocated_ends_its_exchange_only);
     CPPUNIT_TEST(interim_answer_is_not_the_final_one);
     CPPUNIT_TEST(unknown_transfer_coding_is_a_failure);
+    CPPUNIT_TEST(answer_without_a_length_is_not_ended_by_a_reset);
+    CPPUNIT_TEST(answer_without_a_length_is_not_ended_before_its_request);
+    CPPUNIT_TEST(answer_without_a_length_is_whole_if_its_connection_ends_in_order);
+    CPPUNIT_TEST(answer_with_a_stated_end_is_whole_before_a_reset);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -255,7 +264,93 @@
         }
     }
 
+    // Guards against a part of an answer that callers get as the whole: the write of the request
+    // takes the error of the connection, and the read after it sees a plain end.
+    void answer_without_a_length_is_not_ended_by_a_reset()
+    {
+        for (const std::size_t body_bytes : {std::size_t{0}, std::size_t{1000}, upload_bytes}) {
+            for (const bool ends_sending_first : {false, true}) {
+                const auto broken = upload(body_bytes, head("200 OK", "r1") + "part", [&] {
+                    if (ends_sending_first) {
+                        peer_->shutdown(tcp::socket::shutdown_send);
+                    }
+                    peer_->set_option(boost::asio::socket_base::linger(true, 0));
+                    peer_->close();
+                });
+                const auto name = "body of " + std::to_string(body_bytes) +
+                                  (ends_sending_first ? ", end first" : "");
+                CPPUNIT_ASSERT_MESSAGE(name, !broken.has_ended);
+                CPPUNIT_ASSERT_MESSAGE(name, broken.failure == absl::StatusCode::kUnknown);
+            }
+        }
+    }
+
+    void answer_without_a_length_is_not_ended_before_its_request()
+    {
+        const auto doubtful = upload(upload_bytes, head("200 OK", "r1") + "part",
+                                     [&] { peer_->shutdown(tcp::socket::shutdown_send); });
+        CPPUNIT_ASSERT(!doubtful.has_ended);
+        CPPUNIT_ASSERT(doubtful.failure == absl::StatusCode::kUnknown);
+    }
+
+    void answer_without_a_length_is_whole_if_its_connection_ends_in_order()
+    {
+        for (const std::size_t body_bytes : {std::size_t{0}, std::size_t{1000}}) {
+            const auto whole = upload(body_bytes, head("200 OK", "r1") + "all", [&] {
+                std::string request(body_bytes + 1000, ' ');
+                peer_->read_some(boost::asio::buffer(request));
+                peer_->close();
+            });
+            CPPUNIT_ASSERT(whole.has_ended);
+            CPPUNIT_ASSERT_EQUAL(std::string("all"), whole.body);
+        }
+    }
+
+    // Guards against ready answers that are not delivered.
+    void answer_with_a_stated_end_is_whole_before_a_reset()
+    {
+        for (const auto& bytes :
+             {answer("r1", "all"),
+              head("200 OK", "r1", "Transfer-Encoding: chunked\r\n") + "3\r\nall\r\n0\r\n\r\n"}) {
+            const auto whole = upload(upload_bytes, bytes, [&] {
+                peer_->set_option(boost::asio::socket_base::linger(true, 0));
+                peer_->close();
+            });
+            CPPUNIT_ASSERT(whole.has_ended);
+            CPPUNIT_ASSERT_EQUAL(std::string("all"), whole.body);
+            CPPUNIT_ASSERT(!channel_->is_reusable());
+        }
+    }
+
 private:
+    // Sends a request with a body on a new connection. The upstream writes these bytes and ends the
+    // connection its way, before the gateway handles either.
+    outcome upload(std::size_t body_bytes, const std::string& bytes,
+                   const std::function<void()>& end_connection)
+    {
+        tearDown();
+        setUp();
+        current_ = {};
+        acceptor_->async_accept(*peer_, [](const auto& /*error*/) {});
+        auto body = std::make_shared<const std::string>(body_bytes, 'u');
+        channel_->exchange(
+            "POST / HTTP/1.1\r\nRequest-Id: r1\r\nContent-Length: " + std::to_string(body_bytes) +
+                "\r\n\r\n",
+            std::move(body), "r1", false, step_time,
+            {.header = [this](const auto& item) { current_.headers.push_back(item); },
+             .body = [this](auto text) { current_.body += text; },
+             .ended = [this] { current_.has_ended = true; },
+             .failed = [this](const auto& status) { current_.failure = status.code(); }});
+        context_->restart();
+        context_->run_for(step_time);
+        boost::asio::write(*peer_, boost::asio::buffer(bytes));
+        end_connection();
+        wait_for_bytes();
+        context_->restart();
+        context_->run_for(step_time);
+        return current_;
+    }
+
     // Sends a request and has the upstream respond with these bytes.
     outcome exchange(const std::string& id, const std::string& bytes)
     {
