An answer has a status from 100 to 599

Callers saw: an upstream in trouble answered with the status 600, 700 or 999, and they got that as an answer on all kinds of route. A status below 100 reached nobody, but was taken for an interim answer, so that a call waited for the final one. Cause: Beast's parser takes any three digits, and everything below 200 was an interim answer. Change: net/response_head_check checks a head as its bytes come, before the parser sees them; net/response_feed puts the check before the parser, and channels to upstreams read through it. A head that fails is a broken answer: the attempt may have run, a safe call goes elsewhere at once. Why it works: no byte of a head reaches the parser that the check has not taken.

--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -117,10 +117,9 @@
 void upstream_channel::reset_parser()
 {
     parser_.emplace();
+    feed_ = {};
     parser_->header_limit(max_response_header_bytes);
     parser_->body_limit(boost::none);
-    // The header is decoded before the parser adds trailers to it.
-    parser_->eager(false);
     parser_->skip(is_head_request_);
 }
 
@@ -215,7 +214,7 @@
     if (input_.empty()) {
         return false;
     }
-    const auto used = parser_->put(asio::buffer(input_), error);
+    const auto used = feed_.put(*parser_, input_, error);
     input_.erase(0, used);
     if (error == http::error::need_more) {
         error = {};
@@ -232,7 +231,6 @@
     if (!is_busy_ || is_closed_) {
         return false;
     }
-    parser_->eager(parser_->is_header_done());
     if (is_stale_response_) {
         parser_->get().body().clear();
         dropped_bytes_ += used;
@@ -241,14 +239,16 @@
             return false;
         }
     }
-    if (has_response_) {
+    // A read may bring several chunks.
+    const bool goes_on = !parser_->is_done() && used != 0 && !input_.empty();
+    if (has_response_ && !goes_on) {
         forward_body();
     }
     if (!is_busy_ || is_closed_) {
         return false;
     }
     if (!parser_->is_done()) {
-        return used != 0 && !input_.empty();
+        return goes_on;
     }
     if (is_stale_response_) {
         is_stale_response_ = false;
--- a/src/gateway/upstream_channel.h
+++ b/src/gateway/upstream_channel.h
@@ -3,6 +3,7 @@
 #include "cli/endpoint.h"
 #include "gateway/answer_header.h"
 #include "net/growing_body.h"
+#include "net/response_feed.h"
 #include "snipespar/time.h"
 
 #include <absl/status/status.h>
@@ -103,6 +104,7 @@
     /// Requests that were refused on this connection.
     std::vector<std::string> refused_requests_;
     std::optional<parser> parser_;
+    net::response_feed feed_;
     std::array<char, 8192> read_buffer_{};
     /// Bytes received and not parsed yet.
     std::string input_;
--- a/tests/process/gateway_faulty_answers_test.cpp
+++ b/tests/process/gateway_faulty_answers_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(answers_without_a_length_are_delivered_whole);
     CPPUNIT_TEST(answer_without_a_length_that_is_reset_is_not_complete);
     CPPUNIT_TEST(answer_without_a_length_that_is_reset_during_an_upload_is_not_complete);
+    CPPUNIT_TEST(status_out_of_range_reaches_no_caller);
     CPPUNIT_TEST(stream_that_ends_inside_an_event_goes_on_elsewhere);
     CPPUNIT_TEST(answer_without_a_length_is_given_none);
     CPPUNIT_TEST(stream_is_not_ended_by_a_resumption_without_events);
@@ -104,6 +105,15 @@
                              send(fleet.gateways[0], fleet.make_call("/unsafe/x", "u1")).status);
     }
 
+    void status_out_of_range_reaches_no_caller()
+    {
+        std::vector<std::string> heads;
+        for (const std::string status : {"000", "099", "600", "700", "999"}) {
+            heads.push_back(broken_head(status, ""));
+        }
+        check_broken_heads(heads);
+    }
+
     // Guards against a part of an answer that callers get as the whole.
     void answer_without_a_length_that_is_reset_during_an_upload_is_not_complete()
     {
@@ -297,6 +307,43 @@
     void endless_chunk_header_is_cut() { check_endless_answer("chunk"); }
 
 private:
+    static std::string broken_head(const std::string& status, const std::string& line)
+    {
+        return fmt::format(
+            "HTTP/1.1 {} Trouble\r\nRequest-Id: {{id}}\r\nResponse-Seal: s\r\nX-A: y\r\n"
+            "{}Content-Length: 4\r\n\r\nbody",
+            status, line);
+    }
+
+    // One upstream sends these answers, the other one sound ones. Calls that may run again are
+    // answered by the other one at once, and no caller gets anything of a broken answer.
+    static void check_broken_heads(const std::vector<std::string>& heads)
+    {
+        for (const auto& bytes : heads) {
+            gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 1});
+            const raw_upstream upstream({{bytes}});
+            CPPUNIT_ASSERT(announce(fleet, "raw", upstream));
+            CPPUNIT_ASSERT(fleet.wait_until_ready());
+            for (const std::string kind : {"safe", "unsafe"}) {
+                const int before = upstream.requests();
+                for (int i = 0; upstream.requests() == before; ++i) {
+                    CPPUNIT_ASSERT_MESSAGE(bytes, i < 200);
+                    const auto id = fmt::format("{}{}", kind, i);
+                    const auto reply =
+                        send(fleet.gateways[0], fleet.make_call(fmt::format("/{}/x", kind), id));
+                    const auto told =
+                        fmt::format("{} {}: {} {}", kind, bytes, reply.status, reply.body);
+                    const bool was_broken = upstream.requests() != before;
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(told, was_broken && kind == "unsafe" ? 502U : 200U,
+                                                 reply.status);
+                    CPPUNIT_ASSERT_MESSAGE(told,
+                                           reply.status != 200 ||
+                                               reply.body == fmt::format("{0}body of {0}", id));
+                }
+            }
+        }
+    }
+
     // One of two upstreams sends something endless. Its calls are answered by the other one, its
     // connection is closed soon and little of it is kept.
     static void check_endless_answer(const std::string& kind)
--- a/tests/process/gateway_upstream_channel_test.cpp
+++ b/tests/process/gateway_upstream_channel_test.cpp
@@ -23,6 +23,7 @@
 using std::chrono::milliseconds;
 
 constexpr auto step_time = milliseconds(100);
+constexpr auto piece_time = milliseconds(2);
 // More than the buffers of both sockets hold.
 constexpr std::size_t upload_bytes = 32UL * 1024 * 1024;
 
@@ -78,6 +79,7 @@
     CPPUNIT_TEST(answer_without_a_length_is_not_ended_before_its_request);
     CPPUNIT_TEST(answer_without_a_length_is_whole_if_its_connection_ends_in_order);
     CPPUNIT_TEST(answer_with_a_stated_end_is_whole_before_a_reset);
+    CPPUNIT_TEST(status_out_of_range_is_a_failure);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -322,7 +324,34 @@
         }
     }
 
+    // Guards against answers with a status that no one defines, and callers that wait for the final
+    // answer behind a status below 100.
+    void status_out_of_range_is_a_failure()
+    {
+        for (const std::string line : {"000 Trouble", "001 Trouble", "099 Trouble", "600 Trouble",
+                                       "700 Trouble", "999 Trouble"}) {
+            assert_broken(head(line, "r1", "Content-Length: 0\r\n"), line);
+        }
+        for (const std::string line : {"200 ", "299 Fine", "404 Not here", "599 Trouble"}) {
+            tearDown();
+            setUp();
+            const auto sound = exchange("r1", head(line, "r1", "Content-Length: 0\r\n"));
+            CPPUNIT_ASSERT_MESSAGE(line, sound.has_ended);
+        }
+    }
+
 private:
+    // An answer that fails as broken, without a header or with one before broken trailers.
+    void assert_broken(const std::string& bytes, const std::string& name, bool in_pieces = false)
+    {
+        tearDown();
+        setUp();
+        exchange("r1", bytes, in_pieces);
+        CPPUNIT_ASSERT_MESSAGE(name, !current_.has_ended);
+        CPPUNIT_ASSERT_MESSAGE(name, current_.failure == absl::StatusCode::kUnknown);
+        CPPUNIT_ASSERT_MESSAGE(name, !channel_->is_reusable());
+    }
+
     // Sends a request with a body on a new connection. The upstream writes these bytes and ends the
     // connection its way, before the gateway handles either.
     outcome upload(std::size_t body_bytes, const std::string& bytes,
@@ -352,7 +381,7 @@
     }
 
     // Sends a request and has the upstream respond with these bytes.
-    outcome exchange(const std::string& id, const std::string& bytes)
+    outcome exchange(const std::string& id, const std::string& bytes, bool in_pieces = false)
     {
         current_ = {};
         if (!peer_->is_open()) {
@@ -366,7 +395,14 @@
              .failed = [this](const auto& status) { current_.failure = status.code(); }});
         context_->restart();
         context_->run_for(step_time);
-        boost::asio::write(*peer_, boost::asio::buffer(bytes));
+        const std::size_t piece = in_pieces ? 1 : bytes.size();
+        for (std::size_t at = 0; at < bytes.size() && !current_.failure; at += piece) {
+            boost::asio::write(*peer_, boost::asio::buffer(bytes.substr(at, piece)));
+            if (in_pieces) {
+                context_->restart();
+                context_->run_for(piece_time);
+            }
+        }
         context_->restart();
         context_->run_for(step_time);
         return current_;
