A broken line of a head makes the answer a broken one

Callers saw: an answer with a line that begins with a blank or a tab reached them as a success, with that line joined to the field before it, or with a body that was framed by that line. A blank or control byte inside a name was refused already. Cause: Beast's parser joins folded lines to the value before them. It also checks trailers; for that a chunked body is parsed chunk by chunk, and what a read has brought is still passed on at once. Evidence: gateway_faulty_answers_test::broken_line_of_a_head_reaches_no_caller failed with the program of (200 with the joined line); gateway_upstream_channel_test::broken_line_of_a_head_is_a_failure and broken_head_is_a_failure_wherever_it_stands (in pieces, kept connections, interim ones, those of other requests, trailers) failed before the checks. All pass now. Why it works: RFC 9112, section 5.2, lets a gateway refuse folded lines, and every other line has one reading.

--- a/src/net/response_feed.cpp
+++ b/src/net/response_feed.cpp
@@ -5,6 +5,25 @@
 
 namespace snipespar::net {
 
+namespace {
+
+// Checks the trailers of a chunked response in the last bytes that its parser used: the line end of
+// the chunk before, the last chunk's line, and the trailers.
+boost::beast::error_code check_trailers(std::string_view last_bytes)
+{
+    constexpr std::string_view line_end = "\r\n";
+    if (last_bytes.starts_with(line_end)) {
+        last_bytes.remove_prefix(line_end.size());
+    }
+    last_bytes.remove_prefix(
+        std::min(last_bytes.find(line_end), last_bytes.size() - line_end.size()) + line_end.size());
+    boost::beast::error_code error;
+    response_head_check::of_trailers().add(last_bytes, error);
+    return error;
+}
+
+} // namespace
+
 std::size_t response_feed::put(boost::beast::http::basic_parser<false>& parser,
                                std::string_view input, boost::beast::error_code& error)
 {
@@ -15,9 +34,13 @@
             return 0;
         }
     }
-    parser.eager(!is_head);
+    // The parser takes the last chunk and the trailers in one step.
+    parser.eager(!is_head && !parser.chunked());
     const auto used = parser.put(boost::asio::buffer(input), error);
     checked_ -= std::min(checked_, used);
+    if (!error && parser.is_done() && !is_head && parser.chunked()) {
+        error = check_trailers(input.substr(0, used));
+    }
     return used;
 }
 
--- a/src/net/response_feed.h
+++ b/src/net/response_feed.h
@@ -9,11 +9,12 @@
 
 namespace snipespar::net {
 
-/// Gives the bytes of one response to its parser. The head is checked before it.
+/// Gives the bytes of one response to its parser. The head and the trailers are checked before it.
 class response_feed {
 public:
     /// As the parser's `put` for a contiguous input: returns how many bytes were used, and the rest
-    /// is given again with what follows. One call ends with the head at the latest.
+    /// is given again with what follows. One call ends with the head at the latest; the body of a
+    /// chunked response takes a call for each chunk.
     std::size_t put(boost::beast::http::basic_parser<false>& parser, std::string_view input,
                     boost::beast::error_code& error);
 
--- a/tests/net_response_head_check_test.cpp
+++ b/tests/net_response_head_check_test.cpp
@@ -42,6 +42,8 @@
 class net_response_head_check_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(net_response_head_check_test);
     CPPUNIT_TEST(status_is_from_100_to_599);
+    CPPUNIT_TEST(lines_are_checked_in_any_pieces);
+    CPPUNIT_TEST(trailers_have_no_status_line);
     CPPUNIT_TEST(head_ends_at_its_empty_line);
     CPPUNIT_TEST_SUITE_END();
 
@@ -62,6 +64,36 @@
         CPPUNIT_ASSERT(!check("\r\n\r\n", 1).is_sound);
     }
 
+    void lines_are_checked_in_any_pieces()
+    {
+        using std::string_literals::operator""s;
+        const std::string status = "HTTP/1.1 200 OK\r\n";
+        for (std::size_t piece = 1; piece <= 40; ++piece) {
+            for (const auto& lines :
+                 {""s, "X-A: y\r\n"s, "X-A:\r\n"s, "!#$%&'*+-.^_`|~09aZ: y\tz \351\r\nB: c\r\n"s}) {
+                CPPUNIT_ASSERT_MESSAGE(lines, check(status + lines + "\r\n", piece).is_sound);
+            }
+            for (const auto& line :
+                 {" X-A: y\r\n"s, "\tX-A: y\r\n"s, " \r\n"s, "X A: y\r\n"s, "X-A : y\r\n"s,
+                  ": y\r\n"s, "X-A\r\n"s, "X\0A: y\r\n"s, "X\1: y\r\n"s, "X\177: y\r\n"s,
+                  "X\351: y\r\n"s, "X(: y\r\n"s, "X-A: \0\r\n"s, "X-A: \1\r\n"s, "X-A: \177\r\n"s,
+                  "X-A: y\rz\r\n"s, "X-A: y\n"s}) {
+                for (const auto& start : {status, status + "B: c\r\n"}) {
+                    CPPUNIT_ASSERT_MESSAGE(line, !check(start + line + "\r\n", piece).is_sound);
+                }
+            }
+        }
+    }
+
+    void trailers_have_no_status_line()
+    {
+        const auto trailers = [] { return response_head_check::of_trailers(); };
+        CPPUNIT_ASSERT(check("\r\n", 1, trailers()).is_sound);
+        CPPUNIT_ASSERT(check("X-A: y\r\n\r\n", 3, trailers()).is_sound);
+        CPPUNIT_ASSERT(!check(" X-A: y\r\n\r\n", 1, trailers()).is_sound);
+        CPPUNIT_ASSERT(!check("X-A: y\r\n z\r\n\r\n", 1, trailers()).is_sound);
+    }
+
     void head_ends_at_its_empty_line()
     {
         const std::string head = "HTTP/1.1 200 OK\r\nX-A: y\r\n\r\n";
--- a/tests/process/gateway_faulty_answers_test.cpp
+++ b/tests/process/gateway_faulty_answers_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(answer_without_a_length_that_is_reset_is_not_complete);
     CPPUNIT_TEST(answer_without_a_length_that_is_reset_during_an_upload_is_not_complete);
     CPPUNIT_TEST(status_out_of_range_reaches_no_caller);
+    CPPUNIT_TEST(broken_line_of_a_head_reaches_no_caller);
     CPPUNIT_TEST(stream_that_ends_inside_an_event_goes_on_elsewhere);
     CPPUNIT_TEST(answer_without_a_length_is_given_none);
     CPPUNIT_TEST(stream_is_not_ended_by_a_resumption_without_events);
@@ -114,6 +115,16 @@
         check_broken_heads(heads);
     }
 
+    void broken_line_of_a_head_reaches_no_caller()
+    {
+        std::vector<std::string> heads;
+        for (const std::string line : {" X-B: y", "\tX-B: y", " Content-Length: 2",
+                                       "\tTransfer-Encoding: chunked", "X B: y", "X-B : y"}) {
+            heads.push_back(broken_head("200", line + "\r\n"));
+        }
+        check_broken_heads(heads);
+    }
+
     // Guards against a part of an answer that callers get as the whole.
     void answer_without_a_length_that_is_reset_during_an_upload_is_not_complete()
     {
--- a/tests/process/gateway_upstream_channel_test.cpp
+++ b/tests/process/gateway_upstream_channel_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/upstream_channel.h"
 
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -8,9 +9,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <cstddef>
 #include <functional>
+#include <initializer_list>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -34,6 +37,15 @@
            (id.empty() ? std::string() : "Request-Id: " + id + "\r\n") + more + "\r\n";
 }
 
+std::string joined(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (const auto part : parts) {
+        text += part;
+    }
+    return text;
+}
+
 std::string answer(const std::string& id, const std::string& body)
 {
     return head("200 OK", id, "Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
@@ -80,6 +92,8 @@
     CPPUNIT_TEST(answer_without_a_length_is_whole_if_its_connection_ends_in_order);
     CPPUNIT_TEST(answer_with_a_stated_end_is_whole_before_a_reset);
     CPPUNIT_TEST(status_out_of_range_is_a_failure);
+    CPPUNIT_TEST(broken_line_of_a_head_is_a_failure);
+    CPPUNIT_TEST(broken_head_is_a_failure_wherever_it_stands);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -340,6 +354,65 @@
         }
     }
 
+    // Guards against fields that are passed on joined, or that frame the body.
+    void broken_line_of_a_head_is_a_failure()
+    {
+        using std::string_literals::operator""s;
+        const std::array<std::string, 3> ends{
+            "Content-Length: 2\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+            "Connection: close\r\n\r\nab"};
+        std::size_t number = 0;
+        for (const auto& line :
+             {" X-A: y"s, "\tX-A: y"s, " Content-Length: 7"s, "\tTransfer-Encoding: chunked"s, " "s,
+              "X A: y"s, "X\tA: y"s, "X\1Y: y"s, "X\0A: y"s, "X\177Y: y"s, "X-A : y"s, "X-A\t: y"s,
+              ": y"s, "X-A"s, "X\351: y"s, "X(A): y"s, "X-A: a\0b"s, "X-A: a\1b"s}) {
+            const auto& end = ends.at(number++ % ends.size());
+            const std::string status_line = "HTTP/1.1 200 OK\r\n";
+            const std::string id = "Request-Id: r1\r\n";
+            assert_broken(joined({status_line, id, line, "\r\n", end}), line);
+            assert_broken(joined({status_line, line, "\r\n", id, end}), line);
+        }
+    }
+
+    // Heads in pieces, on a kept connection, interim ones and those of earlier requests, and
+    // trailers.
+    void broken_head_is_a_failure_wherever_it_stands()
+    {
+        const auto broken = head("200 OK", "r1", "X-A: y\r\n Content-Length: 2\r\n") + "ab";
+        assert_broken(broken, "in pieces", true);
+        assert_broken(head("103 Early Hints", "r1") + broken, "behind an interim one");
+        assert_broken(head("103 Early Hints", "r1", "X-A: y\r\n b\r\n") + answer("r1", "one"),
+                      "interim");
+        assert_broken(head("200 OK", "r0", "Content-Length: 0\r\nX-A: y\r\n b\r\n") +
+                          answer("r1", "one"),
+                      "of another request");
+        for (const std::string trailer : {"X-A: y\r\n b\r\n", " X-A: y\r\n", "X A: y\r\n"}) {
+            for (const std::string chunks : {"", "2\r\nab\r\n", "2\r\nab\r\n3;x=y\r\ncde\r\n"}) {
+                for (const bool in_pieces : {false, true}) {
+                    const auto start = head("200 OK", "r1", "Transfer-Encoding: chunked\r\n");
+                    assert_broken(joined({start, chunks, "0\r\n", trailer, "\r\n"}), trailer,
+                                  in_pieces);
+                }
+            }
+        }
+        tearDown();
+        setUp();
+        CPPUNIT_ASSERT(exchange("r1", answer("r1", "one")).has_ended);
+        const auto kept = exchange("r2", head("999 Trouble", "r2", "Content-Length: 0\r\n"));
+        CPPUNIT_ASSERT(kept.failure == absl::StatusCode::kUnknown);
+        // Sound ones in pieces.
+        for (const auto& bytes :
+             {answer("r1", "one"), head("200 OK", "r1", "Transfer-Encoding: chunked\r\n") +
+                                       "1\r\no\r\n2;x=y\r\nne\r\n0\r\nX-A: y\r\n\r\n"}) {
+            tearDown();
+            setUp();
+            const auto whole = exchange("r1", head("103 Early Hints", "r1") + bytes, true);
+            CPPUNIT_ASSERT(whole.has_ended);
+            CPPUNIT_ASSERT_EQUAL(std::string("one"), whole.body);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, whole.headers.size());
+        }
+    }
+
 private:
     // An answer that fails as broken, without a header or with one before broken trailers.
     void assert_broken(const std::string& bytes, const std::string& name, bool in_pieces = false)
