The other readers of answers believe no broken head and no broken end

A list or a report could be framed by a folded line, a status of 600 was a status, and a part of a body without a length was the whole if the server ended its sending before it reset the connection. An agent passed such a part on as a complete answer. Change: net/response_reader reads a response through response_feed and ends a body with its connection only if that ended in order. All of them use it; their requests are written before they read. Evidence: net_http_client_test (both kinds of call) and agent_upstream_call_test failed with the readers as they were: broken_head_is_a_failure, response_without_a_length_is_not_ended_by_a_reset and answer_without_a_length_is_not_ended_by_a_reset. They pass now. No test of their own: orders and spans, whose readers use the status only. Why it works: there is one way to read a response, with the same checks as channels of gateways.

--- a/src/agent/adapter_orders.cpp
+++ b/src/agent/adapter_orders.cpp
@@ -1,12 +1,13 @@
 #include "agent/adapter_orders.h"
 
+#include "net/response_reader.h"
 #include "telemetry/spawn_task.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <nlohmann/json.hpp>
@@ -59,9 +60,9 @@
         co_return false;
     }
     beast::flat_buffer buffer;
-    http::response<http::string_body> response;
-    const auto [read_error, read] = co_await http::async_read(stream, buffer, response, as_result);
-    co_return !read_error && response.result() == http::status::ok;
+    http::response_parser<http::string_body> response;
+    const auto read_error = co_await net::response_reader(stream, buffer, response).read_whole();
+    co_return !read_error && response.get().result() == http::status::ok;
 }
 
 } // namespace
--- a/src/agent/upstream_call.cpp
+++ b/src/agent/upstream_call.cpp
@@ -2,6 +2,7 @@
 
 #include "base/json_reader.h"
 #include "net/event_stream_parser.h"
+#include "net/response_reader.h"
 #include "telemetry/spawn_task.h"
 
 #include <array>
@@ -11,7 +12,6 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <nlohmann/json.hpp>
@@ -191,19 +191,17 @@
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
     parser.skip(message.method() == http::verb::head);
-    const auto [read_error, read] =
-        co_await http::async_read_header(stream_, buffer, parser, as_result);
-    if (read_error) {
+    net::response_reader reader(stream_, buffer, parser);
+    if (const auto read_error = co_await reader.read_head(); read_error) {
         fail(read_failure(read_error));
         co_return;
     }
 
     // Reads the body through the parser that has read the header.
     struct {
-        tcp_stream& stream;
-        beast::flat_buffer& buffer;
+        net::response_reader& reader;
         http::response_parser<http::buffer_body>& parser;
-    } source{stream_, buffer, parser};
+    } source{reader, parser};
     if (is_engine_call()) {
         co_await read_tokens(source);
     }
@@ -219,9 +217,8 @@
     auto& body = source.parser.get().body();
     body.data = chunk.data();
     body.size = chunk.size();
-    source.stream.expires_after(upstream_.progress_timeout);
-    auto [error, count] =
-        co_await http::async_read_some(source.stream, source.buffer, source.parser, as_result);
+    stream_.expires_after(upstream_.progress_timeout);
+    const auto error = co_await source.reader.read_some();
     chunk.resize(chunk.size() - body.size);
     if (error && error != http::error::need_buffer) {
         fail(read_failure(error));
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include "net/response_reader.h"
 #include "net/socket_options.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -9,7 +10,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cerrno>
 #include <chrono>
@@ -36,9 +36,6 @@
 // Received bytes beyond a body: a header, or the header of a chunk.
 constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
 
-// Bytes that one read takes at most.
-constexpr std::size_t read_size = 32UL * 1024;
-
 struct connection {
     connection(const asio::any_io_executor& executor, std::size_t max_buffered_bytes)
         : stream(executor), buffer(max_buffered_bytes)
@@ -141,8 +138,8 @@
 // Reads a response within the time that was set for the stream.
 asio::awaitable<absl::Status> read_response(connection& source, response_parser& parser)
 {
-    const auto [error, count] =
-        co_await http::async_read(source.stream, source.buffer, parser, as_result);
+    response_reader reader(source.stream, source.buffer, parser);
+    const auto error = co_await reader.read_whole();
     co_return error ? read_error_status(error) : absl::OkStatus();
 }
 
@@ -151,11 +148,11 @@
                                             duration between_parts,
                                             const std::function<bool()>& goes_on)
 {
-    source.buffer.reserve(read_size);
+    response_reader reader(source.stream, source.buffer, parser);
     std::size_t bytes_of_span = min_transfer_bytes;
     while (!parser.is_done()) {
-        const auto [error, count] =
-            co_await http::async_read_some(source.stream, source.buffer, parser, as_result);
+        const auto before = reader.received();
+        const auto error = co_await reader.read_some();
         if (error) {
             co_return read_error_status(error);
         }
@@ -165,7 +162,7 @@
         if (!goes_on()) {
             co_return absl::CancelledError("the response is not wanted any more");
         }
-        bytes_of_span += count;
+        bytes_of_span += reader.received() - before;
         if (bytes_of_span >= min_transfer_bytes) {
             bytes_of_span = 0;
             source.stream.expires_after(between_parts);
--- a/src/telemetry/span_exporter.cpp
+++ b/src/telemetry/span_exporter.cpp
@@ -1,5 +1,6 @@
 #include "telemetry/span_exporter.h"
 
+#include "net/response_reader.h"
 #include "telemetry/counter.h"
 #include "telemetry/metrics_registry.h"
 
@@ -112,12 +113,11 @@
         co_return false;
     }
     beast::flat_buffer buffer;
-    http::response<http::string_body> response;
-    if (const auto [error, size] = co_await http::async_read(stream, buffer, response, use_result);
-        error) {
+    http::response_parser<http::string_body> response;
+    if (co_await net::response_reader(stream, buffer, response).read_whole()) {
         co_return false;
     }
-    co_return http::to_status_class(response.result()) == http::status_class::successful;
+    co_return http::to_status_class(response.get().result()) == http::status_class::successful;
 }
 
 } // namespace snipespar::telemetry
