An odd item of the platform's lists costs that item alone

Same cause as the odd entry of a gateway's list, in the store of entries and agents: one host or object that could not be read made the whole list an error, so that a starting entry knew no other one. Change: http_object_store splits a list first and reads its items one by one, as the watch of gateways does; one that cannot be read is left out with a line of the log (object_unreadable) that names its place. Why it works: the error of an item no longer is that of its list.

--- a/src/store/http_object_store.cpp
+++ b/src/store/http_object_store.cpp
@@ -1,10 +1,18 @@
 #include "store/http_object_store.h"
 
 #include "base/json_reader.h"
+#include "base/json_text.h"
+#include "telemetry/logger.h"
 
 #include <absl/strings/numbers.h>
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <fmt/core.h>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace snipespar::store {
 
@@ -104,23 +112,58 @@
     return is_server_error ? absl::UnknownError(text) : absl::InvalidArgumentError(text);
 }
 
+// The raw text of each item of the array `name` in a response; an absent one is empty.
+absl::StatusOr<std::vector<std::string_view>> split_items(std::string_view body,
+                                                          std::string_view name)
+{
+    const auto members = split_json_object(body);
+    if (!members.ok()) {
+        return members.status();
+    }
+    const auto found =
+        std::ranges::find(*members, name, [](const auto& item) { return item.first; });
+    return found == members->end() ? std::vector<std::string_view>()
+                                   : split_json_array(found->second);
+}
+
+// Reads the array `name` of a response. An item that cannot be read is left out alone.
+template <class Item, class Read>
+void read_items(const std::string& body, const char* name, object_reply& reply,
+                std::vector<Item>& items, Read read)
+{
+    const auto texts = split_items(body, name);
+    if (!texts.ok()) {
+        reply.status = texts.status();
+        return;
+    }
+    for (std::size_t i = 0; i < texts->size(); ++i) {
+        absl::Status malformed;
+        const auto content = json_reader::parse((*texts)[i], malformed);
+        auto item = read(json_reader(content, fmt::format("{}[{}]", name, i), malformed));
+        if (malformed.ok()) {
+            items.push_back(std::move(item));
+        }
+        else {
+            telemetry::logger().warning(
+                "object_unreadable",
+                {{"kind", name}, {"reason", std::string(malformed.message())}});
+        }
+    }
+}
+
 void read_list(const std::string& body, object_reply& reply)
 {
-    const auto value = json_reader::parse(body, reply.status);
-    const json_reader fields(value, "list", reply.status);
-    fields.each("objects", [&](const json_reader& item) {
-        reply.objects.push_back({item.text("key"), {}, item.integer<revision>("revision")});
+    read_items(body, "objects", reply, reply.objects, [](const json_reader& item) {
+        return object{item.text("key"), {}, item.integer<revision>("revision")};
     });
 }
 
 void read_hosts(const std::string& body, object_reply& reply)
 {
-    const auto value = json_reader::parse(body, reply.status);
-    const json_reader fields(value, "hosts", reply.status);
-    fields.each("hosts", [&](const json_reader& item) {
-        reply.hosts.push_back({host_id(item.text("host")),
-                               failure_domain_id(item.text("failure_domain")), item.text("address"),
-                               item.text("role"), item.flag("leaving")});
+    read_items(body, "hosts", reply, reply.hosts, [](const json_reader& item) {
+        return host_record{host_id(item.text("host")),
+                           failure_domain_id(item.text("failure_domain")), item.text("address"),
+                           item.text("role"), item.flag("leaving")};
     });
 }
 
