--- a/fuzz/object_page_fuzz.cpp
+++ b/fuzz/object_page_fuzz.cpp
@@ -65,6 +65,8 @@
     fuzz::require(page.ok());
     fuzz::require(page->objects.size() == alone->objects.size() + 2);
     fuzz::require(page->unreadable.size() == alone->unreadable.size());
+    fuzz::require(page->names.size() == alone->names.size() + 2);
+    fuzz::require(page->names.front() == "first" && page->names.back() == "last");
     fuzz::require(page->objects.front().name == "first" &&
                   page->objects.front().content["slots"] == 1);
     fuzz::require(page->objects.back().name == "last" &&
