A list keeps a bounded number of unreadable objects

A list of very many pages, each with odd objects, would write a line of the log for each of them at every list. The first 256 are kept; the pages' own bound stays. Unit test few_of_many_unreadable_objects_are_kept. Not seen by callers; found by reading.

--- a/src/platform/list_pages.cpp
+++ b/src/platform/list_pages.cpp
@@ -31,6 +31,8 @@
     // A page that was read before brings nothing but copies.
     if (has_news || !has_names) {
         std::ranges::move(page.objects, std::back_inserter(objects_));
+        page.unreadable.resize(
+            std::min(page.unreadable.size(), max_unreadable - unreadable_.size()));
         std::ranges::move(page.unreadable, std::back_inserter(unreadable_));
     }
     if (!page.has_more) {
--- a/src/platform/list_pages.h
+++ b/src/platform/list_pages.h
@@ -25,6 +25,9 @@
     /// Longest name behind which a list goes on; longer ones do not fit into a request.
     static constexpr std::size_t max_cursor_bytes = 8UL * 1024;
 
+    /// Unreadable objects that are kept.
+    static constexpr std::size_t max_unreadable = 256;
+
     enum class state {
         /// Another page has to be read, behind `after`.
         open,
@@ -43,6 +46,7 @@
 
     /// Objects of all pages, in the order of the store.
     const std::vector<watched_object>& objects() const { return objects_; }
+    /// The first ones.
     const std::vector<unreadable_object>& unreadable() const { return unreadable_; }
 
     /// Why the list was cut.
--- a/tests/platform_list_pages_test.cpp
+++ b/tests/platform_list_pages_test.cpp
@@ -102,6 +102,7 @@
     CPPUNIT_TEST(name_that_the_store_does_not_know_is_passed_by);
     CPPUNIT_TEST(list_that_leads_back_to_itself_is_cut);
     CPPUNIT_TEST(endless_list_is_cut);
+    CPPUNIT_TEST(few_of_many_unreadable_objects_are_kept);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -186,6 +187,18 @@
         CPPUNIT_ASSERT(same.pages <= 8);
     }
 
+    // Guards against a log that other writers fill.
+    void few_of_many_unreadable_objects_are_kept()
+    {
+        list_pages pages;
+        for (int number = 0; number < 1000; ++number) {
+            const auto name = fmt::format("n{:08}", number);
+            CPPUNIT_ASSERT(pages.add(page_of({name}, true, {name}), 100) == state::open);
+        }
+        CPPUNIT_ASSERT_EQUAL(list_pages::max_unreadable, pages.unreadable().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("n00000000"), pages.unreadable().front().name);
+    }
+
     // Guards against a store that keeps a watch reading, and fills its memory.
     void endless_list_is_cut()
     {
