--- a/tests/process/agent_upstream_call_test.cpp
+++ b/tests/process/agent_upstream_call_test.cpp
@@ -1,17 +1,15 @@
 #include "agent/upstream_call.h"
 
+#include "process/support/broken_peer.h"
 #include "process/support/raw_upstream.h"
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <chrono>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <memory>
 #include <string>
-#include <thread>
 #include <variant>
 #include <vector>
 
@@ -123,14 +121,7 @@
             const auto running =
                 begin_call(context, {"127.0.0.1", acceptor.local_endpoint().port()}, result);
             context.run_for(milliseconds(100));
-            asio::write(peer, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\npart")));
-            if (ends_sending_first) {
-                peer.shutdown(tcp::socket::shutdown_send);
-            }
-            peer.set_option(asio::socket_base::linger(true, 0));
-            peer.close();
-            // Both arrive before the agent reads.
-            std::this_thread::sleep_for(milliseconds(100));
+            testing::send_and_reset(peer, "HTTP/1.1 200 OK\r\n\r\npart", ends_sending_first);
             context.restart();
             context.run_for(limit);
             CPPUNIT_ASSERT(!result.is_done);
--- a/tests/process/net_http_client_test.cpp
+++ b/tests/process/net_http_client_test.cpp
@@ -1,20 +1,18 @@
 #include "net/http_client.h"
 
+#include "process/support/broken_peer.h"
 #include "process/support/raw_upstream.h"
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <chrono>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <functional>
 #include <optional>
 #include <string>
-#include <thread>
 #include <utility>
 
 namespace snipespar::net {
@@ -126,14 +124,7 @@
                 std::optional<response> result;
                 asio::co_spawn(context, call(client, is_large, result), asio::detached);
                 context.run_for(milliseconds(100));
-                asio::write(peer, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\npart")));
-                if (ends_sending_first) {
-                    peer.shutdown(tcp::socket::shutdown_send);
-                }
-                peer.set_option(asio::socket_base::linger(true, 0));
-                peer.close();
-                // Both arrive before the client reads.
-                std::this_thread::sleep_for(milliseconds(100));
+                testing::send_and_reset(peer, "HTTP/1.1 200 OK\r\n\r\npart", ends_sending_first);
                 context.restart();
                 context.run_for(timeout);
                 CPPUNIT_ASSERT(result.has_value());
