An empty chunked body in pieces ends no build with assertions

The fuzz targets know that assertion; it does not hold for sound input, and builds for use have none. Callers saw nothing. Change: response_feed gives the parser the beginning of a chunked body only once it has the five bytes that the shortest one has. No byte of an event waits for that, as its chunk ends with a line. Why it works: the parser comes back to its only chunk with five bytes at least.

--- a/src/net/response_feed.cpp
+++ b/src/net/response_feed.cpp
@@ -2,11 +2,16 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
 
 namespace snipespar::net {
 
 namespace {
 
+// Beast's parser asserts that it has so many bytes when it comes back to a last chunk, which it has
+// not if that is the only one and came in pieces. No chunked body is shorter.
+constexpr std::size_t min_chunked_body_bytes = std::string_view("0\r\n\r\n").size();
+
 // Checks the trailers of a chunked response in the last bytes that its parser used: the line end of
 // the chunk before, the last chunk's line, and the trailers.
 boost::beast::error_code check_trailers(std::string_view last_bytes)
@@ -34,10 +39,15 @@
             return 0;
         }
     }
+    if (!is_head && parser.chunked() && !has_body_ && input.size() < min_chunked_body_bytes) {
+        error = boost::beast::http::error::need_more;
+        return 0;
+    }
     // The parser takes the last chunk and the trailers in one step.
     parser.eager(!is_head && !parser.chunked());
     const auto used = parser.put(boost::asio::buffer(input), error);
     checked_ -= std::min(checked_, used);
+    has_body_ = has_body_ || (!is_head && used != 0);
     if (!error && parser.is_done() && !is_head && parser.chunked()) {
         error = check_trailers(input.substr(0, used));
     }
--- a/src/net/response_feed.h
+++ b/src/net/response_feed.h
@@ -20,6 +20,8 @@
 
 private:
     response_head_check head_;
+    /// The parser has taken a part of the body.
+    bool has_body_ = false;
     /// Bytes of the next input that were checked already.
     std::size_t checked_ = 0;
 };
