The watch plan decides the waits and time-outs of its reads; one place for all watches

No change of behaviour: the figures of the four watches of a gateway stand together in gateway/watch_timings, and a planned read states how long the store holds it and when it counts as lost, so that tests can judge both in virtual time.

The cap of a poll's wait moved from object_watch into the plan, so that the test of incomplete lists, which counts one poll for each list, uses polls of 30 s, the longest pause between lists; its checks are the same.

--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -46,20 +46,6 @@
 constexpr std::uint64_t idle_demand_rounds = 2;
 constexpr std::uint64_t idle_demand_rounds_of_large_fleet = 4;
 constexpr int large_fleet_gateways = 16;
-// The polls of upstreams also detect outages: a store that was unresponsive has lost the requests
-// that it accepted meanwhile, and the connection does not show it.
-constexpr auto upstream_poll_wait = milliseconds(1500);
-// Of the time after which an upstream must get no more work, this much is left for what follows a
-// pause between polls: 250 ms for a slow store, 200 ms of grace for removed entries, the rest for a
-// busy processor.
-constexpr auto leave_bound_reserve = milliseconds(1300);
-constexpr auto min_upstream_poll_delay = milliseconds(100);
-constexpr auto max_upstream_poll_delay = milliseconds(3000);
-constexpr platform::object_watch_options config_watch_options{
-    std::chrono::seconds(25), {}, platform::content_form::text};
-constexpr platform::object_watch_options version_watch_options{std::chrono::seconds(25),
-                                                               milliseconds(200)};
-constexpr platform::object_watch_options evacuation_watch_options{std::chrono::seconds(25), {}};
 // Far more than any deployment has; bounds what writers of the store can make a gateway keep.
 constexpr std::size_t max_evacuated_domains = 1024;
 constexpr std::size_t max_domain_name_bytes = 253;
@@ -91,15 +77,6 @@
 // Sidecars report twice a second.
 constexpr auto refused_names_interval = std::chrono::seconds(5);
 
-// Upstream entries change several times a second, and the platform charges each response to a watch
-// as a call: the pause between polls is as long as the bound allows.
-platform::object_watch_options upstream_watch_options(duration leave_bound)
-{
-    return {upstream_poll_wait,
-            std::clamp<duration>(leave_bound - leave_bound_reserve, min_upstream_poll_delay,
-                                 max_upstream_poll_delay)};
-}
-
 // Part of the descriptors that connections of callers may take.
 constexpr double caller_descriptor_part = 0.75;
 
@@ -128,16 +105,17 @@
                settings.stop_grace, settings.memory_limit, log),
       peers_(settings.control_listen), permits_(steady_now()), acceptor_(io), accept_timer_(io),
       tick_timer_(io), datagrams_(io.get_executor()),
-      config_watch_(make_watch(platform::wire::config_kind, config_watch_options,
-                               &gateway_server::on_config_listed,
-                               &gateway_server::on_config_changed)),
-      upstream_watch_(
-          make_watch(platform::wire::upstream_kind, upstream_watch_options(settings.leave_bound),
-                     &gateway_server::on_upstreams_listed, &gateway_server::on_upstream_changed)),
-      version_watch_(make_watch(platform::wire::version_kind, version_watch_options,
+      watch_timings_(make_watch_timings({.leave = settings.leave_bound})),
+      config_watch_(make_watch(
+          platform::wire::config_kind, {watch_timings_.config, platform::content_form::text},
+          &gateway_server::on_config_listed, &gateway_server::on_config_changed)),
+      upstream_watch_(make_watch(platform::wire::upstream_kind, {watch_timings_.upstreams},
+                                 &gateway_server::on_upstreams_listed,
+                                 &gateway_server::on_upstream_changed)),
+      version_watch_(make_watch(platform::wire::version_kind, {watch_timings_.versions},
                                 &gateway_server::on_versions_listed,
                                 &gateway_server::on_version_changed)),
-      evacuation_watch_(make_watch(platform::wire::evacuation_kind, evacuation_watch_options,
+      evacuation_watch_(make_watch(platform::wire::evacuation_kind, {watch_timings_.evacuations},
                                    &gateway_server::on_evacuations_listed,
                                    &gateway_server::on_evacuation_changed)),
       max_connections_(max_caller_connections(settings.max_descriptors))
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -10,6 +10,7 @@
 #include "gateway/rate_permits.h"
 #include "gateway/stop_plan.h"
 #include "gateway/usage_reporter.h"
+#include "gateway/watch_timings.h"
 #include "platform/config_reader.h"
 #include "platform/object_watch.h"
 #include "resume/origin_directory.h"
@@ -151,6 +152,7 @@
     std::optional<std::string> unread_config_;
     bool is_reading_config_ = false;
     time_point config_read_began_at_;
+    watch_timings watch_timings_;
     platform::object_watch config_watch_;
     platform::object_watch upstream_watch_;
     platform::object_watch version_watch_;
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -25,9 +25,8 @@
 
 namespace {
 
-// The store usually responds within 4 ms, and within 250 ms when it is slow. While a response
-// arrives, the same time without progress is taken for its end.
-constexpr auto response_timeout = std::chrono::milliseconds(1'500);
+// While a response arrives, this time without progress is taken for its end.
+constexpr auto stall_timeout = std::chrono::milliseconds(1'500);
 // A list is at most about one megabyte.
 constexpr std::size_t max_response_bytes = 8UL * 1024 * 1024;
 
@@ -38,8 +37,8 @@
     follower(asio::any_io_executor executor, const cli::endpoint& store, std::string kind,
              object_watch_options options, std::uint64_t seed, object_watch_handler handler)
         : executor_(std::move(executor)), client_(store.ip, store.port, max_response_bytes),
-          kind_(std::move(kind)), poll_wait_(options.poll_wait), form_(options.form),
-          handler_(std::move(handler)), timer_(executor_), plan_(options.poll_delay, seed)
+          kind_(std::move(kind)), form_(options.form), handler_(std::move(handler)),
+          timer_(executor_), plan_(options.timing, seed)
     {
     }
 
@@ -173,13 +172,13 @@
     }
 
     // Cancelled: another read has replaced this one.
-    asio::awaitable<absl::StatusOr<object_page>> get(std::string target, duration timeout,
-                                                     const planned_read& due, store_read& read)
+    asio::awaitable<absl::StatusOr<object_page>> get(std::string target, const planned_read& due,
+                                                     store_read& read)
     {
         net::http_client::request message{http::verb::get, target, 11};
         const auto sent_at = steady_now();
         auto response =
-            co_await client_.call(std::move(message), {timeout, response_timeout},
+            co_await client_.call(std::move(message), {due.answer_within, stall_timeout},
                                   [this, number = due.number] { return plan_.on_bytes(number); });
         const auto received_at = steady_now();
         read.transfer += received_at - sent_at;
@@ -243,7 +242,7 @@
                                                       : fmt::format("/objects/{}?after={}", kind_,
                                                                     percent_encode(pages.after()));
             const auto bytes_before = read.bytes;
-            auto page = co_await get(target, response_timeout, due, read);
+            auto page = co_await get(target, due, read);
             if (!page.ok()) {
                 co_return page.status();
             }
@@ -268,13 +267,11 @@
 
     asio::awaitable<absl::Status> poll(planned_read due, store_read& read)
     {
-        const auto usual_wait = due.kind == read_kind::catch_up ? duration{} : poll_wait_;
-        const auto poll_wait = std::min(due.max_wait.value_or(usual_wait), usual_wait);
-        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(poll_wait);
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(due.wait);
         const auto asked_at = steady_now();
         const auto response = co_await get(
-            fmt::format("/objects/{}?watch={}&wait_ms={}", kind_, due.revision, wait.count()),
-            poll_wait + response_timeout, due, read);
+            fmt::format("/objects/{}?watch={}&wait_ms={}", kind_, due.revision, wait.count()), due,
+            read);
         if (!response.ok()) {
             co_return response.status();
         }
@@ -309,7 +306,6 @@
     asio::any_io_executor executor_;
     net::http_client client_;
     std::string kind_;
-    duration poll_wait_;
     content_form form_;
     object_watch_handler handler_;
     asio::steady_timer timer_;
--- a/src/platform/object_watch.h
+++ b/src/platform/object_watch.h
@@ -4,6 +4,7 @@
 #include "platform/list_extent.h"
 #include "platform/object_codec.h"
 #include "platform/store_read.h"
+#include "platform/watch_timing.h"
 #include "platform/watched_object.h"
 #include "snipespar/time.h"
 
@@ -46,11 +47,7 @@
 
 /// How an object watch reads.
 struct object_watch_options {
-    /// How long the store holds a poll without changes. A poll that the store has lost is detected
-    /// 1.5 s after that time.
-    duration poll_wait = std::chrono::seconds(25);
-    /// Delay before the next poll, so that changes in quick succession come in one response.
-    duration poll_delay{};
+    watch_timing timing;
     content_form form = content_form::value;
 };
 
--- a/src/platform/watch_plan.cpp
+++ b/src/platform/watch_plan.cpp
@@ -12,6 +12,9 @@
 constexpr auto initial_retry_delay = std::chrono::milliseconds(100);
 constexpr auto max_retry_delay = std::chrono::milliseconds(800);
 
+// The store usually responds within 4 ms, and within 250 ms when it is slow.
+constexpr auto response_timeout = std::chrono::milliseconds(1500);
+
 // A list that cannot be read to its end is read again rarely, as it ends the same way while the
 // objects that cut it stand.
 constexpr auto initial_list_delay = std::chrono::seconds(2);
@@ -19,8 +22,8 @@
 
 } // namespace
 
-watch_plan::watch_plan(duration poll_delay, std::uint64_t seed)
-    : poll_delay_(poll_delay), retry_backoff_(initial_retry_delay, max_retry_delay, seed),
+watch_plan::watch_plan(watch_timing timing, std::uint64_t seed)
+    : timing_(timing), retry_backoff_(initial_retry_delay, max_retry_delay, seed),
       list_backoff_(initial_list_delay, max_list_delay, seed)
 {
 }
@@ -40,17 +43,20 @@
     replaced_at_.reset();
     is_hurried_ = false;
     auto kind = read_kind::list;
-    std::optional<duration> max_wait;
+    duration wait{};
     if (position_.is_listed() && list_due_at_ && now >= *list_due_at_) {
         cause_ = cause_ == read_cause::next ? read_cause::incomplete : cause_;
     }
     else if (position_.is_listed()) {
         kind = std::exchange(is_catch_up_wanted_, false) ? read_kind::catch_up : read_kind::poll;
-        max_wait = list_due_at_ ? std::optional(*list_due_at_ - now) : std::nullopt;
+        if (kind == read_kind::poll) {
+            wait =
+                list_due_at_ ? std::min(*list_due_at_ - now, timing_.poll_wait) : timing_.poll_wait;
+        }
     }
     current_ = current_read{++last_number_, kind, false};
-    return planned_read{last_number_, kind, std::exchange(cause_, read_cause::next),
-                        position_.revision(), max_wait};
+    return planned_read{last_number_,         kind, std::exchange(cause_, read_cause::next),
+                        position_.revision(), wait, wait + response_timeout};
 }
 
 std::optional<time_point> watch_plan::next_at() const
@@ -114,7 +120,7 @@
     is_retrying_ = false;
     retry_backoff_.reset();
     cause_ = is_catch_up_wanted_ ? read_cause::wish : read_cause::next;
-    next_start_at_ = is_catch_up_wanted_ || is_hurried_ ? now : now + poll_delay_;
+    next_start_at_ = is_catch_up_wanted_ || is_hurried_ ? now : now + timing_.poll_delay;
 }
 
 void watch_plan::on_failed(std::uint64_t number, read_failure failure, time_point now)
--- a/src/platform/watch_plan.h
+++ b/src/platform/watch_plan.h
@@ -3,6 +3,7 @@
 #include "base/backoff.h"
 #include "platform/store_read.h"
 #include "platform/watch_position.h"
+#include "platform/watch_timing.h"
 #include "snipespar/time.h"
 
 #include <cstdint>
@@ -18,8 +19,10 @@
     read_cause cause = read_cause::start;
     /// Changes after this revision are asked for; unused for a list.
     std::uint64_t revision = 0;
-    /// Longest wait of a poll; nothing for the usual one.
-    std::optional<duration> max_wait = std::nullopt;
+    /// How long the store holds it without changes; zero unless it is a poll.
+    duration wait{};
+    /// When it counts as lost, from its start, if no byte of its response has arrived.
+    duration answer_within{};
 
     friend bool operator==(const planned_read&, const planned_read&) = default;
 };
@@ -40,8 +43,7 @@
 /// news is about. Only a poll without any byte is replaced then, as the store may have lost it.
 class watch_plan {
 public:
-    /// `poll_delay`: pause before a poll that follows a successful read.
-    watch_plan(duration poll_delay, std::uint64_t seed);
+    watch_plan(watch_timing timing, std::uint64_t seed);
 
     /// The read to start now, if any. It replaces the one under way.
     std::optional<planned_read> next(time_point now);
@@ -85,7 +87,7 @@
         bool has_bytes = false;
     };
 
-    duration poll_delay_;
+    watch_timing timing_;
     backoff retry_backoff_;
     /// Pauses between lists that cannot be read to their end.
     backoff list_backoff_;
--- a/tests/platform_watch_plan_test.cpp
+++ b/tests/platform_watch_plan_test.cpp
@@ -17,6 +17,7 @@
 
 constexpr auto step = milliseconds(10);
 constexpr auto patience = milliseconds(300);
+constexpr watch_timing usual_timing{.poll_wait = std::chrono::seconds(25)};
 
 time_point at(int ms)
 {
@@ -36,7 +37,7 @@
     };
 
     slow_store(settings values, std::uint64_t seed)
-        : settings_(values), random_(seed), plan_({}, seed)
+        : settings_(values), random_(seed), plan_({.poll_wait = values.poll_wait}, seed)
     {
     }
 
@@ -84,10 +85,8 @@
     void advance(std::uint64_t number)
     {
         auto& active = responses_.at(number);
-        const bool waits = active.read.kind == read_kind::poll;
-        const auto limit = (waits ? settings_.poll_wait : duration{}) + milliseconds(1500);
         if (active.is_lost || active.fails) {
-            if (active.fails || now_ - active.sent_at >= limit) {
+            if (active.fails || now_ - active.sent_at >= active.read.answer_within) {
                 plan_.on_failed(number, read_failure::unavailable, now_);
                 responses_.erase(number);
             }
@@ -95,7 +94,7 @@
         }
         const bool has_news =
             active.read.kind == read_kind::list || version_ > active.read.revision;
-        const bool is_over = !waits || now_ - active.sent_at >= settings_.poll_wait;
+        const bool is_over = now_ - active.sent_at >= active.read.wait;
         if (!active.begins_at && (has_news || is_over)) {
             active.begins_at = now_;
             active.revision = version_;
@@ -172,7 +171,7 @@
     // Guards against a store that has lost a poll: it would be answered half a minute later.
     void poll_that_the_store_has_lost_is_replaced()
     {
-        watch_plan plan({}, 1);
+        watch_plan plan(usual_timing, 1);
         const auto list = plan.next(at(0));
         plan.on_used(list->number, 7, at(10));
         const auto poll = plan.next(at(10));
@@ -181,7 +180,8 @@
         CPPUNIT_ASSERT(plan.next_at() == at(1300));
         CPPUNIT_ASSERT(!plan.next(at(1299)));
         const auto replacement = plan.next(at(1300));
-        CPPUNIT_ASSERT(replacement == (planned_read{3, read_kind::catch_up, read_cause::wish, 7}));
+        CPPUNIT_ASSERT(replacement == (planned_read{3, read_kind::catch_up, read_cause::wish, 7,
+                                                    duration{}, milliseconds(1500)}));
         CPPUNIT_ASSERT(!plan.on_bytes(poll->number));
         // It ends by itself, however often a wish is repeated.
         plan.read_again(patience, at(1400));
@@ -191,7 +191,7 @@
 
     void poll_is_replaced_at_once_without_patience()
     {
-        watch_plan plan(std::chrono::seconds(1), 1);
+        watch_plan plan({usual_timing.poll_wait, std::chrono::seconds(1)}, 1);
         plan.on_used(plan.next(at(0))->number, 7, at(10));
         CPPUNIT_ASSERT(!plan.next(at(500)));
         // In the pause between two polls.
@@ -213,7 +213,7 @@
 
     void pause_after_a_failure_is_kept()
     {
-        watch_plan plan({}, 1);
+        watch_plan plan(usual_timing, 1);
         const auto list = plan.next(at(0));
         plan.on_failed(list->number, read_failure::unavailable, at(10));
         plan.read_again({}, at(11));
@@ -223,7 +223,7 @@
 
     void restored_store_is_listed_once()
     {
-        watch_plan plan({}, 1);
+        watch_plan plan(usual_timing, 1);
         CPPUNIT_ASSERT(plan.on_era(3) == watch_position::era_change::none);
         plan.on_used(plan.next(at(0))->number, 7, at(10));
         const auto poll = plan.next(at(10));
@@ -245,7 +245,9 @@
     // list cannot be read to its end.
     void incomplete_list_is_followed_by_polls_and_lists()
     {
-        watch_plan plan({}, 1);
+        // Polls that last until the next list is due, however long its pause.
+        constexpr watch_timing long_polls{.poll_wait = std::chrono::seconds(30)};
+        watch_plan plan(long_polls, 1);
         auto now = at(0);
         int lists = 0;
         int polls = 0;
@@ -262,8 +264,8 @@
                 ++polls;
                 CPPUNIT_ASSERT(due->kind == read_kind::poll);
                 CPPUNIT_ASSERT_EQUAL(revision, due->revision);
-                CPPUNIT_ASSERT(due->max_wait && *due->max_wait > duration{});
-                now += *due->max_wait;
+                CPPUNIT_ASSERT(due->wait > duration{});
+                now += due->wait;
                 plan.on_used(due->number, revision, now);
             }
         }
@@ -279,7 +281,7 @@
         plan.on_used(again->number, 9, now);
         const auto poll = plan.next(now);
         CPPUNIT_ASSERT(poll->kind == read_kind::poll);
-        CPPUNIT_ASSERT(!poll->max_wait);
+        CPPUNIT_ASSERT(poll->wait == long_polls.poll_wait);
     }
 
     // Guards against a version that is never used, over slow links, lost polls, failures, dropped
