Polls of the store wait no longer than the bound of their kind allows

Cause: a silent store loses the polls that begin then, and nothing else fails. A lost poll was noticed 1.5 s after its wait of 25 s. Configuration and evacuations each had an exception, a read of the upstreams after each poll; versions had none. A lost poll of the upstreams was repeated after 1.5 + 1.5 + 0.1 s, more than the 3.0 s after which a gateway is in touch again.

Change: the wait of each kind follows from its bound after an outage (gateway/watch_timings), a poll that is 0.5 s overdue is given up, its repeat does not wait for a change, and the pause after a failed read counts from its start. So the loss is repaired within the bound whichever reads were lost, also if a second outage hits the repeat, and without any other watch or gateway.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -234,6 +234,8 @@
         .stop_grace = reader.read_or_default("stop-grace", parse_positive_time_span),
         .memory_limit = reader.read_or_default("memory-limit", parse_byte_size),
         .max_descriptors = reader.read_or_default("max-descriptors", parse_number),
+        .store_recovery_bound = reader.read_or_default("store-recovery-bound", parse_time_span),
+        .version_bound = reader.read_or_default("version-bound", parse_time_span),
         .leave_bound = reader.read_or_default("leave-bound", parse_time_span),
         .evacuation_bound = reader.read_or_default("evacuation-bound", parse_time_span),
         .retry_ratio = reader.read_or_default("retry-ratio", parse_real),
--- a/src/cli/gateway_settings.h
+++ b/src/cli/gateway_settings.h
@@ -26,6 +26,10 @@
     std::uint64_t memory_limit = 0;
     /// Descriptors that the platform lets the process open; 0 for the limit of the system.
     std::uint64_t max_descriptors = 0;
+    /// Time after an outage of the platform's store from which the bounds below hold again.
+    duration store_recovery_bound{};
+    /// Time after the announcement of a new version of an adapter from which no other may begin.
+    duration version_bound{};
     /// Time after its announced stop or removal from which an upstream must get no new work.
     duration leave_bound{};
     /// Time after the operator's request from which an evacuated failure domain must get no new
--- a/src/cli/setting_tables.cpp
+++ b/src/cli/setting_tables.cpp
@@ -130,6 +130,12 @@
     setting{"max-descriptors", "<number>", presence::defaulted, "0",
             "Descriptors that the platform lets the process open; 0 for the limit of the system. "
             "Callers' connections may take three quarters."},
+    setting{"store-recovery-bound", "<duration>", presence::defaulted, "3s",
+            "Time after an outage of the platform's store from which gateways must act on every "
+            "change again. The store is polled the less often the longer it is."},
+    setting{"version-bound", "<duration>", presence::defaulted, "5s",
+            "Time after the announcement of a new version of an adapter from which no other may "
+            "begin to run."},
     setting{"leave-bound", "<duration>", presence::defaulted, "2s",
             "Time after its announced stop or removal from which an upstream must get no new work. "
             "The registry is polled the less often the longer it is."},
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -105,7 +105,9 @@
                settings.stop_grace, settings.memory_limit, log),
       peers_(settings.control_listen), permits_(steady_now()), acceptor_(io), accept_timer_(io),
       tick_timer_(io), datagrams_(io.get_executor()),
-      watch_timings_(make_watch_timings({.leave = settings.leave_bound})),
+      watch_timings_(make_watch_timings({.recovery = settings.store_recovery_bound,
+                                         .leave = settings.leave_bound,
+                                         .version = settings.version_bound})),
       config_watch_(make_watch(
           platform::wire::config_kind, {watch_timings_.config, platform::content_form::text},
           &gateway_server::on_config_listed, &gateway_server::on_config_changed)),
@@ -122,6 +124,7 @@
 {
     context_.send_demand = [this](const upstream_id& upstream) { queue_demand(upstream); };
     context_.host = settings.host.str();
+    context_.versions.set_grace(watch_timings_.version_grace);
     context_.send_to_sidecar = [this](const upstream_id& upstream,
                                       const control::message& content) {
         if (const auto* state = context_.upstreams.find(upstream)) {
@@ -194,7 +197,6 @@
                  context_.upstreams.on_registry_read(asked_at);
              }
          },
-         [this, kind] { on_poll_started(kind); },
          [this, kind](const platform::store_read& read) { on_read_ended(kind, read); }});
 }
 
@@ -869,17 +871,6 @@
     }
 }
 
-// A store that is unresponsive now loses this poll, which waits for too long to show it. The read
-// of the upstreams is lost as well then, and shows it soon.
-void gateway_server::on_poll_started(const std::string& kind)
-{
-    // New adapter versions end their poll up to five times a second, so that a read after each
-    // would undo the pause between the polls of the upstreams.
-    if (kind != platform::wire::upstream_kind && kind != platform::wire::version_kind) {
-        upstream_watch_.read_again({});
-    }
-}
-
 // Polls of the usual kind and size are only counted, as there are several a second.
 void gateway_server::on_read_ended(const std::string& kind, const platform::store_read& read)
 {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -108,7 +108,6 @@
     void on_unreadable(const std::string& kind, const std::string& name, const std::string& reason);
     void on_contact(const std::string& kind, bool is_reached, const std::string& reason);
 
-    void on_poll_started(const std::string& kind);
     void on_read_ended(const std::string& kind, const platform::store_read& read);
     void on_restored(const std::string& kind, std::uint64_t era);
 
--- a/src/gateway/version_table.cpp
+++ b/src/gateway/version_table.cpp
@@ -14,10 +14,6 @@
 // Bytes of a version beside the adapter's name.
 constexpr std::size_t version_bytes = 24;
 
-// How long the previous version of an adapter may be used after a newer one was announced. The
-// newer one must be used from 5 s after the announcement.
-constexpr auto version_grace = std::chrono::milliseconds(3500);
-
 } // namespace
 
 bool version_table::announce(const std::string& name, std::uint64_t version, time_point now)
@@ -43,7 +39,7 @@
     if (announced == nullptr) {
         return 0;
     }
-    return now - announced->known_since < version_grace ? announced->previous : announced->version;
+    return now - announced->known_since < grace_ ? announced->previous : announced->version;
 }
 
 void version_table::add_recent(std::map<std::string, std::uint64_t>& versions, std::uint64_t draw,
--- a/src/gateway/version_table.h
+++ b/src/gateway/version_table.h
@@ -15,6 +15,10 @@
 /// The announced versions of all adapters, by `model/adapter`.
 class version_table {
 public:
+    /// How long the previous version of an adapter may be used after a newer one was announced;
+    /// not at all by default.
+    void set_grace(duration grace) { grace_ = grace; }
+
     /// Takes over a version unless a later one is known. Returns whether it did.
     bool announce(const std::string& name, std::uint64_t version, time_point now);
 
@@ -37,6 +41,7 @@
         time_point at;
     };
 
+    duration grace_{};
     std::map<std::string, announced_version, std::less<>> versions_;
     /// The oldest one first.
     std::deque<announcement> recent_;
--- a/src/gateway/watch_timings.cpp
+++ b/src/gateway/watch_timings.cpp
@@ -1,5 +1,7 @@
 #include "gateway/watch_timings.h"
 
+#include "platform/watch_plan.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -9,18 +11,35 @@
 
 using std::chrono::milliseconds;
 
-constexpr duration usual_poll_wait = std::chrono::seconds(25);
-// The polls of upstreams also detect outages: a store that was unresponsive has lost the requests
-// that it accepted meanwhile, and the connection does not show it.
-constexpr auto upstream_poll_wait = milliseconds(1500);
+// From learning of a change until it is in use: a slow store takes 250 ms for an answer, removed
+// entries have 200 ms of grace, and a processor may be busy.
+constexpr auto use_time = milliseconds(700);
+// A configuration may be large, and is read in steps.
+constexpr auto config_use_time = milliseconds(1000);
+// A request that has been sent to an upstream may wait there before it begins to run.
+constexpr auto begin_time = milliseconds(1300);
+
+constexpr auto min_poll_wait = milliseconds(200);
+// The store holds a poll for 30 s at most.
+constexpr auto max_poll_wait = milliseconds(25'000);
+// The polls of upstreams also show that the store is out of reach, whatever the bounds.
+constexpr auto max_upstream_poll_wait = milliseconds(1500);
+
 // Of the time after which an upstream must get no more work, this much is left for what follows a
-// pause between polls: 250 ms for a slow store, 200 ms of grace for removed entries, the rest for a
-// busy processor.
-constexpr auto leave_reserve = milliseconds(1300);
+// pause between polls.
+constexpr auto leave_reserve = use_time + milliseconds(600);
 constexpr auto min_upstream_poll_delay = milliseconds(100);
 constexpr auto max_upstream_poll_delay = milliseconds(3000);
 constexpr auto version_poll_delay = milliseconds(200);
 
+// Wait of polls if a change has to be in use `due` after the end of an outage, and is `use` after
+// the gateway has learned of it.
+duration poll_wait(duration due, duration use)
+{
+    return std::clamp<duration>(due - platform::watch_plan::max_repeat_delay - use, min_poll_wait,
+                                max_poll_wait);
+}
+
 } // namespace
 
 // Upstream entries change several times a second, and the platform charges each response to a watch
@@ -29,11 +48,17 @@
 {
     const auto upstream_poll_delay = std::clamp<duration>(
         bounds.leave - leave_reserve, min_upstream_poll_delay, max_upstream_poll_delay);
+    const auto version_grace =
+        std::max<duration>(bounds.version - version_poll_delay - begin_time, duration{});
     return {
-        .config = {usual_poll_wait, {}},
-        .upstreams = {upstream_poll_wait, upstream_poll_delay},
-        .versions = {usual_poll_wait, version_poll_delay},
-        .evacuations = {usual_poll_wait, {}},
+        .config = {poll_wait(bounds.recovery, config_use_time), {}},
+        .upstreams = {std::min<duration>(poll_wait(bounds.recovery, use_time),
+                                         max_upstream_poll_wait),
+                      upstream_poll_delay},
+        .versions = {poll_wait(bounds.recovery + bounds.version, version_grace + begin_time),
+                     version_poll_delay},
+        .evacuations = {poll_wait(bounds.recovery, use_time), {}},
+        .version_grace = version_grace,
     };
 }
 
--- a/src/platform/object_watch.cpp
+++ b/src/platform/object_watch.cpp
@@ -114,9 +114,6 @@
                     self->end_read(due, begun(due), absl::OutOfRangeError(cause.what()));
                 }
             });
-        if (due.kind == read_kind::poll) {
-            handler_.poll_started();
-        }
     }
 
     static store_read begun(const planned_read& due)
--- a/src/platform/object_watch.h
+++ b/src/platform/object_watch.h
@@ -39,8 +39,6 @@
     std::function<void(bool is_reachable, const std::string& reason)> reachability_changed;
     /// All changes made before `asked_at` have been reported.
     std::function<void(time_point asked_at)> read;
-    /// A poll that waits for changes has been started.
-    std::function<void()> poll_started;
     /// A read has ended, also one without a result.
     std::function<void(const store_read&)> read_ended;
 };
--- a/src/platform/watch_plan.cpp
+++ b/src/platform/watch_plan.cpp
@@ -14,6 +14,9 @@
 
 // The store usually responds within 4 ms, and within 250 ms when it is slow.
 constexpr auto response_timeout = std::chrono::milliseconds(1500);
+// The end of a poll's wait is known, so that a late response is noticed sooner. One that was only
+// slow costs another read, which gets the usual time.
+constexpr auto overdue_timeout = watch_plan::max_repeat_delay - initial_retry_delay;
 
 // A list that cannot be read to its end is read again rarely, as it ends the same way while the
 // objects that cut it stand.
@@ -54,9 +57,10 @@
                 list_due_at_ ? std::min(*list_due_at_ - now, timing_.poll_wait) : timing_.poll_wait;
         }
     }
-    current_ = current_read{++last_number_, kind, false};
+    const auto timeout = kind == read_kind::poll ? overdue_timeout : response_timeout;
+    current_ = current_read{++last_number_, kind, now, false};
     return planned_read{last_number_,         kind, std::exchange(cause_, read_cause::next),
-                        position_.revision(), wait, wait + response_timeout};
+                        position_.revision(), wait, wait + timeout};
 }
 
 std::optional<time_point> watch_plan::next_at() const
@@ -128,6 +132,9 @@
     if (!is_current(number)) {
         return;
     }
+    const auto began = current_->began;
+    // What was missed is read without waiting for the next change.
+    is_catch_up_wanted_ = is_catch_up_wanted_ || current_->kind == read_kind::poll;
     current_.reset();
     replaced_at_.reset();
     switch (failure) {
@@ -145,7 +152,9 @@
         break;
     }
     is_retrying_ = true;
-    next_start_at_ = now + retry_backoff_.next();
+    // Pauses are counted from the start of the read: one that was waited for in vain has paused.
+    const auto pause = retry_backoff_.next();
+    next_start_at_ = std::max(began + pause, now + std::min<duration>(pause, initial_retry_delay));
 }
 
 void watch_plan::read_again(duration patience, time_point now)
--- a/src/platform/watch_plan.h
+++ b/src/platform/watch_plan.h
@@ -6,6 +6,7 @@
 #include "platform/watch_timing.h"
 #include "snipespar/time.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
@@ -43,6 +44,10 @@
 /// news is about. Only a poll without any byte is replaced then, as the store may have lost it.
 class watch_plan {
 public:
+    /// A poll that the store has lost is repeated this long after its wait at the latest; other
+    /// lost reads are repeated earlier than a poll that waits for a second.
+    static constexpr duration max_repeat_delay = std::chrono::milliseconds(600);
+
     watch_plan(watch_timing timing, std::uint64_t seed);
 
     /// The read to start now, if any. It replaces the one under way.
@@ -84,6 +89,7 @@
     struct current_read {
         std::uint64_t number = 0;
         read_kind kind = read_kind::list;
+        time_point began;
         bool has_bytes = false;
     };
 
--- a/tests/process/gateway_path_test.cpp
+++ b/tests/process/gateway_path_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(configuration_survives_a_lost_history);
     CPPUNIT_TEST(watch_lost_by_an_unresponsive_store_is_detected);
     CPPUNIT_TEST(poll_of_the_configuration_lost_by_a_short_outage_is_detected);
+    CPPUNIT_TEST(poll_of_versions_lost_by_a_short_outage_is_detected);
     CPPUNIT_TEST(stream_is_resumed_on_another_engine);
     CPPUNIT_TEST(broken_stream_waits_for_an_engine_that_can_take_it);
     CPPUNIT_TEST(unsafe_call_is_not_repeated);
@@ -194,6 +195,25 @@
         CPPUNIT_ASSERT_MESSAGE(fleet.gateways[0].process->output(), is_refused);
     }
 
+    // Guards against versions that stay unknown for 26 s, as only the poll of versions was lost.
+    void poll_of_versions_lost_by_a_short_outage_is_detected()
+    {
+        constexpr std::chrono::milliseconds outage{300};
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .has_store_relay = true});
+        auto& gateway = *fleet.gateways.front().process;
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        // Its poll ends with the announcement, and the next one begins during the outage.
+        CPPUNIT_ASSERT(fleet.announce_version("a1", 2));
+        CPPUNIT_ASSERT(gateway.wait_for_output("adapter=a1"));
+        fleet.store_relay->set_towards_target(relay_mode::drop);
+        std::this_thread::sleep_for(outage);
+        fleet.store_relay->set_towards_target(relay_mode::pass);
+        CPPUNIT_ASSERT(fleet.announce_version("a2", 2));
+        // Bounds set by the users: 3 s from the outage on, 5 s for the version.
+        CPPUNIT_ASSERT_MESSAGE(gateway.output(),
+                               gateway.wait_for_output("adapter=a2", std::chrono::seconds(8)));
+    }
+
     void stream_is_resumed_on_another_engine()
     {
         gateway_fleet fleet;
--- a/tests/process/support/gateway_fleet.cpp
+++ b/tests/process/support/gateway_fleet.cpp
@@ -199,6 +199,12 @@
     return put("servers", upstream.id, content, false);
 }
 
+bool gateway_fleet::announce_version(const std::string& adapter, std::uint64_t version)
+{
+    return put("versions", "base." + adapter,
+               {{"model", "base"}, {"adapter", adapter}, {"version", version}}, false);
+}
+
 bool gateway_fleet::withdraw(const fleet_member& upstream)
 {
     const auto reply =
--- a/tests/process/support/gateway_fleet.h
+++ b/tests/process/support/gateway_fleet.h
@@ -87,6 +87,9 @@
     bool announce(const fleet_member& upstream, const std::string& service, bool is_draining);
     bool withdraw(const fleet_member& upstream);
 
+    /// Announces a version of an adapter of the model `base`.
+    bool announce_version(const std::string& adapter, std::uint64_t version);
+
     /// Runs of a stand-in: its response to `GET /runs`.
     nlohmann::json runs(const fleet_member& upstream) const;
 
