Polls of versions pause for 0.5 s, so that a storm of announcements fits the store

Callers would see versions that are not used, and any other change late: while a version is announced every 0.2 s, each gateway read the versions 4.7 times a second, and 550 of them exceed a store of 2,000 reads a second, which refuses what is beyond (3,157 reads a second with the other kinds).

Change: the pause between polls of versions is 0.5 s instead of 0.2 s.

Before: reads_of_a_storm_of_announcements_fit_the_rate_of_the_store failed with 4.70 reads of versions a second; now 1.95, in all 1,628 a second at 550 gateways.

--- a/src/gateway/watch_timings.cpp
+++ b/src/gateway/watch_timings.cpp
@@ -30,7 +30,7 @@
 constexpr auto leave_reserve = use_time + milliseconds(600);
 constexpr auto min_upstream_poll_delay = milliseconds(100);
 constexpr auto max_upstream_poll_delay = milliseconds(3000);
-constexpr auto version_poll_delay = milliseconds(200);
+constexpr auto version_poll_delay = milliseconds(500);
 
 // Wait of polls if a change has to be in use `due` after the end of an outage, and is `use` after
 // the gateway has learned of it.
--- a/tests/gateway_watch_timings_test.cpp
+++ b/tests/gateway_watch_timings_test.cpp
@@ -232,6 +232,7 @@
     CPPUNIT_TEST(change_after_a_short_outage_is_used_in_time);
     CPPUNIT_TEST(change_is_used_in_time_if_the_repeated_poll_is_lost_too);
     CPPUNIT_TEST(changes_are_used_in_time_over_series_of_outages);
+    CPPUNIT_TEST(reads_of_a_storm_of_announcements_fit_the_rate_of_the_store);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -303,6 +304,34 @@
         }
         found.assert_none();
     }
+
+    // Guards against polls that exceed the store's rate, and are refused, as all gateways poll
+    // after each announcement.
+    void reads_of_a_storm_of_announcements_fit_the_rate_of_the_store()
+    {
+        constexpr int gateways = 550;
+        constexpr double store_reads_per_s = 2000;
+        constexpr auto span = seconds(60);
+        double reads_per_s = 0;
+        std::string rates;
+        const auto& bounds = all_bounds.back();
+        for (const auto& kind : kinds_of(bounds, bounds.leave)) {
+            // Entries of upstreams change all the time, and a version is announced every 200 ms.
+            const auto interval = kind.name == "upstreams"  ? milliseconds(50)
+                                  : kind.name == "versions" ? milliseconds(200)
+                                                            : milliseconds(10'000);
+            silent_store store(kind.timing, {}, 1);
+            for (auto change = at(1000); change < at(0) + span; change += interval) {
+                store.write(change);
+            }
+            store.run_until(at(0) + span);
+            const double rate = static_cast<double>(store.reads()) / span.count();
+            rates += fmt::format("{} {:.2f} ", kind.name, rate);
+            reads_per_s += rate;
+        }
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("reads a second of a gateway: {}", rates),
+                               reads_per_s * gateways < store_reads_per_s);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_watch_timings_test);
