An answer that ends before its request has arrived is not complete

Callers saw: an upstream that got a long upload answered at once with a 200 without a length, sent a part of its body, ended its sending and reset the connection 0.2 s later. The part was passed on as the complete answer, also on routes whose calls may not run twice.

Cause: a request counted as delivered once this host's socket had taken it. What the upstream's host had received was not looked at, so that the end of its sending was taken for the end of the answer.

Change: net/connection_end decides for all readers of answers. The end of a connection is the end of an answer with success that states none only if the peer's host has received the whole request (SIOCOUTQ is 0 when the end is read: each segment of the peer acknowledges what was received before). A refusal need not wait for its request and is passed on as before; an answer with a stated end is whole whatever its upload did; a system that does not tell is believed.

Ruled out: a reset while the upload is being written (502 before, too), status 000 to 099 and 600 to 999 (502; their tests pass).

Before: answer_without_a_length_is_not_ended_before_its_request_has_arrived failed at gateways' channels and at calls of agents, and answer_without_a_length_that_is_reset_during_an_upload_is_not_complete with a late reset (200 with 18 bytes).

--- a/src/gateway/upstream_channel.cpp
+++ b/src/gateway/upstream_channel.cpp
@@ -166,7 +166,7 @@
             self->can_reuse_ = false;
             self->parser_->put_eof(parse_error);
             if (!parse_error && self->parser_->is_done()) {
-                if (!self->ended_in_order()) {
+                if (!self->is_whole()) {
                     return self->fail(
                         absl::UnknownError("the connection broke before the answer was complete"));
                 }
@@ -179,12 +179,11 @@
     });
 }
 
-// Whether nothing failed in either direction: without a stated length, the end of the connection is
-// the end of the response only then. The error of a reset may have gone to the write of the
-// request, so that the read sees a plain end.
-bool upstream_channel::ended_in_order()
+// Whether the end of the connection is the end of the response, which states none. The error of a
+// reset may have gone to the write of the request, so that the read sees a plain end.
+bool upstream_channel::is_whole()
 {
-    return is_written_ && net::ended_in_order(socket_);
+    return is_written_ && net::is_end_of_answer(socket_, parser_->get().result_int());
 }
 
 void upstream_channel::on_bytes(std::size_t count)
--- a/src/gateway/upstream_channel.h
+++ b/src/gateway/upstream_channel.h
@@ -82,7 +82,7 @@
     void connect(duration timeout);
     void write();
     void read();
-    bool ended_in_order();
+    bool is_whole();
     void on_bytes(std::size_t count);
     bool parse(boost::system::error_code& error);
     bool handle_header();
--- a/src/net/response_reader.cpp
+++ b/src/net/response_reader.cpp
@@ -22,12 +22,6 @@
 
 } // namespace
 
-response_reader::response_reader(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                 parser& target)
-    : stream_(stream), buffer_(buffer), parser_(target)
-{
-}
-
 asio::awaitable<beast::error_code> response_reader::read_head()
 {
     beast::error_code error;
@@ -98,7 +92,7 @@
     }
     beast::error_code error;
     parser_.put_eof(error);
-    if (!error && parser_.need_eof() && !ended_in_order(stream_.socket())) {
+    if (!error && parser_.need_eof() && !is_end_of_answer(stream_.socket(), head_.result_int())) {
         error = asio::error::make_error_code(asio::error::connection_reset);
     }
     return error;
--- a/tests/process/agent_upstream_call_test.cpp
+++ b/tests/process/agent_upstream_call_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <chrono>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -34,10 +35,12 @@
 };
 
 std::shared_ptr<upstream_call> begin_call(asio::io_context& context,
-                                          const upstream_address& upstream, outcome& result)
+                                          const upstream_address& upstream, outcome& result,
+                                          std::string body = {})
 {
     link::run_request request;
-    request.method = "GET";
+    request.method = body.empty() ? "GET" : "POST";
+    request.body = std::move(body);
     request.path = "/x";
     request.window_bytes = 1'000'000;
     auto call = std::make_shared<upstream_call>(
@@ -74,6 +77,7 @@
     CPPUNIT_TEST(sound_answers_are_passed_on);
     CPPUNIT_TEST(broken_head_is_a_failure);
     CPPUNIT_TEST(answer_without_a_length_is_not_ended_by_a_reset);
+    CPPUNIT_TEST(answer_without_a_length_is_not_ended_before_its_request_has_arrived);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,6 +113,31 @@
         }
     }
 
+    // Guards against a part that looks complete, as the upstream ended its sending while the upload
+    // waited in the sockets. A refusal need not wait for it.
+    void answer_without_a_length_is_not_ended_before_its_request_has_arrived()
+    {
+        for (const bool is_refusal : {false, true}) {
+            asio::io_context context;
+            tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+            tcp::socket peer(context);
+            acceptor.async_accept(peer, [](const auto& /*error*/) {});
+            outcome result;
+            // The sending socket takes all of it, the receiving one only a part.
+            const auto running =
+                begin_call(context, {"127.0.0.1", acceptor.local_endpoint().port()}, result,
+                           std::string(400'000, 'u'));
+            context.run_for(milliseconds(100));
+            const std::string status = is_refusal ? "413 Content Too Large" : "200 OK";
+            asio::write(peer, asio::buffer("HTTP/1.1 " + status + "\r\n\r\npart"));
+            peer.shutdown(tcp::socket::shutdown_send);
+            context.restart();
+            context.run_for(limit);
+            CPPUNIT_ASSERT_EQUAL(is_refusal, result.is_done);
+            CPPUNIT_ASSERT_EQUAL(is_refusal, result.failure.empty());
+        }
+    }
+
     // Guards against a part of an answer that callers get as the whole.
     void answer_without_a_length_is_not_ended_by_a_reset()
     {
--- a/tests/process/gateway_faulty_answers_test.cpp
+++ b/tests/process/gateway_faulty_answers_test.cpp
@@ -128,17 +128,20 @@
     // Guards against a part of an answer that callers get as the whole.
     void answer_without_a_length_that_is_reset_during_an_upload_is_not_complete()
     {
-        constexpr std::size_t upload_bytes = 3UL * 1024 * 1024;
+        // The sockets take the smaller one whole.
+        constexpr std::size_t large_upload_bytes = 3UL * 1024 * 1024;
+        constexpr std::size_t small_upload_bytes = 400UL * 1000;
         constexpr int callers = 6;
         gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 0});
         raw_upstream upstream({});
         CPPUNIT_ASSERT(announce(fleet, "raw", upstream));
         CPPUNIT_ASSERT(fleet.change_config(
-            [&](auto& config) { config["limits"]["max_body_bytes"] = 2 * upload_bytes; }));
+            [&](auto& config) { config["limits"]["max_body_bytes"] = 2 * large_upload_bytes; }));
         CPPUNIT_ASSERT(fleet.wait_until_ready());
         CPPUNIT_ASSERT(wait_until(
             [&] { return fleet.config_version_of(fleet.gateways[0]) == fleet.config_version(); }));
-        for (const auto end : {raw_answer::end::reset, raw_answer::end::in_order_then_reset}) {
+        for (const auto end : {raw_answer::end::reset, raw_answer::end::in_order_then_reset,
+                               raw_answer::end::in_order_then_late_reset}) {
             upstream.set_answer({{"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n\r\n"
                                   "a part of the body"},
                                  end});
@@ -146,7 +149,7 @@
                 for (int i = 0; i < callers; ++i) {
                     auto call =
                         fleet.make_call(path, fmt::format("{}{}", static_cast<int>(end), i));
-                    call.body.resize(upload_bytes, 'u');
+                    call.body.resize(i % 2 == 0 ? large_upload_bytes : small_upload_bytes, 'u');
                     const auto reply = send(fleet.gateways[0], call);
                     const auto told = fmt::format("{} {}: {} with {} bytes", path, i, reply.status,
                                                   reply.body.size());
--- a/tests/process/gateway_upstream_channel_test.cpp
+++ b/tests/process/gateway_upstream_channel_test.cpp
@@ -29,6 +29,8 @@
 constexpr auto piece_time = milliseconds(2);
 // More than the buffers of both sockets hold.
 constexpr std::size_t upload_bytes = 32UL * 1024 * 1024;
+// The sending socket takes all of it, the receiving one only a part unless it is read.
+constexpr std::size_t unread_upload_bytes = 400UL * 1000;
 
 std::string head(const std::string& status_line, const std::string& id,
                  const std::string& more = {})
@@ -89,6 +91,8 @@
     CPPUNIT_TEST(unknown_transfer_coding_is_a_failure);
     CPPUNIT_TEST(answer_without_a_length_is_not_ended_by_a_reset);
     CPPUNIT_TEST(answer_without_a_length_is_not_ended_before_its_request);
+    CPPUNIT_TEST(answer_without_a_length_is_not_ended_before_its_request_has_arrived);
+    CPPUNIT_TEST(refusal_without_a_length_may_end_before_its_request_has_arrived);
     CPPUNIT_TEST(answer_without_a_length_is_whole_if_its_connection_ends_in_order);
     CPPUNIT_TEST(answer_with_a_stated_end_is_whole_before_a_reset);
     CPPUNIT_TEST(status_out_of_range_is_a_failure);
@@ -309,12 +313,34 @@
         CPPUNIT_ASSERT(doubtful.failure == absl::StatusCode::kUnknown);
     }
 
+    // Guards against a part that looks complete: an upstream in trouble ends its sending while the
+    // upload waits in the sockets, and resets the connection only after that end was read.
+    void answer_without_a_length_is_not_ended_before_its_request_has_arrived()
+    {
+        for (const std::string status : {"200 OK", "201 Created"}) {
+            const auto doubtful = upload(unread_upload_bytes, head(status, "r1") + "part",
+                                         [&] { peer_->shutdown(tcp::socket::shutdown_send); });
+            CPPUNIT_ASSERT_MESSAGE(status, !doubtful.has_ended);
+            CPPUNIT_ASSERT_MESSAGE(status, doubtful.failure == absl::StatusCode::kUnknown);
+        }
+    }
+
+    // An upstream that refuses an upload need not read it.
+    void refusal_without_a_length_may_end_before_its_request_has_arrived()
+    {
+        const auto refused =
+            upload(unread_upload_bytes, head("413 Content Too Large", "r1") + "too large",
+                   [&] { peer_->shutdown(tcp::socket::shutdown_send); });
+        CPPUNIT_ASSERT(refused.has_ended);
+        CPPUNIT_ASSERT_EQUAL(std::string("too large"), refused.body);
+    }
+
     void answer_without_a_length_is_whole_if_its_connection_ends_in_order()
     {
-        for (const std::size_t body_bytes : {std::size_t{0}, std::size_t{1000}}) {
+        for (const std::size_t body_bytes :
+             {std::size_t{0}, std::size_t{1000}, unread_upload_bytes}) {
             const auto whole = upload(body_bytes, head("200 OK", "r1") + "all", [&] {
-                std::string request(body_bytes + 1000, ' ');
-                peer_->read_some(boost::asio::buffer(request));
+                read_request(body_bytes);
                 peer_->close();
             });
             CPPUNIT_ASSERT(whole.has_ended);
@@ -453,6 +479,20 @@
         return current_;
     }
 
+    // Has the upstream read a whole request with a body of this size.
+    void read_request(std::size_t body_bytes)
+    {
+        std::string request;
+        while (request.find("\r\n\r\n") == std::string::npos ||
+               request.size() - request.find("\r\n\r\n") - 4 < body_bytes) {
+            std::string part(peer_->available(), ' ');
+            peer_->read_some(boost::asio::buffer(part));
+            request += part;
+            context_->restart();
+            context_->run_for(step_time);
+        }
+    }
+
     // Sends a request and has the upstream respond with these bytes.
     outcome exchange(const std::string& id, const std::string& bytes, bool in_pieces = false)
     {
--- a/tests/process/support/raw_upstream.cpp
+++ b/tests/process/support/raw_upstream.cpp
@@ -26,6 +26,7 @@
 
 // Lets the packets of an answer arrive one by one.
 constexpr auto part_pause = std::chrono::milliseconds(20);
+constexpr auto late_reset_pause = std::chrono::milliseconds(200);
 
 // Value of a field of the head; empty without one.
 std::string field(const std::string& head, std::string_view name)
@@ -53,7 +54,7 @@
     if (end == raw_answer::end::in_order_then_reset) {
         connection.shutdown(tcp::socket::shutdown_send, ignored);
     }
-    if (end == raw_answer::end::reset || end == raw_answer::end::in_order_then_reset) {
+    if (end != raw_answer::end::in_order) {
         connection.set_option(asio::socket_base::linger(true, 0), ignored);
     }
     connection.close(ignored);
@@ -127,6 +128,12 @@
             }
         }
         if (reply.connection_end != raw_answer::end::none) {
+            if (reply.connection_end == raw_answer::end::in_order_then_late_reset) {
+                boost::system::error_code ignored;
+                connection.shutdown(tcp::socket::shutdown_send, ignored);
+                asio::steady_timer pause(context_, late_reset_pause);
+                co_await pause.async_wait(as_result);
+            }
             end_connection(connection, reply.connection_end);
             co_return;
         }
--- a/tests/process/support/raw_upstream.h
+++ b/tests/process/support/raw_upstream.h
@@ -24,6 +24,8 @@
         reset,
         /// The upstream ends its sending, then resets the connection.
         in_order_then_reset,
+        /// It resets the connection so much later that the end of its sending has been read.
+        in_order_then_late_reset,
     };
 
     /// Sent one after the other, each in a packet of its own. `{id}` stands for the request's id.
