A gateway that ends while it passes on an answer without a length resets its caller

Cause: an answer without a length ends with its connection, and the kernel ends the connections of a process that is gone in order, as does a forced exit, and the gateway's own cut of a caller that does not read.

Change: while such an answer is passed on, the caller's socket does not linger, so that any close of it is a reset, also the kernel's; it lingers again once all of the answer was passed to the system, just before its orderly end. Chunks would state that the answer is whole, which a gateway cannot know of an answer that ended with its connection.

--- a/src/gateway/call_exchange.cpp
+++ b/src/gateway/call_exchange.cpp
@@ -1482,6 +1482,9 @@
     }
     // The memory now belongs to the connection.
     answer_share_.release();
+    if (has_body && !has_length) {
+        caller->expect_end_with_connection();
+    }
     caller->send(std::move(text));
     finish();
     caller->end_response(closes);
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -308,6 +308,14 @@
     }
 }
 
+// A socket that does not linger is reset by its close, whoever closes it.
+void caller_connection::expect_end_with_connection()
+{
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    is_reset_by_close_ = true;
+}
+
 void caller_connection::end_response(bool closes)
 {
     exchange_.reset();
@@ -371,6 +379,9 @@
     closes_at_ = steady_now() + linger_time;
     input_.clear();
     boost::system::error_code error;
+    if (std::exchange(is_reset_by_close_, false)) {
+        socket_.set_option(asio::socket_base::linger(false, 0), error);
+    }
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
     if (error) {
         return close();
@@ -393,7 +404,9 @@
     if (!is_closed_) {
         is_closed_ = true;
         boost::system::error_code ignored;
-        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        if (!is_reset_by_close_) {
+            socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        }
         socket_.close(ignored);
     }
 }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -31,6 +31,10 @@
     /// Bytes queued and not yet written to the socket.
     std::size_t unsent_bytes() const { return output_.size() + writing_.size() - written_bytes_; }
 
+    /// The end of the current response is that of the connection: until `end_response` has passed
+    /// all of it to the system, any other end is a reset, also that of a process that is killed.
+    void expect_end_with_connection();
+
     /// Completes the current response; the next request follows unless the connection closes.
     void end_response(bool closes);
 
@@ -114,6 +118,8 @@
     bool is_reading_ = false;
     bool is_writing_ = false;
     bool is_closing_ = false;
+    /// The connection must not end in order now.
+    bool is_reset_by_close_ = false;
     /// Set once the last answer is written: what still arrives is dropped until the caller closes,
     /// or until then at the latest.
     std::optional<time_point> closes_at_;
--- a/tests/process/gateway_faulty_answers_test.cpp
+++ b/tests/process/gateway_faulty_answers_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(answers_without_a_length_are_delivered_whole);
     CPPUNIT_TEST(answer_without_a_length_that_is_reset_is_not_complete);
     CPPUNIT_TEST(answer_without_a_length_that_is_reset_during_an_upload_is_not_complete);
+    CPPUNIT_TEST(answer_without_a_length_is_not_ended_by_the_end_of_its_gateway);
     CPPUNIT_TEST(status_out_of_range_reaches_no_caller);
     CPPUNIT_TEST(broken_line_of_a_head_reaches_no_caller);
     CPPUNIT_TEST(stream_that_ends_inside_an_event_goes_on_elsewhere);
@@ -190,6 +191,37 @@
         }
     }
 
+    // Guards against a part that looks complete, as the gateway was killed while it passed on an
+    // answer that ends with its connection.
+    void answer_without_a_length_is_not_ended_by_the_end_of_its_gateway()
+    {
+        // More than the sockets of a caller hold.
+        const std::string body(8UL * 1024 * 1024, 'b');
+        gateway_fleet fleet({.gateways = 1, .engines = 0, .services = 0});
+        const raw_upstream upstream(
+            {{"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n\r\n" + body},
+             raw_answer::end::in_order});
+        CPPUNIT_ASSERT(announce(fleet, "raw", upstream));
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(wait_until([&] {
+            return send(fleet.gateways[0], fleet.make_call("/safe/x", "k0")).status == 200;
+        }));
+        for (const bool is_killed : {false, true}) {
+            raw_caller caller(fleet.gateways[0].address);
+            CPPUNIT_ASSERT(caller.send("GET /safe/x HTTP/1.1\r\nRequest-Id: k1\r\n"
+                                       "Host: a.example\r\nDeadline-Ms: 5000\r\n"
+                                       "Authorization: Token key-1\r\n\r\n"));
+            auto received = caller.read_some(1000);
+            CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 200 OK\r\n"));
+            if (is_killed) {
+                fleet.gateways[0].process->kill();
+            }
+            received += caller.read_to_end();
+            CPPUNIT_ASSERT_EQUAL(is_killed, caller.was_reset());
+            CPPUNIT_ASSERT_EQUAL(!is_killed, received.ends_with("\r\n\r\n" + body));
+        }
+    }
+
     // Guards against a broken stream that the next upstream's answer ends as if it were complete.
     void stream_is_not_ended_by_a_resumption_without_events()
     {
--- a/tests/process/support/raw_caller.cpp
+++ b/tests/process/support/raw_caller.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <ctime>
 #include <sys/socket.h>
@@ -57,6 +58,7 @@
         const auto count = socket_.read_some(asio::buffer(chunk), error);
         received.append(chunk.data(), count);
     }
+    was_reset_ = error != asio::error::eof;
     return received;
 }
 
--- a/tests/process/support/raw_caller.h
+++ b/tests/process/support/raw_caller.h
@@ -28,10 +28,14 @@
     /// Returns everything received until the peer closes the connection in order or resets it.
     std::string read_to_end();
 
+    /// Whether what was read last ended otherwise than by an orderly close of the peer.
+    bool was_reset() const { return was_reset_; }
+
 private:
     boost::asio::io_context context_;
     boost::asio::ip::tcp::socket socket_;
     bool is_connected_ = false;
+    bool was_reset_ = false;
 };
 
 } // namespace snipespar::testing
