Two sidecars keep what crashes upstreams, for a fleet whose gateways were all killed

Cause: findings were kept in the memory of gateways only.

Change: gateways send their findings to two sidecars of different failure domains as well, and each sidecar tells what it keeps with the first messages of a gateway's process. Nothing is on a clock; the messages are those of a crash and its repeats.

Before: repeated_call_is_refused_after_all_gateways_were_killed failed (502, a fourth server ended).

--- a/src/control/crash_findings.h
+++ b/src/control/crash_findings.h
@@ -4,7 +4,8 @@
 
 namespace snipespar::control {
 
-/// Message between gateways: requests that were in flight when upstreams crashed.
+/// Message between gateways, and to and from the sidecars that keep it for them: requests that were
+/// in flight when upstreams crashed.
 struct crash_findings {
     poison::suspect_digest suspects;
 
--- a/src/gateway/gateway_server.cpp
+++ b/src/gateway/gateway_server.cpp
@@ -74,6 +74,8 @@
 // A gateway that was silent for so long, and for several reports, is told again.
 constexpr auto min_informed_lifetime = std::chrono::seconds(2);
 constexpr int informed_report_intervals = 3;
+// Ranks the sidecars that keep the findings about crashes; a digest of no stream.
+constexpr resume::stream_key findings_key{};
 // Sidecars report twice a second.
 constexpr auto refused_names_interval = std::chrono::seconds(5);
 
@@ -140,9 +142,7 @@
         update_origin_holders();
         const auto now = steady_now();
         const auto is_usable = [&](const resume::origin_holder& holder) {
-            const auto* state = context_.upstreams.find(holder.upstream);
-            return state != nullptr && upstream_table::is_serving(*state, now) &&
-                   !upstream_table::is_unresponsive(*state, now);
+            return is_holder_usable(holder, now);
         };
         perform(origins_.on_began(key, origin, is_usable, now));
     };
@@ -1151,13 +1151,32 @@
     announce(context_.crashes.urgent_announcement(now));
 }
 
+// All gateways may be killed at one moment, so that a few sidecars keep the findings for those that
+// start: the same ones for all findings, as any sidecar tells what it keeps.
 void gateway_server::announce(const poison::suspect_digest& findings)
 {
-    if (!findings.empty()) {
-        send_to_peers(control::crash_findings{findings});
+    if (findings.empty()) {
+        return;
+    }
+    const control::message content = control::crash_findings{findings};
+    send_to_peers(content);
+    update_origin_holders();
+    const auto now = steady_now();
+    const auto is_usable = [&](const resume::origin_holder& holder) {
+        return is_holder_usable(holder, now);
+    };
+    for (const auto& holder : origins_.holders().to_tell(findings_key, is_usable)) {
+        datagrams_.send(holder, control::encode(content));
     }
 }
 
+bool gateway_server::is_holder_usable(const resume::origin_holder& holder, time_point now) const
+{
+    const auto* state = context_.upstreams.find(holder.upstream);
+    return state != nullptr && upstream_table::is_serving(*state, now) &&
+           !upstream_table::is_unresponsive(*state, now);
+}
+
 void gateway_server::inform_new_peer(const control::gateway_usage& usage, const cli::endpoint& from,
                                      time_point now)
 {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -123,6 +123,7 @@
     std::optional<control::permit_answer> ask_permit(const control::permit_request& request);
     void on_permit_answer(const control::permit_answer& answer);
     void announce(const poison::suspect_digest& findings);
+    bool is_holder_usable(const resume::origin_holder& holder, time_point now) const;
     void inform_new_peer(const control::gateway_usage& usage, const cli::endpoint& from,
                          time_point now);
     void send_to_peers(const control::message& content);
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -318,6 +318,9 @@
         metrics_.origins.add();
         origins_.put(record->key, record->origin, steady_now());
     }
+    else if (const auto* findings = std::get_if<control::crash_findings>(&content)) {
+        findings_.keep(findings->suspects, steady_now());
+    }
     else if (const auto* question = std::get_if<control::origin_question>(&content)) {
         const auto origin = origins_.find(question->key, steady_now());
         datagrams_.send(
@@ -425,6 +428,10 @@
     const bool is_new = gateways_.find(from) == gateways_.end();
     gateways_[from] = {demand.gateway, now};
     planner_.on_demand(with_sound_upstream(demand), now);
+    if (auto findings = findings_.on_message(from, demand.gateway_start, now); !findings.empty()) {
+        log_.info("findings_told", {{"gateway", demand.gateway}, {"count", findings.size()}});
+        datagrams_.send(from, control::encode(control::crash_findings{std::move(findings)}));
+    }
     if (is_new) {
         roster_.on_new(from);
         published_at_ = {};
@@ -447,6 +454,7 @@
         return now - item.second.last_demand_at > gateway_expiry;
     });
     origins_.on_tick(now);
+    findings_.on_tick(now);
     if (pacer_.waiting() == 0) {
         asking_gateways_.clear();
         // Lets an unused limit expire.
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -7,6 +7,7 @@
 #include "resume/origin_store.h"
 #include "sidecar/adapter_planner.h"
 #include "sidecar/cold_permits.h"
+#include "sidecar/finding_keeper.h"
 #include "sidecar/gateway_roster.h"
 #include "sidecar/last_broadcast.h"
 #include "sidecar/prompt_pacer.h"
@@ -83,6 +84,7 @@
     run_time_estimate run_time_;
     /// Held for the gateways, whichever engine began the streams.
     resume::origin_store origins_;
+    finding_keeper findings_;
     boost::asio::steady_timer pace_timer_;
     /// Address of each gateway that has asked for admission, by name.
     std::map<std::string, cli::endpoint> asking_gateways_;
--- a/tests/process/gateway_crash_containment_test.cpp
+++ b/tests/process/gateway_crash_containment_test.cpp
@@ -26,6 +26,7 @@
 class gateway_crash_containment_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(gateway_crash_containment_test);
     CPPUNIT_TEST(repeated_call_is_refused_by_gateways_that_saw_no_crash);
+    CPPUNIT_TEST(repeated_call_is_refused_after_all_gateways_were_killed);
     CPPUNIT_TEST(equal_calls_of_several_teams_are_contained);
     CPPUNIT_TEST(caller_that_leaves_before_the_crash_does_not_hide_it);
     CPPUNIT_TEST_SUITE_END();
@@ -49,6 +50,34 @@
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, crashed(fleet));
     }
 
+    // Guards against findings that end with the gateways: the same call would crash three servers
+    // more.
+    void repeated_call_is_refused_after_all_gateways_were_killed()
+    {
+        gateway_fleet fleet({.engines = 1, .services = upstreams});
+        prepare(fleet);
+        for (int i = 0; crashed(fleet) < 3; ++i) {
+            CPPUNIT_ASSERT(i < 10);
+            send(fleet, 0, bad_call(fleet, i, keys[0]));
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+        for (auto& gateway : fleet.gateways) {
+            gateway.process->kill();
+        }
+        for (auto& gateway : fleet.gateways) {
+            gateway.restart();
+        }
+        CPPUNIT_ASSERT(fleet.wait_until_ready());
+        CPPUNIT_ASSERT(
+            wait_until([&] { return is_served(fleet, 0, "s0") && is_served(fleet, 1, "s1"); }));
+        for (int i = 10; i < 20; ++i) {
+            const auto reply =
+                send(fleet, static_cast<std::size_t>(i) % 2, bad_call(fleet, i, keys[0]));
+            CPPUNIT_ASSERT_EQUAL(503U, reply.status);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, crashed(fleet));
+    }
+
     // Guards against evidence that is kept by team: each of them would end three servers.
     void equal_calls_of_several_teams_are_contained()
     {
@@ -129,6 +158,13 @@
         return call;
     }
 
+    static bool is_served(const gateway_fleet& fleet, std::size_t gateway, const std::string& id)
+    {
+        auto call = fleet.make_call("/safe/x", id);
+        call.headers["Authorization"] = "Token " + keys.back();
+        return send(fleet, gateway, call).status == 200;
+    }
+
     static std::ptrdiff_t crashed(const gateway_fleet& fleet)
     {
         return std::ranges::count_if(
