A watch that lost the history lists once, without a catch-up behind it

The catch-up after a failed poll is wanted only if the poll got no usable answer: after a lost history or a restored store the list shows everything, and another read is charged for nothing.

--- a/src/platform/watch_plan.cpp
+++ b/src/platform/watch_plan.cpp
@@ -133,8 +133,7 @@
         return;
     }
     const auto began = current_->began;
-    // What was missed is read without waiting for the next change.
-    is_catch_up_wanted_ = is_catch_up_wanted_ || current_->kind == read_kind::poll;
+    const bool was_poll = current_->kind == read_kind::poll;
     current_.reset();
     replaced_at_.reset();
     switch (failure) {
@@ -149,6 +148,8 @@
         break;
     case read_failure::unavailable:
         cause_ = read_cause::retry;
+        // What was missed is read without waiting for the next change.
+        is_catch_up_wanted_ = is_catch_up_wanted_ || was_poll;
         break;
     }
     is_retrying_ = true;
